--- /dev/null
+++ b/crates/simhost/src/main.rs
@@ -0,0 +1,291 @@
+//! Speaks the simulator's wire: decodes events into calls on [`Choice`] and encodes what it does.
+
+#![forbid(unsafe_code)]
+
+mod facts;
+mod frame;
+#[cfg(test)]
+mod tests;
+
+use frame::{Fields, Malformed, Reply};
+use madderpoint::choice::Choice;
+use madderpoint::{
+    AlarmId, Arrival, CallEnding, DispatcherId, Ending, Gauges, Host, InvId, Nanos, OpId, TenantId,
+};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::{self, BufWriter, Read, Write};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// Writes one instance's actions into the reply that all share.
+struct WireHost {
+    instance: u16,
+    reply: Rc<RefCell<Reply>>,
+}
+
+fn seconds(span: Nanos) -> [u8; 8] {
+    (span as f64 / 1e9).to_be_bytes()
+}
+
+impl WireHost {
+    fn write(&self, code: u8, parts: &[&[u8]]) {
+        self.reply.borrow_mut().record(code, self.instance, parts);
+    }
+
+    fn text(&self, code: u8, text: &str) {
+        let end = text.floor_char_boundary(text.len().min(usize::from(u16::MAX)));
+        self.write(code, &[&(end as u16).to_be_bytes(), &text.as_bytes()[..end]]);
+    }
+}
+
+impl Host for WireHost {
+    fn run(&mut self, id: InvId) {
+        self.write(16, &[&id.0.to_be_bytes()]);
+    }
+    fn throttle(&mut self, id: InvId, pause: Nanos, last: bool) {
+        self.write(17, &[&id.0.to_be_bytes(), &seconds(pause), &[u8::from(last)]]);
+    }
+    fn error(&mut self, id: InvId) {
+        self.write(18, &[&id.0.to_be_bytes()]);
+    }
+    fn halt(&mut self, id: InvId) {
+        self.write(19, &[&id.0.to_be_bytes()]);
+    }
+    fn call(&mut self, id: InvId, timeout: Nanos) {
+        self.write(20, &[&id.0.to_be_bytes(), &seconds(timeout)]);
+    }
+    fn skip_call(&mut self, id: InvId) {
+        self.write(21, &[&id.0.to_be_bytes()]);
+    }
+    fn remember(&mut self, id: InvId, lifetime: Nanos) {
+        self.write(22, &[&id.0.to_be_bytes(), &seconds(lifetime)]);
+    }
+    fn forget(&mut self, id: InvId) {
+        self.write(23, &[&id.0.to_be_bytes()]);
+    }
+    fn join(&mut self, id: InvId) {
+        self.write(24, &[&id.0.to_be_bytes()]);
+    }
+    fn health(&mut self, good: bool, from_store: bool) {
+        self.write(25, &[&[u8::from(good), u8::from(from_store)]]);
+    }
+    fn advertise(&mut self, value: f64) {
+        self.write(26, &[&(value as f32).to_be_bytes()]);
+    }
+    fn close_idle(&mut self, after: Nanos) {
+        self.write(27, &[&seconds(after)]);
+    }
+    fn wake(&mut self, alarm: AlarmId, after: Nanos) {
+        self.write(28, &[&alarm.0.to_be_bytes(), &seconds(after)]);
+    }
+    fn log(&mut self, line: fmt::Arguments<'_>) {
+        self.text(29, &line.to_string());
+    }
+}
+
+/// One node's decisions, with what is needed to decode its events.
+struct Instance {
+    choice: Choice<WireHost>,
+    operations: usize,
+    tenants: usize,
+    gauges: Vec<String>,
+    passes_deadline: bool,
+}
+
+#[derive(Default)]
+struct Adapter {
+    instances: BTreeMap<u16, Instance>,
+    reply: Rc<RefCell<Reply>>,
+}
+
+fn ending(code: u8) -> Option<Ending> {
+    match code {
+        0 => Some(Ending::Succeeded),
+        5 => Some(Ending::Errored),
+        125 => Some(Ending::Cancelled),
+        114 => Some(Ending::Moot),
+        _ => None,
+    }
+}
+
+fn call_ending(code: u8) -> Option<CallEnding> {
+    match code {
+        0 => Some(CallEnding::Succeeded),
+        11 | 111 | 114 => Some(CallEnding::NeverRan),
+        110 | 125 => Some(CallEnding::Abandoned),
+        5 | 104 => Some(CallEnding::MayHaveRun),
+        _ => None,
+    }
+}
+
+/// The value at a place, where 0 means that there is none.
+fn present<T: PartialEq + Default>(value: T) -> Option<T> {
+    (value != T::default()).then_some(value)
+}
+
+impl Instance {
+    fn arrival(&self, fields: &mut Fields<'_>) -> Result<Arrival, Malformed> {
+        let id = InvId(fields.u64("Ticket")?);
+        let op = usize::from(fields.u8("Kind")?);
+        if op >= self.operations {
+            return Err(fields.malformed("Kind", format!("no class {op}")));
+        }
+        let tenant = usize::from(fields.u16("Party")?);
+        let subject = fields.u64("Item")?;
+        let time_left = fields.nanos("Remaining")?;
+        let work = fields.f64("Work")?;
+        let held_kb = fields.f32("HeldKb")?;
+        let _rank = fields.f32("Rank")?;
+        let opts = fields.u8("Opts")?;
+        let dispatcher = DispatcherId(fields.u16("OriginPeer")?);
+        let age = fields.nanos("Lay")?;
+        let repeats = present(fields.u64("Forerunner")?).map(InvId);
+        Ok(Arrival {
+            id,
+            op: OpId(op),
+            tenant: (tenant < self.tenants).then_some(TenantId(tenant)),
+            dispatcher,
+            has_subject: subject != 0,
+            time_left: if self.passes_deadline { present(time_left) } else { None },
+            work_hint: (opts & 1 != 0 && work > 0.0).then_some(work),
+            held_kb: f64::from(held_kb.max(0.0)),
+            age,
+            repeats,
+        })
+    }
+
+    fn read_gauges(&self, fields: &mut Fields<'_>) -> Result<Gauges, Malformed> {
+        let mut gauges = Gauges::default();
+        for i in 0..usize::from(fields.u8("Feedback")?) {
+            let value = Some(f64::from(fields.f32("Feedback")?));
+            match self.gauges.get(i).map(String::as_str) {
+                Some("cpu_busy") => gauges.cpu_busy = value,
+                Some("runnable") => gauges.runnable = value,
+                Some("mem_used") => gauges.memory_used = value,
+                Some("sockets") => gauges.connections = value,
+                _ => {}
+            }
+        }
+        Ok(gauges)
+    }
+
+    /// Decodes one event's fields and calls the method for it.
+    fn event(&mut self, code: u8, now: Nanos, fields: &mut Fields<'_>) -> Result<(), Malformed> {
+        match code {
+            16 => self.choice.caller_left(now, InvId(fields.u64("Ticket")?)),
+            17 => self.choice.drain(now, fields.nanos("Remaining")?),
+            18 => {
+                let id = InvId(fields.u64("Ticket")?);
+                let reason = fields.u8("Reason")?;
+                let ending = call_ending(reason)
+                    .ok_or_else(|| fields.malformed("Reason", format!("unknown outcome {reason}")))?;
+                self.choice.call_ended(now, id, ending, fields.nanos("Latency")?);
+            }
+            21 => {
+                let alarm = AlarmId(fields.u64("KeyBack")?);
+                let gauges = self.read_gauges(fields)?;
+                self.choice.alarm(now, alarm, gauges);
+            }
+            22 => {
+                let id = InvId(fields.u64("Ticket")?);
+                let reason = fields.u8("Reason")?;
+                let ending = ending(reason)
+                    .ok_or_else(|| fields.malformed("Reason", format!("unknown outcome {reason}")))?;
+                self.choice.ended(now, id, ending, fields.nanos("Latency")?);
+            }
+            23 => {
+                let arrival = self.arrival(fields)?;
+                self.choice.arrive(now, arrival);
+            }
+            _ => self.choice.needs_call(now, InvId(fields.u64("Ticket")?)),
+        }
+        Ok(())
+    }
+}
+
+impl Adapter {
+    fn record(&mut self, now: Nanos, code: u8, base: usize, bytes: &[u8]) -> Result<(), Malformed> {
+        let name = match code {
+            16 => "hangup",
+            17 => "lame_duck",
+            18 => "call_ended",
+            19 => "killed",
+            20 => "init",
+            21 => "alarm",
+            22 => "wound_up",
+            23 => "req",
+            24 => "awaiting",
+            _ => return Err(Fields::new(bytes, base, &code.to_string()).malformed("code", "unknown record")),
+        };
+        let mut fields = Fields::new(bytes, base, name);
+        let number = fields.u16("I")?;
+        if code == 19 {
+            self.instances.remove(&number);
+            return Ok(());
+        }
+        let host = WireHost { instance: number, reply: Rc::clone(&self.reply) };
+        if code == 20 {
+            let seed = fields.u64("Entropy")?;
+            let len = fields.u32("Facts")? as usize;
+            let text = fields.bytes("Facts", len)?;
+            let start = facts::decode(text).map_err(|what| fields.malformed("Facts", what))?;
+            let instance = Instance {
+                operations: start.premises.operations.len(),
+                tenants: start.premises.tenants.len(),
+                gauges: start.gauges,
+                passes_deadline: start.passes_deadline,
+                choice: Choice::new(now, host, start.premises, seed),
+            };
+            self.instances.insert(number, instance);
+            return Ok(());
+        }
+        let Some(instance) = self.instances.get_mut(&number) else {
+            return Err(fields.malformed("I", format!("no instance {number}")));
+        };
+        match catch_unwind(AssertUnwindSafe(|| instance.event(code, now, &mut fields))) {
+            Ok(done) => done,
+            Err(panic) => {
+                let text = panic.downcast_ref::<&str>().map(ToString::to_string);
+                let text = text.or_else(|| panic.downcast_ref::<String>().cloned());
+                host.text(30, &text.unwrap_or_else(|| "panic".into()));
+                self.instances.remove(&number);
+                Ok(())
+            }
+        }
+    }
+
+    fn batch(&mut self, now: Nanos, body: &[u8]) -> Result<(), Malformed> {
+        let mut records = Fields::new(body, 12, "batch");
+        while !records.is_empty() {
+            let code = records.u8("code")?;
+            let len = records.u32("length")? as usize;
+            let base = records.offset();
+            let bytes = records.bytes("fields", len)?;
+            self.record(now, code, base, bytes)?;
+        }
+        Ok(())
+    }
+
+    fn serve(&mut self, input: &mut impl Read, output: &mut impl Write) -> Result<(), String> {
+        let mut body = Vec::new();
+        while let Some(now) = frame::read_batch(input, &mut body).map_err(|m| m.to_string())? {
+            self.batch(now, &body).map_err(|m| m.to_string())?;
+            self.reply.borrow_mut().send(output).map_err(|e| format!("reply: {e}"))?;
+        }
+        Ok(())
+    }
+}
+
+fn main() -> ExitCode {
+    let output = io::stdout();
+    match Adapter::default().serve(&mut io::stdin().lock(), &mut BufWriter::new(output.lock())) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("madderpoint-simhost: {what}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,718 @@
+//! All decisions of a node. The host calls one method of [`Choice`] for each thing that happens
+//! ([`arrive`](Choice::arrive), [`ended`](Choice::ended), [`needs_call`](Choice::needs_call),
+//! [`call_ended`](Choice::call_ended), [`caller_left`](Choice::caller_left), [`drain`](Choice::drain),
+//! [`alarm`](Choice::alarm)) with the time; decisions come back at once through [`Host`] (`src/lib.rs`).
+//!
+//! The ordinary path is Dynamic Beta RED (`docs/design.md`): each arrival moves q_avg and is refused with
+//! chance I_{q_avg/B}(mu, theta); every `T_UPDATE` the virtual target and the running limit are walked.
+//! What is held runs in the order of its billed value for the time that it takes.
+
+use crate::{
+    Advert, AlarmId, Arrival, Below, CallEnding, Effect, Ending, Gauges, Halt, Host, InvId, Nanos, Operation,
+    Premises,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use slab::Slab;
+use statrs::function::beta::beta_reg;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+
+#[cfg(test)]
+mod tests;
+
+const SECOND: f64 = 1e9;
+/// Interval of the walk, the running loop and the gauges.
+const T_UPDATE: Nanos = 500_000_000;
+/// Spread of the refusal curve, and the steps of the walk up and down.
+const THETA: f64 = 0.1;
+const ALPHA: f64 = 1.0;
+const BETA: f64 = 1.0;
+/// T_target as a share of the shortest latency objective, and B as a multiple of q_target.
+const TARGET_SHARE: f64 = 0.5;
+const BUFFER_FACTOR: f64 = 4.0;
+/// q_avg forgets over this time, so that w follows the gap between arrivals; w is never under the floor.
+const Q_MEMORY: f64 = 0.4;
+const LEAST_W: f64 = 0.05;
+/// C is the best of the last `C_SPANS` spans of `C_TICKS` updates each: a minute.
+const C_SPANS: usize = 24;
+const C_TICKS: u32 = 5;
+/// Cores busier than this show no room.
+const FULL: f64 = 0.9;
+/// Learnt figures move by this share with each sample.
+const LEARN: f64 = 0.1;
+/// Answers go out this long before they are due: ticks and late timers.
+const MARGIN: Nanos = 30_000_000;
+/// Parts of the memory and of the survivable crowd that are used.
+const MEMORY_USE: f64 = 0.85;
+const CROWD_USE: f64 = 0.85;
+/// The advert holds back traffic until this share of what is read is still turned away.
+const SHED_GOAL: f64 = 0.03;
+const SHED_GAIN: f64 = 0.15;
+/// Tries of one call.
+const CALL_TRIES: u8 = 3;
+
+const TICK: AlarmId = AlarmId(1);
+const DUE: AlarmId = AlarmId(2);
+
+/// An operation as agreed, and what its runs have shown.
+struct Row {
+    agreed: Operation,
+    /// Recent run time, and recent short run time, in seconds for each unit of size; 0 = not known.
+    pace: f64,
+    brisk: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Held,
+    Joining,
+    Running,
+    /// Wants a call that was not made yet.
+    Waiting,
+    Calling,
+}
+
+/// An invocation in hand: read, and neither answered and gone nor stopped.
+struct Invocation {
+    id: InvId,
+    op: usize,
+    tenant: Option<usize>,
+    arrived: Nanos,
+    objective: Nanos,
+    due: Nanos,
+    kb: f64,
+    /// Expected work where it was told, else 1.
+    size: f64,
+    stage: Stage,
+    /// Whether its caller has its answer or has left, while the work goes on.
+    over: bool,
+    repeat: bool,
+    failed_calls: u8,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mode {
+    Calm,
+    Refusing,
+    Full,
+    Draining,
+}
+
+/// The decisions of one node.
+pub struct Choice<H: Host> {
+    host: H,
+    site: Premises,
+    rows: Vec<Row>,
+    rng: Pcg64Mcg,
+    born: Nanos,
+    in_hand: Slab<Invocation>,
+    places: HashMap<InvId, usize>,
+    hold: Vec<usize>,
+    running: usize,
+    calls: usize,
+    /// When abandoned calls are surely over, and when remembered keys expire.
+    lingering: VecDeque<Nanos>,
+    keys: BinaryHeap<Reverse<Nanos>>,
+    /// Memory in use by own count, how much more the gauge shows, and a typical invocation's.
+    ledger_kb: f64,
+    memory_stretch: f64,
+    typical_kb: f64,
+    q_avg: f64,
+    q_virtual: f64,
+    q_target: f64,
+    buffer: f64,
+    last_arrival: Nanos,
+    done: [f64; C_SPANS],
+    ticks: u32,
+    limit: f64,
+    busy: f64,
+    /// Since the last update: arrivals, those turned away, runs that ended and the sum of their stretch.
+    read: f64,
+    turned: f64,
+    runs: f64,
+    stretch: f64,
+    /// Share of the traffic that the advert holds back.
+    shed: f64,
+    tenants: Vec<(f64, f64)>,
+    stop: Option<(Nanos, Nanos)>,
+    next_due: Nanos,
+    mode: Mode,
+}
+
+fn seconds(span: Nanos) -> f64 {
+    span as f64 / SECOND
+}
+
+impl<H: Host> Choice<H> {
+    /// Starts a node's decisions at `now`; chance comes from `seed` alone.
+    pub fn new(now: Nanos, mut host: H, site: Premises, seed: u64) -> Self {
+        host.health(true, true);
+        host.wake(TICK, T_UPDATE);
+        let rows = site.operations.iter().cloned().map(|agreed| Row { agreed, pace: 0.0, brisk: 0.0 });
+        let cores = site.cores as f64;
+        let mut choice = Choice {
+            host,
+            rows: rows.collect(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            born: now,
+            in_hand: Slab::with_capacity(256),
+            places: HashMap::with_capacity(512),
+            hold: Vec::with_capacity(256),
+            running: 0,
+            calls: 0,
+            lingering: VecDeque::with_capacity(64),
+            keys: BinaryHeap::with_capacity(64),
+            ledger_kb: 0.0,
+            memory_stretch: 2.0,
+            typical_kb: 0.0,
+            q_avg: 0.0,
+            q_virtual: cores,
+            q_target: cores,
+            buffer: 0.0,
+            last_arrival: now,
+            done: [0.0; C_SPANS],
+            ticks: 0,
+            limit: cores,
+            busy: 0.0,
+            read: 0.0,
+            turned: 0.0,
+            runs: 0.0,
+            stretch: 0.0,
+            shed: 0.0,
+            tenants: site.tenants.iter().map(|_| (0.0, 0.0)).collect(),
+            stop: None,
+            next_due: Nanos::MAX,
+            mode: Mode::Calm,
+            site,
+        };
+        choice.measure_capacity();
+        choice
+    }
+
+    /// An invocation was read.
+    pub fn arrive(&mut self, now: Nanos, arrival: Arrival) {
+        let agreed = &self.rows[arrival.op.0].agreed;
+        let arrived = now.saturating_sub(arrival.age);
+        let timeout = arrival.time_left.map_or(arrived + agreed.client_timeout, |left| now + left);
+        let own_work = arrival.work_hint.unwrap_or(0.0) * agreed.objective_stretch * SECOND;
+        let objective = (arrived + agreed.latency_objective + own_work as Nanos).min(timeout);
+        let stop = self.stop.map_or(Nanos::MAX, |(_, stop)| stop);
+        let inv = Invocation {
+            id: arrival.id,
+            op: arrival.op.0,
+            tenant: arrival.tenant.map(|t| t.0),
+            arrived,
+            objective,
+            due: timeout.min(stop).saturating_sub(MARGIN),
+            kb: arrival.held_kb,
+            size: arrival.work_hint.unwrap_or(1.0),
+            stage: Stage::Held,
+            over: false,
+            repeat: arrival.repeats.is_some(),
+            failed_calls: 0,
+        };
+        let effect = agreed.effect;
+        let window = agreed.repeat_window.max(self.site.answer_fresh);
+        self.read += 1.0;
+        if let Some(t) = inv.tenant {
+            self.tenants[t].0 += 1.0;
+        }
+        self.typical_kb += (inv.kb - self.typical_kb) * if self.typical_kb > 0.0 { LEARN } else { 1.0 };
+        self.average(now);
+        let (repeat, due) = (inv.repeat, inv.due);
+        self.ledger_kb += inv.kb;
+        let place = self.in_hand.insert(inv);
+        self.places.insert(arrival.id, place);
+        if repeat && due > now {
+            self.in_hand[place].stage = Stage::Joining;
+            self.host.join(arrival.id);
+            return self.arm(now, due);
+        }
+        let keyed = effect == Effect::Tokened
+            || (effect == Effect::Idempotent && self.site.answer_fresh > 0 && arrival.has_subject);
+        let late = self.stop.is_some_and(|(notice, _)| arrived > notice + self.site.drain_grace);
+        if late || due <= now || !self.memory_fits(if keyed { self.site.key_kb } else { 0.0 }) {
+            return self.turn_away(now, place);
+        }
+        if keyed {
+            // Before the run, so that a repeat bears the mark from here on; the window counts from arrival.
+            self.host.remember(arrival.id, window);
+            self.keys.push(Reverse(now + window));
+        }
+        self.hold.push(place);
+        let full = self.hold.len() as f64 > self.buffer;
+        let drawn = !self.rests() && self.rng.random::<f64>() < self.chance();
+        if full || drawn {
+            let victim = self.victim(now, place);
+            self.turn_away(now, victim);
+        } else if self.hopeless(now, place, self.wait(place)) {
+            self.turn_away(now, place);
+        }
+        if self.in_hand.get(place).is_some_and(|inv| inv.id == arrival.id) {
+            self.arm(now, due);
+        }
+        self.fill(now);
+    }
+
+    /// A run or a join ended; where it succeeded or errored, the caller was told.
+    pub fn ended(&mut self, now: Nanos, id: InvId, ending: Ending, latency: Nanos) {
+        let Some(&place) = self.places.get(&id) else { return };
+        let inv = &mut self.in_hand[place];
+        match inv.stage {
+            Stage::Held | Stage::Joining => return self.remove(place),
+            Stage::Calling => {
+                self.calls -= 1;
+                self.lingering.push_back(now + self.site.call_linger);
+            }
+            Stage::Running | Stage::Waiting => {}
+        }
+        if ending == Ending::Succeeded {
+            let row = &mut self.rows[inv.op];
+            let pace = seconds(latency) / inv.size;
+            if row.pace == 0.0 {
+                (row.pace, row.brisk) = (pace, pace);
+            }
+            row.pace += LEARN * (pace - row.pace);
+            row.brisk += (pace - row.brisk) * if pace < row.brisk { 0.2 } else { 0.01 };
+            self.runs += 1.0;
+            self.stretch += pace / row.brisk;
+            self.done[self.ticks as usize / C_TICKS as usize % C_SPANS] += 1.0;
+        }
+        if ending == Ending::Cancelled && !inv.over {
+            // Stopped though its caller waits: what must not run twice cannot be taken up again.
+            self.host.error(id);
+        }
+        self.remove(place);
+        self.fill(now);
+        self.make_calls(now);
+    }
+
+    /// A running invocation has come to a call below.
+    pub fn needs_call(&mut self, now: Nanos, id: InvId) {
+        let Some(&place) = self.places.get(&id) else { return };
+        self.in_hand[place].stage = Stage::Waiting;
+        self.in_hand[place].failed_calls = 0;
+        self.make_call(now, place);
+    }
+
+    /// A call below ended.
+    pub fn call_ended(&mut self, now: Nanos, id: InvId, ending: CallEnding, _latency: Nanos) {
+        let Some(&place) = self.places.get(&id) else { return };
+        if self.in_hand[place].stage != Stage::Calling {
+            return;
+        }
+        self.calls -= 1;
+        if ending == CallEnding::Abandoned {
+            self.lingering.push_back(now + self.site.call_linger);
+        }
+        let inv = &mut self.in_hand[place];
+        let agreed = &self.rows[inv.op].agreed;
+        inv.stage = if ending == CallEnding::Succeeded { Stage::Running } else { Stage::Waiting };
+        inv.failed_calls += u8::from(ending != CallEnding::Succeeded);
+        let repeatable = agreed.effect == Effect::Idempotent || ending == CallEnding::NeverRan;
+        if inv.stage == Stage::Waiting && !inv.over {
+            let tired = inv.failed_calls >= CALL_TRIES || !repeatable;
+            if agreed.share_without_call > 0.0 && (tired || self.site.below == Below::Shared) {
+                self.skip_call(place);
+            } else if tired {
+                self.give_up(place);
+            } else if self.site.below == Below::Tier {
+                self.make_call(now, place);
+            }
+        }
+        self.make_calls(now);
+    }
+
+    /// The caller of an invocation no longer waits.
+    pub fn caller_left(&mut self, now: Nanos, id: InvId) {
+        let Some(&place) = self.places.get(&id) else { return };
+        match self.in_hand[place].stage {
+            Stage::Held | Stage::Joining => self.remove(place),
+            _ => self.abandon(place),
+        }
+        self.fill(now);
+    }
+
+    /// The node will be stopped after `left`.
+    pub fn drain(&mut self, now: Nanos, left: Nanos) {
+        self.stop = Some((now, now + left));
+        let last = (now + left).saturating_sub(MARGIN);
+        for (_, inv) in &mut self.in_hand {
+            inv.due = inv.due.min(last);
+        }
+        self.arm(now, last);
+        self.host.health(false, true);
+        self.advertise();
+        self.enter(Mode::Draining);
+    }
+
+    /// A timer expired; `gauges` are the node's of this moment.
+    pub fn alarm(&mut self, now: Nanos, alarm: AlarmId, gauges: Gauges) {
+        if alarm == DUE {
+            self.answer_due(now);
+        } else {
+            self.host.wake(TICK, T_UPDATE);
+            self.watch_memory(now, &gauges);
+            self.steer_running(&gauges);
+            self.measure_capacity();
+            self.walk();
+            self.steer_traffic();
+            let mode = match self.mode {
+                Mode::Draining => Mode::Draining,
+                _ if self.hold.len() as f64 >= self.buffer => Mode::Full,
+                _ if self.turned > 0.0 => Mode::Refusing,
+                _ => Mode::Calm,
+            };
+            self.enter(mode);
+            (self.read, self.turned, self.runs, self.stretch) = (0.0, 0.0, 0.0, 0.0);
+        }
+        self.fill(now);
+        self.make_calls(now);
+    }
+
+    // ---- Dynamic Beta RED ----
+
+    /// q_avg with the arrival: w grows with the gap, so that a thinly fed node does not judge by old news.
+    fn average(&mut self, now: Nanos) {
+        let gap = seconds(now - self.last_arrival);
+        let w = (1.0 - (-gap / Q_MEMORY).exp()).max(LEAST_W);
+        self.q_avg += w * (self.hold.len() as f64 - self.q_avg);
+        self.last_arrival = now;
+    }
+
+    /// Whether the random refusal rests.
+    fn rests(&self) -> bool {
+        self.busy < FULL || self.hold.len() < self.site.cores
+    }
+
+    /// The chance that an arrival is refused.
+    fn chance(&self) -> f64 {
+        let mu = self.q_virtual / self.buffer;
+        let spread = 1.0 / (THETA * THETA) - 1.0;
+        beta_reg(mu * spread, (1.0 - mu) * spread, (self.q_avg / self.buffer).clamp(0.0, 1.0))
+    }
+
+    /// q_target from the best completions of the last minute, and B from it and from memory.
+    fn measure_capacity(&mut self) {
+        let cores = self.site.cores as f64;
+        let span = f64::from(C_TICKS) * seconds(T_UPDATE);
+        let best = self.done.iter().fold(0.0, |a: f64, &b| a.max(b)) / span;
+        let shortest = self.rows.iter().map(|r| r.agreed.latency_objective).min().unwrap_or(0);
+        self.q_target = (best * TARGET_SHARE * seconds(shortest)).max(cores);
+        let running_kb = self.limit * self.site.run_memory_factor * self.typical_kb;
+        let room = self.site.memory_kb * MEMORY_USE - self.keys_kb();
+        let room = (room / self.memory_stretch - running_kb) / self.typical_kb.max(f64::MIN_POSITIVE);
+        self.buffer = (BUFFER_FACTOR * self.q_target).min(room).max(cores + 2.0);
+        self.q_virtual = self.q_virtual.clamp(cores.max(self.buffer / 50.0), self.buffer - 1.0);
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(C_TICKS) {
+            self.done[(self.ticks / C_TICKS) as usize % C_SPANS] = 0.0;
+        }
+    }
+
+    /// Moves the virtual target by the error of q_avg. While the refusal rests it goes back to q_target
+    /// instead, so that a calm spell does not wind it up against the next surge.
+    fn walk(&mut self) {
+        let mu = self.q_virtual / self.buffer;
+        let error = self.q_target - self.q_avg;
+        let step = if error > 0.0 { ALPHA } else { BETA };
+        self.q_virtual += if self.rests() {
+            LEARN * (self.q_target - self.q_virtual)
+        } else {
+            step * mu * (1.0 - mu) * error
+        };
+        let least = (self.site.cores as f64).max(self.buffer / 50.0);
+        self.q_virtual = self.q_virtual.clamp(least, self.buffer - 1.0);
+    }
+
+    /// The running loop: grows by half the idle cores while work is held, falls while full cores run long.
+    fn steer_running(&mut self, gauges: &Gauges) {
+        let cores = self.site.cores as f64;
+        self.busy = gauges.cpu_busy.unwrap_or(if self.hold.is_empty() { 0.0 } else { 1.0 });
+        if !self.hold.is_empty() {
+            self.limit += (1.0 - self.busy).max(0.0) * cores / 2.0;
+        }
+        if self.busy >= FULL && self.runs > 0.0 && self.stretch / self.runs > 2.0 {
+            self.limit -= 1.0;
+        }
+        self.limit = self.limit.clamp(cores, cores * self.site.crowd_per_core.max(1.0));
+        for row in &mut self.rows {
+            row.pace *= 0.98; // what cannot start for its expected length gets another look in time
+        }
+    }
+
+    // ---- What is held, and who bears a refusal ----
+
+    /// Billed value an expected second of running earns if answered in time.
+    fn merit(&self, place: usize) -> f64 {
+        let inv = &self.in_hand[place];
+        let row = &self.rows[inv.op];
+        let length = if self.site.billed_by_work { 1.0 } else { (row.pace * inv.size).max(1e-3) };
+        let rate = inv.tenant.map_or(0.0, |t| self.tenants[t].1 * self.site.nodes as f64);
+        let quota = inv.tenant.map_or(0.0, |t| self.site.tenants[t].quota_per_s);
+        // Traffic over a tenant's share bears no mark, so all of that tenant's counts in proportion.
+        let within = if rate > quota { quota / rate } else { 1.0 };
+        row.agreed.billed_value / length * (within + (1.0 - within) * self.site.over_share_value)
+    }
+
+    /// Expected run time.
+    fn length(&self, place: usize) -> f64 {
+        self.rows[self.in_hand[place].op].pace * self.in_hand[place].size
+    }
+
+    /// Expected wait behind all that is held and goes first.
+    fn wait(&self, place: usize) -> f64 {
+        let merit = self.merit(place);
+        let ahead = self.hold.iter().filter(|&&other| other != place && self.merit(other) >= merit);
+        ahead.map(|&other| self.length(other)).sum::<f64>() / self.limit
+    }
+
+    /// Whether an answer would earn nothing even if it ran after `wait`.
+    fn hopeless(&self, now: Nanos, place: usize, wait: f64) -> bool {
+        let inv = &self.in_hand[place];
+        let pays_late = self.rows[inv.op].agreed.late_share > 0.0;
+        let end = now + ((wait + self.length(place)) * SECOND) as Nanos;
+        end > if pays_late { inv.due } else { inv.objective.min(inv.due) }
+    }
+
+    /// On whom a refusal falls: the least merit of the arrival and of those held for less than a tenth of
+    /// their time, whose callers lose little by asking elsewhere.
+    fn victim(&self, now: Nanos, arrival: usize) -> usize {
+        let young = |&&place: &&usize| {
+            let inv = &self.in_hand[place];
+            now - inv.arrived < (inv.due.saturating_sub(inv.arrived)) / 10
+        };
+        let others = self.hold.iter().filter(young).copied();
+        others.fold(arrival, |least, p| if self.merit(p) < self.merit(least) { p } else { least })
+    }
+
+    /// Starts held invocations while the running limit, memory and the crowd on the cores allow.
+    fn fill(&mut self, now: Nanos) {
+        while self.running < self.run_limit(now) {
+            let mut best: Option<usize> = None;
+            for i in (0..self.hold.len()).rev() {
+                let place = self.hold[i];
+                if self.hopeless(now, place, 0.0) {
+                    self.turn_away(now, place);
+                } else if best.is_none_or(|b| {
+                    let key = |p: usize| (self.merit(p), Reverse(self.in_hand[p].arrived));
+                    key(place) > key(b)
+                }) {
+                    best = Some(place);
+                }
+            }
+            let Some(place) = best else { return };
+            let kb = self.in_hand[place].kb * (self.site.run_memory_factor - 1.0);
+            if !self.memory_fits(kb) && self.running > 0 {
+                return;
+            }
+            self.hold.retain(|&p| p != place);
+            self.ledger_kb += kb;
+            self.running += 1;
+            self.in_hand[place].stage = Stage::Running;
+            self.host.run(self.in_hand[place].id);
+        }
+    }
+
+    /// The running limit under what the cores survive if all that waits for disk or calls comes back at
+    /// once; a cold node is taken to warm as slowly as it may.
+    fn run_limit(&self, now: Nanos) -> usize {
+        let warmth = if self.site.cold && self.site.warm_after > 0 {
+            (now - self.born) as f64 / self.site.warm_after as f64
+        } else {
+            1.0
+        };
+        let speed = self.site.cold_speed + (1.0 - self.site.cold_speed) * warmth.min(1.0);
+        let crowd = self.site.cores as f64 * (1.0 + (self.site.crowd_per_core - 1.0) * speed);
+        (self.limit.min(crowd * CROWD_USE) as usize).max(1)
+    }
+
+    /// Turns away what never ran.
+    fn turn_away(&mut self, now: Nanos, place: usize) {
+        let (id, repeat) = (self.in_hand[place].id, self.in_hand[place].repeat);
+        let hopeless = now >= self.in_hand[place].objective;
+        self.turned += 1.0;
+        if repeat {
+            self.host.error(id); // what it repeats may have run
+        } else {
+            let last = hopeless || self.rng.random::<f64>() < self.shed;
+            self.host.throttle(id, if self.stop.is_some() { self.site.longest_pause } else { 0 }, last);
+            self.host.forget(id);
+        }
+        self.remove(place);
+    }
+
+    // ---- Guards ----
+
+    /// Answers all that is due; work that goes on keeps its place until it ends.
+    fn answer_due(&mut self, now: Nanos) {
+        self.next_due = Nanos::MAX;
+        let mut next = Nanos::MAX;
+        for place in 0..self.in_hand.capacity() {
+            let Some(inv) = self.in_hand.get(place) else { continue };
+            if inv.over {
+                continue;
+            }
+            if inv.due > now {
+                next = next.min(inv.due);
+            } else if inv.stage == Stage::Held {
+                self.turn_away(now, place);
+            } else {
+                self.give_up(place);
+            }
+        }
+        if next < Nanos::MAX {
+            self.arm(now, next);
+        }
+    }
+
+    /// Keeps one timer for the earliest that is due.
+    fn arm(&mut self, now: Nanos, due: Nanos) {
+        if due < self.next_due {
+            self.next_due = due;
+            self.host.wake(DUE, due.saturating_sub(now));
+        }
+    }
+
+    /// Answers with an error what has started.
+    fn give_up(&mut self, place: usize) {
+        self.host.error(self.in_hand[place].id);
+        if self.in_hand[place].stage == Stage::Joining {
+            return self.remove(place);
+        }
+        self.abandon(place);
+    }
+
+    /// Its caller waits no more: stops the work where that can be done.
+    fn abandon(&mut self, place: usize) {
+        let inv = &mut self.in_hand[place];
+        inv.over = true;
+        if inv.stage == Stage::Running && self.site.halt != Halt::No {
+            self.host.halt(inv.id);
+        }
+    }
+
+    fn remove(&mut self, place: usize) {
+        let inv = self.in_hand.remove(place);
+        self.places.remove(&inv.id);
+        match inv.stage {
+            Stage::Held => self.hold.retain(|&p| p != place),
+            Stage::Joining => {}
+            _ => {
+                self.running -= 1;
+                self.ledger_kb -= inv.kb * (self.site.run_memory_factor - 1.0);
+            }
+        }
+        self.ledger_kb -= inv.kb;
+    }
+
+    fn keys_kb(&self) -> f64 {
+        self.keys.len() as f64 * self.site.key_kb
+    }
+
+    fn memory_fits(&self, more_kb: f64) -> bool {
+        (self.ledger_kb + more_kb) * self.memory_stretch + self.keys_kb() < self.site.memory_kb * MEMORY_USE
+    }
+
+    /// Own count against the gauge: what operations really take is told nowhere.
+    fn watch_memory(&mut self, now: Nanos, gauges: &Gauges) {
+        while self.keys.peek().is_some_and(|k| k.0 < now) {
+            self.keys.pop();
+        }
+        while self.lingering.front().is_some_and(|&end| end < now) {
+            self.lingering.pop_front();
+        }
+        let Some(used) = gauges.memory_used else { return };
+        if self.ledger_kb > 0.02 * self.site.memory_kb {
+            let seen = ((used * self.site.memory_kb - self.keys_kb()) / self.ledger_kb).max(1.0);
+            let learn = if seen > self.memory_stretch { 1.0 } else { LEARN };
+            self.memory_stretch += learn * (seen - self.memory_stretch);
+        }
+    }
+
+    // ---- Calls below ----
+
+    fn make_calls(&mut self, now: Nanos) {
+        for place in 0..self.in_hand.capacity() {
+            if self.in_hand.get(place).is_some_and(|inv| inv.stage == Stage::Waiting && !inv.over) {
+                self.make_call(now, place);
+            }
+        }
+    }
+
+    /// Makes the call that a run waits for, skips it, or lets it wait for room below.
+    fn make_call(&mut self, now: Nanos, place: usize) {
+        let inv = &self.in_hand[place];
+        if inv.over {
+            return;
+        }
+        let skip = self.rows[inv.op].agreed.share_without_call > 0.0;
+        let below = (self.calls + self.lingering.len()) as f64;
+        if self.site.below == Below::Shared && below + 1.0 > self.site.call_share.max(1.0) {
+            if skip {
+                self.skip_call(place);
+            }
+            return;
+        }
+        let until = if skip { inv.objective } else { inv.due };
+        if until <= now {
+            return if skip { self.skip_call(place) } else { self.give_up(place) };
+        }
+        self.calls += 1;
+        self.host.call(inv.id, until - now);
+        self.in_hand[place].stage = Stage::Calling;
+    }
+
+    fn skip_call(&mut self, place: usize) {
+        self.in_hand[place].stage = Stage::Running;
+        self.host.skip_call(self.in_hand[place].id);
+    }
+
+    // ---- Signals ----
+
+    /// Walks the share that the advert holds back, after what was still read and turned away.
+    fn steer_traffic(&mut self) {
+        let refused = if self.read > 0.0 { self.turned / self.read } else { 0.0 };
+        self.shed += SHED_GAIN * (refused - SHED_GOAL).max(-self.shed * 0.5);
+        self.shed = self.shed.clamp(0.0, 0.95);
+        for (count, rate) in &mut self.tenants {
+            *rate += LEARN * (*count / seconds(T_UPDATE) - *rate);
+            *count = 0.0;
+        }
+        self.advertise();
+    }
+
+    fn advertise(&mut self) {
+        let shed = if self.stop.is_some() { 1.0 } else { self.shed };
+        let room = self.limit + self.q_target;
+        let value = match self.site.advert {
+            Advert::No => return,
+            Advert::Level => shed,
+            Advert::Weight => 1.0 - shed,
+            Advert::Credit if self.stop.is_some() => 0.0,
+            Advert::Credit => room / (1.0 + shed * (self.site.dispatchers.max(1) as f64 - 1.0)),
+        };
+        self.host.advertise(value);
+    }
+
+    fn enter(&mut self, mode: Mode) {
+        if mode != self.mode {
+            self.host.log(format_args!(
+                "{:?}->{mode:?} held {} q_avg {:.1} target {:.1} virtual {:.1} B {:.0} run {}/{:.0} busy {:.2} \
+                 shed {:.2}",
+                self.mode,
+                self.hold.len(),
+                self.q_avg,
+                self.q_target,
+                self.q_virtual,
+                self.buffer,
+                self.running,
+                self.limit,
+                self.busy,
+                self.shed
+            ));
+            self.mode = mode;
+        }
+    }
+}
