--- a/src/choice.rs
+++ b/src/choice.rs
@@ -468,11 +468,13 @@
         ahead.map(|&other| self.length(other)).sum::<f64>() / self.limit
     }
 
-    /// Whether an answer would earn nothing even if it ran after `wait`.
+    /// Whether an answer would earn nothing even if it ran after `wait`. While cores show room, only what is
+    /// late already counts: an expectation may err, and nothing else wants the core.
     fn hopeless(&self, now: Nanos, place: usize, wait: f64) -> bool {
         let inv = &self.in_hand[place];
         let pays_late = self.rows[inv.op].agreed.late_share > 0.0;
-        let end = now + ((wait + self.length(place)) * SECOND) as Nanos;
+        let expected = if self.busy < FULL { 0.0 } else { wait + self.length(place) };
+        let end = now + (expected * SECOND) as Nanos;
         end > if pays_late { inv.due } else { inv.objective.min(inv.due) }
     }
 
@@ -674,8 +676,11 @@
     /// Walks the share that the advert holds back, after what was still read and turned away.
     fn steer_traffic(&mut self) {
         let refused = if self.read > 0.0 { self.turned / self.read } else { 0.0 };
-        self.shed += SHED_GAIN * (refused - SHED_GOAL).max(-self.shed * 0.5);
-        self.shed = self.shed.clamp(0.0, 0.95);
+        if self.busy < FULL {
+            self.shed *= 1.0 - LEARN;
+        } else {
+            self.shed = (self.shed + SHED_GAIN * (refused - SHED_GOAL)).clamp(0.0, 0.95);
+        }
         for (count, rate) in &mut self.tenants {
             *rate += LEARN * (*count / seconds(T_UPDATE) - *rate);
             *count = 0.0;
