--- a/src/choice.rs
+++ b/src/choice.rs
@@ -124,6 +124,7 @@
     buffer: f64,
     last_arrival: Nanos,
     done: [f64; C_SPANS],
+    rate: f64,
     ticks: u32,
     limit: f64,
     busy: f64,
@@ -172,6 +173,7 @@
             buffer: 0.0,
             last_arrival: now,
             done: [0.0; C_SPANS],
+            rate: 0.0,
             ticks: 0,
             limit: cores,
             busy: 0.0,
@@ -355,6 +357,7 @@
             self.host.wake(TICK, T_UPDATE);
             self.watch_memory(now, &gauges);
             self.steer_running(&gauges);
+            self.rate += LEARN * (self.runs / seconds(T_UPDATE) - self.rate);
             self.measure_capacity();
             self.walk();
             self.steer_traffic();
@@ -398,6 +401,7 @@
         let cores = self.site.cores as f64;
         let span = f64::from(C_TICKS) * seconds(T_UPDATE);
         let best = self.done.iter().fold(0.0, |a: f64, &b| a.max(b)) / span;
+        let best = if self.hold.is_empty() { best } else { best.min(self.rate) };
         let shortest = self.rows.iter().map(|r| r.agreed.latency_objective).min().unwrap_or(0);
         self.q_target = (best * TARGET_SHARE * seconds(shortest)).max(cores);
         let running_kb = self.limit * self.site.run_memory_factor * self.typical_kb;
