--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,7 +29,7 @@
 const ALPHA: f64 = 1.0;
 const BETA: f64 = 1.0;
 /// T_target as a share of the shortest latency objective, and B as a multiple of q_target.
-const TARGET_SHARE: f64 = 0.5;
+const TARGET_SHARE: f64 = 0.25;
 const BUFFER_FACTOR: f64 = 4.0;
 /// q_avg forgets over this time, so that w follows the gap between arrivals; w is never under the floor.
 const Q_MEMORY: f64 = 0.4;
