Running limit counts runs off their calls and falls at three times the short run

Cause: runs waiting below took places while cores idled; with lognormal sizes and no hints, twice the short run time is normal.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,6 +39,8 @@
 const C_TICKS: u32 = 5;
 /// Cores busier than this show no room.
 const FULL: f64 = 0.9;
+/// Runs this many times as long as short ones of their operation are long.
+const LONG: f64 = 3.0;
 /// Learnt figures move by this share with each sample.
 const LEARN: f64 = 0.1;
 /// Answers go out this long before they are due: ticks and late timers.
@@ -437,7 +439,7 @@
         if !self.hold.is_empty() {
             self.limit += (1.0 - self.busy).max(0.0) * cores / 2.0;
         }
-        if self.busy >= FULL && self.runs > 0.0 && self.stretch / self.runs > 2.0 {
+        if self.busy >= FULL && self.runs > 0.0 && self.stretch / self.runs > LONG {
             self.limit -= 1.0;
         }
         self.limit = self.limit.clamp(cores, cores * self.site.crowd_per_core.max(1.0));
@@ -495,7 +497,7 @@
 
     /// Starts held invocations while the running limit, memory and the crowd on the cores allow.
     fn fill(&mut self, now: Nanos) {
-        while self.running < self.run_limit(now) {
+        while self.running - self.calls < self.limit as usize && self.running < self.crowd_limit(now) {
             let mut best: Option<usize> = None;
             for i in (0..self.hold.len()).rev() {
                 let place = self.hold[i];
@@ -521,9 +523,9 @@
         }
     }
 
-    /// The running limit under what the cores survive if all that waits for disk or calls comes back at
+    /// The most runs that the cores survive if all that waits for disk or calls comes back at
     /// once; a cold node is taken to warm as slowly as it may.
-    fn run_limit(&self, now: Nanos) -> usize {
+    fn crowd_limit(&self, now: Nanos) -> usize {
         let warmth = if self.site.cold && self.site.warm_after > 0 {
             (now - self.born) as f64 / self.site.warm_after as f64
         } else {
@@ -531,7 +533,7 @@
         };
         let speed = self.site.cold_speed + (1.0 - self.site.cold_speed) * warmth.min(1.0);
         let crowd = self.site.cores as f64 * (1.0 + (self.site.crowd_per_core - 1.0) * speed);
-        (self.limit.min(crowd * CROWD_USE) as usize).max(1)
+        ((crowd * CROWD_USE) as usize).max(1)
     }
 
     /// Turns away what never ran.
