--- a/src/choice.rs
+++ b/src/choice.rs
@@ -218,7 +218,6 @@
         };
         let effect = agreed.effect;
         let window = agreed.repeat_window.max(self.site.answer_fresh);
-        self.read += 1.0;
         if let Some(t) = inv.tenant {
             self.tenants[t].0 += 1.0;
         }
@@ -228,6 +227,7 @@
         self.ledger_kb += inv.kb;
         let place = self.in_hand.insert(inv);
         self.places.insert(arrival.id, place);
+        self.read += self.merit(place);
         if repeat && due > now {
             self.in_hand[place].stage = Stage::Joining;
             self.host.join(arrival.id);
@@ -484,12 +484,12 @@
         end > if pays_late { inv.due } else { inv.objective.min(inv.due) }
     }
 
-    /// On whom a refusal falls: the least merit of the arrival and of those held for less than a tenth of
+    /// On whom a refusal falls: the least merit of the arrival and of those held for less than a third of
     /// their time, whose callers lose little by asking elsewhere.
     fn victim(&self, now: Nanos, arrival: usize) -> usize {
         let young = |&&place: &&usize| {
             let inv = &self.in_hand[place];
-            now - inv.arrived < (inv.due.saturating_sub(inv.arrived)) / 10
+            now - inv.arrived < (inv.due.saturating_sub(inv.arrived)) / 3
         };
         let others = self.hold.iter().filter(young).copied();
         others.fold(arrival, |least, p| if self.merit(p) < self.merit(least) { p } else { least })
@@ -540,7 +540,7 @@
     fn turn_away(&mut self, now: Nanos, place: usize) {
         let (id, repeat) = (self.in_hand[place].id, self.in_hand[place].repeat);
         let hopeless = now >= self.in_hand[place].objective;
-        self.turned += 1.0;
+        self.turned += self.merit(place);
         if repeat {
             self.host.error(id); // what it repeats may have run
         } else {
@@ -702,7 +702,7 @@
             Advert::Level => shed,
             Advert::Weight => 1.0 - shed,
             Advert::Credit if self.stop.is_some() => 0.0,
-            Advert::Credit => room / (1.0 + shed * (self.site.dispatchers.max(1) as f64 - 1.0)),
+            Advert::Credit => room.powf(1.0 - shed),
         };
         self.host.advertise(value);
     }
