--- a/src/choice.rs
+++ b/src/choice.rs
@@ -484,12 +484,12 @@
         end > if pays_late { inv.due } else { inv.objective.min(inv.due) }
     }
 
-    /// On whom a refusal falls: the least merit of the arrival and of those held for less than a third of
+    /// On whom a refusal falls: the least merit of the arrival and of those held for less than a fifth of
     /// their time, whose callers lose little by asking elsewhere.
     fn victim(&self, now: Nanos, arrival: usize) -> usize {
         let young = |&&place: &&usize| {
             let inv = &self.in_hand[place];
-            now - inv.arrived < (inv.due.saturating_sub(inv.arrived)) / 3
+            now - inv.arrived < (inv.due.saturating_sub(inv.arrived)) / 5
         };
         let others = self.hold.iter().filter(young).copied();
         others.fold(arrival, |least, p| if self.merit(p) < self.merit(least) { p } else { least })
