--- a/crates/simhost/src/frame.rs
+++ b/crates/simhost/src/frame.rs
@@ -118,12 +118,8 @@
 
 /// Reads one batch into `body` and returns its clock, or `None` at the end of input.
 pub fn read_batch(input: &mut impl Read, body: &mut Vec<u8>) -> Result<Option<u64>, Malformed> {
-    let in_header = |offset, what: String| Malformed {
-        record: "batch".into(),
-        field: "header".into(),
-        offset,
-        what,
-    };
+    let in_header =
+        |offset, what: String| Malformed { record: "batch".into(), field: "header".into(), offset, what };
     let mut header = [0; 12];
     match fill(input, &mut header).map_err(|e| in_header(0, e.to_string()))? {
         0 => return Ok(None),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,7 +21,6 @@
 #[cfg(test)]
 mod tests;
 
-const SECOND: f64 = 1e9;
 /// Interval of the walk, the running loop and the gauges.
 const T_UPDATE: Nanos = 500_000_000;
 /// Spread of the refusal curve, and the steps of the walk up and down.
@@ -31,12 +30,12 @@
 /// T_target as a share of the shortest latency objective, and B as a multiple of q_target.
 const TARGET_SHARE: f64 = 0.25;
 const BUFFER_FACTOR: f64 = 4.0;
-/// q_avg forgets over this time, so that w follows the gap between arrivals; w is never under the floor.
+/// q_avg forgets over so many seconds: w follows the gap between arrivals, from a floor.
 const Q_MEMORY: f64 = 0.4;
 const LEAST_W: f64 = 0.05;
-/// C is the best of the last `C_SPANS` spans of `C_TICKS` updates each: a minute.
+/// C is the best of the last `C_SPANS` spans of `C_UPDATES` updates each: a minute.
 const C_SPANS: usize = 24;
-const C_TICKS: u32 = 5;
+const C_UPDATES: usize = 5;
 /// Cores busier than this show no room.
 const FULL: f64 = 0.9;
 /// Runs this many times as long as short ones of their operation are long.
@@ -48,9 +47,10 @@
 /// Parts of the memory and of the survivable crowd that are used.
 const MEMORY_USE: f64 = 0.85;
 const CROWD_USE: f64 = 0.85;
-/// The advert holds back traffic until this share of what is read is still turned away.
+/// The advert holds back traffic until this share of the billed value that is read is still turned away.
 const SHED_GOAL: f64 = 0.03;
 const SHED_GAIN: f64 = 0.15;
+const SHED_MOST: f64 = 0.95;
 /// Tries of one call.
 const CALL_TRIES: u8 = 3;
 
@@ -93,11 +93,21 @@
     failed_calls: u8,
 }
 
+/// What was seen since the last update: billed value read and turned away, runs and their stretch.
+#[derive(Default)]
+struct Tally {
+    read: f64,
+    turned: f64,
+    runs: f64,
+    stretch: f64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Mode {
     Calm,
     Refusing,
     Full,
+    ShortOfMemory,
     Draining,
 }
 
@@ -106,6 +116,8 @@
     host: H,
     site: Premises,
     rows: Vec<Row>,
+    /// Of each tenant: arrivals since the last update, and a second.
+    tenants: Vec<(f64, f64)>,
     rng: Pcg64Mcg,
     born: Nanos,
     in_hand: Slab<Invocation>,
@@ -113,10 +125,12 @@
     hold: Vec<usize>,
     running: usize,
     calls: usize,
-    /// When abandoned calls are surely over, and when remembered keys expire.
+    /// When abandoned calls are surely over, and when a share under one allows the next call.
     lingering: VecDeque<Nanos>,
+    next_call: Nanos,
+    /// Expiry of remembered keys.
     keys: BinaryHeap<Reverse<Nanos>>,
-    /// Memory in use by own count, how much more the gauge shows, and a typical invocation's.
+    /// Memory in use by own count, how many times that the gauge shows, and a typical invocation's.
     ledger_kb: f64,
     memory_stretch: f64,
     typical_kb: f64,
@@ -125,26 +139,23 @@
     q_target: f64,
     buffer: f64,
     last_arrival: Nanos,
+    /// Runs that succeeded in each span, the update within them, and a second lately.
     done: [f64; C_SPANS],
+    update: usize,
     rate: f64,
-    ticks: u32,
     limit: f64,
     busy: f64,
-    /// Since the last update: arrivals, those turned away, runs that ended and the sum of their stretch.
-    read: f64,
-    turned: f64,
-    runs: f64,
-    stretch: f64,
+    tally: Tally,
     /// Share of the traffic that the advert holds back.
     shed: f64,
-    tenants: Vec<(f64, f64)>,
+    /// The notice to leave, and the stop.
     stop: Option<(Nanos, Nanos)>,
     next_due: Nanos,
     mode: Mode,
 }
 
 fn seconds(span: Nanos) -> f64 {
-    span as f64 / SECOND
+    span as f64 / 1e9
 }
 
 impl<H: Host> Choice<H> {
@@ -152,11 +163,12 @@
     pub fn new(now: Nanos, mut host: H, site: Premises, seed: u64) -> Self {
         host.health(true, true);
         host.wake(TICK, T_UPDATE);
-        let rows = site.operations.iter().cloned().map(|agreed| Row { agreed, pace: 0.0, brisk: 0.0 });
         let cores = site.cores as f64;
+        let row = |agreed: &Operation| Row { agreed: agreed.clone(), pace: 0.0, brisk: 0.0 };
         let mut choice = Choice {
             host,
-            rows: rows.collect(),
+            rows: site.operations.iter().map(row).collect(),
+            tenants: vec![(0.0, 0.0); site.tenants.len()],
             rng: Pcg64Mcg::seed_from_u64(seed),
             born: now,
             in_hand: Slab::with_capacity(256),
@@ -165,6 +177,7 @@
             running: 0,
             calls: 0,
             lingering: VecDeque::with_capacity(64),
+            next_call: 0,
             keys: BinaryHeap::with_capacity(64),
             ledger_kb: 0.0,
             memory_stretch: 2.0,
@@ -175,16 +188,12 @@
             buffer: 0.0,
             last_arrival: now,
             done: [0.0; C_SPANS],
+            update: 0,
             rate: 0.0,
-            ticks: 0,
             limit: cores,
             busy: 0.0,
-            read: 0.0,
-            turned: 0.0,
-            runs: 0.0,
-            stretch: 0.0,
+            tally: Tally::default(),
             shed: 0.0,
-            tenants: site.tenants.iter().map(|_| (0.0, 0.0)).collect(),
             stop: None,
             next_due: Nanos::MAX,
             mode: Mode::Calm,
@@ -196,94 +205,84 @@
 
     /// An invocation was read.
     pub fn arrive(&mut self, now: Nanos, arrival: Arrival) {
+        let Arrival { id, work_hint, repeats, .. } = arrival;
         let agreed = &self.rows[arrival.op.0].agreed;
         let arrived = now.saturating_sub(arrival.age);
         let timeout = arrival.time_left.map_or(arrived + agreed.client_timeout, |left| now + left);
-        let own_work = arrival.work_hint.unwrap_or(0.0) * agreed.objective_stretch * SECOND;
-        let objective = (arrived + agreed.latency_objective + own_work as Nanos).min(timeout);
-        let stop = self.stop.map_or(Nanos::MAX, |(_, stop)| stop);
-        let inv = Invocation {
-            id: arrival.id,
+        let own_work = (work_hint.unwrap_or(0.0) * agreed.objective_stretch * 1e9) as Nanos;
+        let due = timeout.min(self.stop.map_or(Nanos::MAX, |(_, stop)| stop)).saturating_sub(MARGIN);
+        let window = agreed.repeat_window.max(self.site.answer_fresh);
+        let keyed = agreed.effect == Effect::Tokened
+            || (agreed.effect == Effect::Idempotent && self.site.answer_fresh > 0 && arrival.has_subject);
+        let place = self.in_hand.insert(Invocation {
+            id,
             op: arrival.op.0,
             tenant: arrival.tenant.map(|t| t.0),
             arrived,
-            objective,
-            due: timeout.min(stop).saturating_sub(MARGIN),
+            objective: (arrived + agreed.latency_objective + own_work).min(timeout),
+            due,
             kb: arrival.held_kb,
-            size: arrival.work_hint.unwrap_or(1.0),
+            size: work_hint.unwrap_or(1.0),
             stage: Stage::Held,
             over: false,
-            repeat: arrival.repeats.is_some(),
+            repeat: repeats.is_some(),
             failed_calls: 0,
-        };
-        let effect = agreed.effect;
-        let window = agreed.repeat_window.max(self.site.answer_fresh);
-        if let Some(t) = inv.tenant {
-            self.tenants[t].0 += 1.0;
-        }
-        self.typical_kb += (inv.kb - self.typical_kb) * if self.typical_kb > 0.0 { LEARN } else { 1.0 };
+        });
+        self.places.insert(id, place);
+        self.ledger_kb += arrival.held_kb;
+        let learn = if self.typical_kb > 0.0 { LEARN } else { 1.0 };
+        self.typical_kb += learn * (arrival.held_kb - self.typical_kb);
+        if let Some(t) = arrival.tenant {
+            self.tenants[t.0].0 += 1.0;
+        }
+        self.tally.read += self.merit(place);
         self.average(now);
-        let (repeat, due) = (inv.repeat, inv.due);
-        self.ledger_kb += inv.kb;
-        let place = self.in_hand.insert(inv);
-        self.places.insert(arrival.id, place);
-        self.read += self.merit(place);
-        if repeat && due > now {
-            self.in_hand[place].stage = Stage::Joining;
-            self.host.join(arrival.id);
-            return self.arm(now, due);
-        }
-        let keyed = effect == Effect::Tokened
-            || (effect == Effect::Idempotent && self.site.answer_fresh > 0 && arrival.has_subject);
-        let late = self.stop.is_some_and(|(notice, _)| arrived > notice + self.site.drain_grace);
-        if late || due <= now || !self.memory_fits(if keyed { self.site.key_kb } else { 0.0 }) {
+        let too_late = due <= now || self.stop.is_some_and(|(n, _)| arrived > n + self.site.drain_grace);
+        let key_kb = if keyed && repeats.is_none() { self.site.key_kb } else { 0.0 };
+        if too_late || !self.memory_fits(key_kb) {
             return self.turn_away(now, place);
         }
+        self.arm(now, due);
+        if repeats.is_some() {
+            self.in_hand[place].stage = Stage::Joining;
+            return self.host.join(id);
+        }
         if keyed {
             // Before the run, so that a repeat bears the mark from here on; the window counts from arrival.
-            self.host.remember(arrival.id, window);
+            self.host.remember(id, window);
             self.keys.push(Reverse(now + window));
         }
         self.hold.push(place);
-        let full = self.hold.len() as f64 > self.buffer;
-        let drawn = !self.rests() && self.rng.random::<f64>() < self.chance();
-        if full || drawn {
+        if self.hold.len() as f64 > self.buffer || (!self.rests() && self.rng.random::<f64>() < self.chance())
+        {
             let victim = self.victim(now, place);
             self.turn_away(now, victim);
         } else if self.hopeless(now, place, self.wait(place)) {
             self.turn_away(now, place);
         }
-        if self.in_hand.get(place).is_some_and(|inv| inv.id == arrival.id) {
-            self.arm(now, due);
-        }
         self.fill(now);
     }
 
     /// A run or a join ended; where it succeeded or errored, the caller was told.
     pub fn ended(&mut self, now: Nanos, id: InvId, ending: Ending, latency: Nanos) {
         let Some(&place) = self.places.get(&id) else { return };
-        let inv = &mut self.in_hand[place];
-        match inv.stage {
-            Stage::Held | Stage::Joining => return self.remove(place),
-            Stage::Calling => {
-                self.calls -= 1;
-                self.lingering.push_back(now + self.site.call_linger);
-            }
-            Stage::Running | Stage::Waiting => {}
-        }
-        if ending == Ending::Succeeded {
+        let inv = &self.in_hand[place];
+        if inv.stage == Stage::Calling {
+            self.calls -= 1;
+            self.linger(now, true, latency);
+        } else if ending == Ending::Succeeded && inv.stage == Stage::Running {
             let row = &mut self.rows[inv.op];
             let pace = seconds(latency) / inv.size;
             if row.pace == 0.0 {
                 (row.pace, row.brisk) = (pace, pace);
             }
             row.pace += LEARN * (pace - row.pace);
-            row.brisk += (pace - row.brisk) * if pace < row.brisk { 0.2 } else { 0.01 };
-            self.runs += 1.0;
-            self.stretch += pace / row.brisk;
-            self.done[self.ticks as usize / C_TICKS as usize % C_SPANS] += 1.0;
+            row.brisk += (pace - row.brisk) * if pace < row.brisk { 2.0 * LEARN } else { LEARN / 10.0 };
+            self.tally.runs += 1.0;
+            self.tally.stretch += pace / row.brisk;
+            self.done[self.update / C_UPDATES] += 1.0;
         }
-        if ending == Ending::Cancelled && !inv.over {
+        if ending == Ending::Cancelled && !self.in_hand[place].over {
             // Stopped though its caller waits: what must not run twice cannot be taken up again.
             self.host.error(id);
         }
@@ -301,28 +300,29 @@
     }
 
     /// A call below ended.
-    pub fn call_ended(&mut self, now: Nanos, id: InvId, ending: CallEnding, _latency: Nanos) {
+    pub fn call_ended(&mut self, now: Nanos, id: InvId, ending: CallEnding, latency: Nanos) {
         let Some(&place) = self.places.get(&id) else { return };
-        if self.in_hand[place].stage != Stage::Calling {
+        let inv = &mut self.in_hand[place];
+        if inv.stage != Stage::Calling {
             return;
         }
-        self.calls -= 1;
-        if ending == CallEnding::Abandoned {
-            self.lingering.push_back(now + self.site.call_linger);
-        }
-        let inv = &mut self.in_hand[place];
         let agreed = &self.rows[inv.op].agreed;
-        inv.stage = if ending == CallEnding::Succeeded { Stage::Running } else { Stage::Waiting };
-        inv.failed_calls += u8::from(ending != CallEnding::Succeeded);
+        let failed = ending != CallEnding::Succeeded;
+        inv.stage = if failed { Stage::Waiting } else { Stage::Running };
+        inv.failed_calls += u8::from(failed);
+        // Only what is known not to have run below, or may run twice, is called again.
         let repeatable = agreed.effect == Effect::Idempotent || ending == CallEnding::NeverRan;
-        if inv.stage == Stage::Waiting && !inv.over {
-            let tired = inv.failed_calls >= CALL_TRIES || !repeatable;
-            if agreed.share_without_call > 0.0 && (tired || self.site.below == Below::Shared) {
-                self.skip_call(place);
-            } else if tired {
-                self.give_up(place);
-            } else if self.site.below == Below::Tier {
-                self.make_call(now, place);
+        let tired = inv.failed_calls >= CALL_TRIES || !repeatable;
+        let skippable = agreed.share_without_call > 0.0;
+        let over = inv.over;
+        self.calls -= 1;
+        self.linger(now, ending == CallEnding::Abandoned, latency);
+        if failed && !over {
+            match self.site.below {
+                _ if skippable && (tired || self.site.below == Below::Shared) => self.skip_call(place),
+                _ if tired => self.give_up(place),
+                Below::Tier => self.make_call(now, place),
+                _ => {} // until the next update, so as not to hammer what is shared
             }
         }
         self.make_calls(now);
@@ -359,18 +359,19 @@
             self.host.wake(TICK, T_UPDATE);
             self.watch_memory(now, &gauges);
             self.steer_running(&gauges);
-            self.rate += LEARN * (self.runs / seconds(T_UPDATE) - self.rate);
             self.measure_capacity();
             self.walk();
             self.steer_traffic();
             let mode = match self.mode {
                 Mode::Draining => Mode::Draining,
+                _ if !self.memory_fits(0.0) => Mode::ShortOfMemory,
                 _ if self.hold.len() as f64 >= self.buffer => Mode::Full,
-                _ if self.turned > 0.0 => Mode::Refusing,
+                _ if self.tally.turned > 0.0 => Mode::Refusing,
+                mode if self.shed > SHED_GOAL => mode,
                 _ => Mode::Calm,
             };
             self.enter(mode);
-            (self.read, self.turned, self.runs, self.stretch) = (0.0, 0.0, 0.0, 0.0);
+            self.tally = Tally::default();
         }
         self.fill(now);
         self.make_calls(now);
@@ -378,7 +379,7 @@
 
     // ---- Dynamic Beta RED ----
 
-    /// q_avg with the arrival: w grows with the gap, so that a thinly fed node does not judge by old news.
+    /// q_avg with the arrival; w grows with the gap, so that a thinly fed node does not judge by old news.
     fn average(&mut self, now: Nanos) {
         let gap = seconds(now - self.last_arrival);
         let w = (1.0 - (-gap / Q_MEMORY).exp()).max(LEAST_W);
@@ -386,7 +387,7 @@
         self.last_arrival = now;
     }
 
-    /// Whether the random refusal rests.
+    /// Whether the random refusal rests: the cores show room, or fewer than their number are held.
     fn rests(&self) -> bool {
         self.busy < FULL || self.hold.len() < self.site.cores
     }
@@ -398,22 +399,21 @@
         beta_reg(mu * spread, (1.0 - mu) * spread, (self.q_avg / self.buffer).clamp(0.0, 1.0))
     }
 
-    /// q_target from the best completions of the last minute, and B from it and from memory.
+    /// q_target from the best completions of the last minute, and B from it and from memory. While work is
+    /// held, the present rate caps the best: a node gone slow must not hold what it could do before.
     fn measure_capacity(&mut self) {
         let cores = self.site.cores as f64;
-        let span = f64::from(C_TICKS) * seconds(T_UPDATE);
-        let best = self.done.iter().fold(0.0, |a: f64, &b| a.max(b)) / span;
-        let best = if self.hold.is_empty() { best } else { best.min(self.rate) };
+        let best = self.done.iter().fold(0.0, |a: f64, &b| a.max(b)) / (C_UPDATES as f64 * seconds(T_UPDATE));
+        let capacity = if self.hold.is_empty() { best } else { best.min(self.rate) };
         let shortest = self.rows.iter().map(|r| r.agreed.latency_objective).min().unwrap_or(0);
-        self.q_target = (best * TARGET_SHARE * seconds(shortest)).max(cores);
+        self.q_target = (capacity * TARGET_SHARE * seconds(shortest)).max(cores);
         let running_kb = self.limit * self.site.run_memory_factor * self.typical_kb;
-        let room = self.site.memory_kb * MEMORY_USE - self.keys_kb();
-        let room = (room / self.memory_stretch - running_kb) / self.typical_kb.max(f64::MIN_POSITIVE);
+        let free_kb = (self.site.memory_kb * MEMORY_USE - self.keys_kb()) / self.memory_stretch - running_kb;
+        let room = free_kb / self.typical_kb.max(f64::MIN_POSITIVE);
         self.buffer = (BUFFER_FACTOR * self.q_target).min(room).max(cores + 2.0);
-        self.q_virtual = self.q_virtual.clamp(cores.max(self.buffer / 50.0), self.buffer - 1.0);
-        self.ticks += 1;
-        if self.ticks.is_multiple_of(C_TICKS) {
-            self.done[(self.ticks / C_TICKS) as usize % C_SPANS] = 0.0;
+        self.update = (self.update + 1) % (C_SPANS * C_UPDATES);
+        if self.update.is_multiple_of(C_UPDATES) {
+            self.done[self.update / C_UPDATES] = 0.0;
         }
     }
 
@@ -435,11 +435,13 @@
     /// The running loop: grows by half the idle cores while work is held, falls while full cores run long.
     fn steer_running(&mut self, gauges: &Gauges) {
         let cores = self.site.cores as f64;
-        self.busy = gauges.cpu_busy.unwrap_or(if self.hold.is_empty() { 0.0 } else { 1.0 });
-        if !self.hold.is_empty() {
+        let held = !self.hold.is_empty();
+        self.busy = gauges.cpu_busy.unwrap_or(f64::from(u8::from(held)));
+        self.rate += LEARN * (self.tally.runs / seconds(T_UPDATE) - self.rate);
+        if held {
             self.limit += (1.0 - self.busy).max(0.0) * cores / 2.0;
         }
-        if self.busy >= FULL && self.runs > 0.0 && self.stretch / self.runs > LONG {
+        if self.busy >= FULL && self.tally.stretch > LONG * self.tally.runs {
             self.limit -= 1.0;
         }
         self.limit = self.limit.clamp(cores, cores * self.site.crowd_per_core.max(1.0));
@@ -450,16 +452,17 @@
 
     // ---- What is held, and who bears a refusal ----
 
-    /// Billed value an expected second of running earns if answered in time.
+    /// Billed value that an expected second of running earns if answered in time. Traffic over a tenant's
+    /// share bears no mark, so all of that tenant's counts in proportion.
     fn merit(&self, place: usize) -> f64 {
         let inv = &self.in_hand[place];
-        let row = &self.rows[inv.op];
-        let length = if self.site.billed_by_work { 1.0 } else { (row.pace * inv.size).max(1e-3) };
-        let rate = inv.tenant.map_or(0.0, |t| self.tenants[t].1 * self.site.nodes as f64);
-        let quota = inv.tenant.map_or(0.0, |t| self.site.tenants[t].quota_per_s);
-        // Traffic over a tenant's share bears no mark, so all of that tenant's counts in proportion.
-        let within = if rate > quota { quota / rate } else { 1.0 };
-        row.agreed.billed_value / length * (within + (1.0 - within) * self.site.over_share_value)
+        let length = if self.site.billed_by_work { 1.0 } else { self.length(place).max(1e-3) };
+        let within = inv.tenant.map_or(1.0, |t| {
+            let rate = self.tenants[t].1 * self.site.nodes as f64;
+            (self.site.tenants[t].quota_per_s / rate).min(1.0)
+        });
+        let share = within + (1.0 - within) * self.site.over_share_value;
+        self.rows[inv.op].agreed.billed_value / length * share
     }
 
     /// Expected run time.
@@ -480,39 +483,39 @@
         let inv = &self.in_hand[place];
         let pays_late = self.rows[inv.op].agreed.late_share > 0.0;
         let expected = if self.busy < FULL { 0.0 } else { wait + self.length(place) };
-        let end = now + (expected * SECOND) as Nanos;
+        let end = now + (expected * 1e9) as Nanos;
         end > if pays_late { inv.due } else { inv.objective.min(inv.due) }
     }
 
     /// On whom a refusal falls: the least merit of the arrival and of those held for less than a fifth of
     /// their time, whose callers lose little by asking elsewhere.
     fn victim(&self, now: Nanos, arrival: usize) -> usize {
-        let young = |&&place: &&usize| {
+        let young = |&place: &usize| {
             let inv = &self.in_hand[place];
-            now - inv.arrived < (inv.due.saturating_sub(inv.arrived)) / 5
+            now - inv.arrived < inv.due.saturating_sub(inv.arrived) / 5
         };
-        let others = self.hold.iter().filter(young).copied();
+        let others = self.hold.iter().copied().filter(young);
         others.fold(arrival, |least, p| if self.merit(p) < self.merit(least) { p } else { least })
     }
 
-    /// Starts held invocations while the running limit, memory and the crowd on the cores allow.
+    /// Starts held invocations by merit, then age, while the running limit, the crowd on the cores and
+    /// memory allow. Runs that are at a call leave their place on the cores to others.
     fn fill(&mut self, now: Nanos) {
         while self.running - self.calls < self.limit as usize && self.running < self.crowd_limit(now) {
-            let mut best: Option<usize> = None;
+            let mut best = None;
             for i in (0..self.hold.len()).rev() {
                 let place = self.hold[i];
+                let rank = (self.merit(place), Reverse(self.in_hand[place].arrived));
                 if self.hopeless(now, place, 0.0) {
                     self.turn_away(now, place);
-                } else if best.is_none_or(|b| {
-                    let key = |p: usize| (self.merit(p), Reverse(self.in_hand[p].arrived));
-                    key(place) > key(b)
-                }) {
-                    best = Some(place);
+                } else if best.is_none_or(|(first, _)| rank > first) {
+                    best = Some((rank, place));
                 }
             }
-            let Some(place) = best else { return };
+            let Some((_, place)) = best else { return };
             let kb = self.in_hand[place].kb * (self.site.run_memory_factor - 1.0);
-            if !self.memory_fits(kb) && self.running > 0 {
+            let alone = self.running == 0 && self.ledger_kb + kb + self.keys_kb() < self.site.memory_kb;
+            if !self.memory_fits(kb) && !alone {
                 return;
             }
             self.hold.retain(|&p| p != place);
@@ -523,30 +526,28 @@
         }
     }
 
-    /// The most runs that the cores survive if all that waits for disk or calls comes back at
-    /// once; a cold node is taken to warm as slowly as it may.
+    /// The most runs that the cores survive if all that waits for disk or calls comes back at once; a cold
+    /// node is taken to warm as slowly as it may.
     fn crowd_limit(&self, now: Nanos) -> usize {
-        let warmth = if self.site.cold && self.site.warm_after > 0 {
-            (now - self.born) as f64 / self.site.warm_after as f64
-        } else {
-            1.0
-        };
-        let speed = self.site.cold_speed + (1.0 - self.site.cold_speed) * warmth.min(1.0);
+        let warm = !self.site.cold || now - self.born >= self.site.warm_after;
+        let warmth = if warm { 1.0 } else { (now - self.born) as f64 / self.site.warm_after as f64 };
+        let speed = self.site.cold_speed + (1.0 - self.site.cold_speed) * warmth;
         let crowd = self.site.cores as f64 * (1.0 + (self.site.crowd_per_core - 1.0) * speed);
         ((crowd * CROWD_USE) as usize).max(1)
     }
 
     /// Turns away what never ran.
     fn turn_away(&mut self, now: Nanos, place: usize) {
-        let (id, repeat) = (self.in_hand[place].id, self.in_hand[place].repeat);
-        let hopeless = now >= self.in_hand[place].objective;
-        self.turned += self.merit(place);
-        if repeat {
-            self.host.error(id); // what it repeats may have run
+        self.tally.turned += self.merit(place);
+        let inv = &self.in_hand[place];
+        if inv.repeat {
+            self.host.error(inv.id); // what it repeats may have run
         } else {
-            let last = hopeless || self.rng.random::<f64>() < self.shed;
-            self.host.throttle(id, if self.stop.is_some() { self.site.longest_pause } else { 0 }, last);
-            self.host.forget(id);
+            // Fleet-wide trouble, or lateness, is not cured by asking the next node.
+            let last = now >= inv.objective || self.rng.random::<f64>() < self.shed;
+            let pause = if self.stop.is_some() { self.site.longest_pause } else { 0 };
+            self.host.throttle(inv.id, pause, last);
+            self.host.forget(inv.id);
         }
         self.remove(place);
     }
@@ -558,21 +559,15 @@
         self.next_due = Nanos::MAX;
         let mut next = Nanos::MAX;
         for place in 0..self.in_hand.capacity() {
-            let Some(inv) = self.in_hand.get(place) else { continue };
-            if inv.over {
-                continue;
-            }
-            if inv.due > now {
-                next = next.min(inv.due);
-            } else if inv.stage == Stage::Held {
-                self.turn_away(now, place);
-            } else {
-                self.give_up(place);
+            match self.in_hand.get(place) {
+                Some(inv) if inv.over => {}
+                Some(inv) if inv.due > now => next = next.min(inv.due),
+                Some(inv) if inv.stage == Stage::Held => self.turn_away(now, place),
+                Some(_) => self.give_up(place),
+                None => {}
             }
         }
-        if next < Nanos::MAX {
-            self.arm(now, next);
-        }
+        self.arm(now, next);
     }
 
     /// Keeps one timer for the earliest that is due.
@@ -586,13 +581,13 @@
     /// Answers with an error what has started.
     fn give_up(&mut self, place: usize) {
         self.host.error(self.in_hand[place].id);
-        if self.in_hand[place].stage == Stage::Joining {
-            return self.remove(place);
+        match self.in_hand[place].stage {
+            Stage::Joining => self.remove(place),
+            _ => self.abandon(place),
         }
-        self.abandon(place);
     }
 
-    /// Its caller waits no more: stops the work where that can be done.
+    /// Nobody waits for it any more: stops the work where that can be done.
     fn abandon(&mut self, place: usize) {
         let inv = &mut self.in_hand[place];
         inv.over = true;
@@ -604,6 +599,7 @@
     fn remove(&mut self, place: usize) {
         let inv = self.in_hand.remove(place);
         self.places.remove(&inv.id);
+        self.ledger_kb -= inv.kb;
         match inv.stage {
             Stage::Held => self.hold.retain(|&p| p != place),
             Stage::Joining => {}
@@ -612,7 +608,6 @@
                 self.ledger_kb -= inv.kb * (self.site.run_memory_factor - 1.0);
             }
         }
-        self.ledger_kb -= inv.kb;
     }
 
     fn keys_kb(&self) -> f64 {
@@ -628,11 +623,9 @@
         while self.keys.peek().is_some_and(|k| k.0 < now) {
             self.keys.pop();
         }
-        while self.lingering.front().is_some_and(|&end| end < now) {
-            self.lingering.pop_front();
-        }
-        let Some(used) = gauges.memory_used else { return };
-        if self.ledger_kb > 0.02 * self.site.memory_kb {
+        if let Some(used) = gauges.memory_used
+            && self.ledger_kb > 0.02 * self.site.memory_kb
+        {
             let seen = ((used * self.site.memory_kb - self.keys_kb()) / self.ledger_kb).max(1.0);
             let learn = if seen > self.memory_stretch { 1.0 } else { LEARN };
             self.memory_stretch += learn * (seen - self.memory_stretch);
@@ -643,33 +636,54 @@
 
     fn make_calls(&mut self, now: Nanos) {
         for place in 0..self.in_hand.capacity() {
-            if self.in_hand.get(place).is_some_and(|inv| inv.stage == Stage::Waiting && !inv.over) {
+            if self.in_hand.get(place).is_some_and(|inv| inv.stage == Stage::Waiting) {
                 self.make_call(now, place);
             }
         }
     }
 
-    /// Makes the call that a run waits for, skips it, or lets it wait for room below.
+    /// Makes the call that a run waits for, skips it, or lets it wait for room below. What is shared holds
+    /// no more of this node's calls than its share; a share under one is kept in the mean of the span, by
+    /// short calls and gaps between them.
     fn make_call(&mut self, now: Nanos, place: usize) {
         let inv = &self.in_hand[place];
         if inv.over {
             return;
         }
-        let skip = self.rows[inv.op].agreed.share_without_call > 0.0;
-        let below = (self.calls + self.lingering.len()) as f64;
-        if self.site.below == Below::Shared && below + 1.0 > self.site.call_share.max(1.0) {
-            if skip {
-                self.skip_call(place);
+        while self.lingering.front().is_some_and(|&end| end < now) {
+            self.lingering.pop_front();
+        }
+        let skippable = self.rows[inv.op].agreed.share_without_call > 0.0;
+        let mut time = (if skippable { inv.objective } else { inv.due }).saturating_sub(now);
+        let mut room = true;
+        if self.site.below == Below::Shared {
+            let share = self.site.call_share;
+            room = self.calls + self.lingering.len() < share.max(1.0) as usize;
+            if share < 1.0 {
+                let longest = (share * self.site.call_span as f64) as Nanos;
+                time = time.min(longest.saturating_sub(self.site.call_linger));
+                room &= now >= self.next_call;
             }
-            return;
         }
-        let until = if skip { inv.objective } else { inv.due };
-        if until <= now {
-            return if skip { self.skip_call(place) } else { self.give_up(place) };
+        if room && time > 0 {
+            self.calls += 1;
+            self.host.call(inv.id, time);
+            self.in_hand[place].stage = Stage::Calling;
+        } else if skippable {
+            self.skip_call(place);
+        }
+    }
+
+    /// A call left what lies below, at once or after lingering there.
+    fn linger(&mut self, now: Nanos, abandoned: bool, latency: Nanos) {
+        let linger = if abandoned { self.site.call_linger } else { 0 };
+        if linger > 0 {
+            self.lingering.push_back(now + linger);
+        }
+        if self.site.call_share < 1.0 {
+            let gap = (latency + linger) as f64 * (2.0 / self.site.call_share.max(1e-6) - 1.0);
+            self.next_call = now + linger + gap as Nanos;
         }
-        self.calls += 1;
-        self.host.call(inv.id, until - now);
-        self.in_hand[place].stage = Stage::Calling;
     }
 
     fn skip_call(&mut self, place: usize) {
@@ -679,13 +693,14 @@
 
     // ---- Signals ----
 
-    /// Walks the share that the advert holds back, after what was still read and turned away.
+    /// Walks the share of traffic that the advert holds back: up while more than the goal is turned away,
+    /// down while cores show room. Advert and refusal thus follow the same mechanism.
     fn steer_traffic(&mut self) {
-        let refused = if self.read > 0.0 { self.turned / self.read } else { 0.0 };
         if self.busy < FULL {
             self.shed *= 1.0 - LEARN;
         } else {
-            self.shed = (self.shed + SHED_GAIN * (refused - SHED_GOAL)).clamp(0.0, 0.95);
+            let turned = if self.tally.read > 0.0 { self.tally.turned / self.tally.read } else { 0.0 };
+            self.shed = (self.shed + SHED_GAIN * (turned - SHED_GOAL)).clamp(0.0, SHED_MOST);
         }
         for (count, rate) in &mut self.tenants {
             *rate += LEARN * (*count / seconds(T_UPDATE) - *rate);
@@ -696,34 +711,26 @@
 
     fn advertise(&mut self) {
         let shed = if self.stop.is_some() { 1.0 } else { self.shed };
-        let room = self.limit + self.q_target;
         let value = match self.site.advert {
             Advert::No => return,
             Advert::Level => shed,
             Advert::Weight => 1.0 - shed,
             Advert::Credit if self.stop.is_some() => 0.0,
-            Advert::Credit => room.powf(1.0 - shed),
+            Advert::Credit => (self.limit + self.q_target).powf(1.0 - shed),
         };
         self.host.advertise(value);
     }
 
     fn enter(&mut self, mode: Mode) {
-        if mode != self.mode {
-            self.host.log(format_args!(
-                "{:?}->{mode:?} held {} q_avg {:.1} target {:.1} virtual {:.1} B {:.0} run {}/{:.0} busy {:.2} \
-                 shed {:.2}",
-                self.mode,
-                self.hold.len(),
-                self.q_avg,
-                self.q_target,
-                self.q_virtual,
-                self.buffer,
-                self.running,
-                self.limit,
-                self.busy,
-                self.shed
-            ));
-            self.mode = mode;
+        if mode == self.mode {
+            return;
         }
+        let Choice { q_avg, q_target, q_virtual, buffer, running, limit, busy, shed, .. } = self;
+        let (held, from, kb) = (self.hold.len(), self.mode, self.ledger_kb * self.memory_stretch);
+        self.host.log(format_args!(
+            "{from:?}->{mode:?} held {held} q_avg {q_avg:.1} target {q_target:.1} virtual {q_virtual:.1} \
+             B {buffer:.0} run {running}/{limit:.0} busy {busy:.2} shed {shed:.2} memory {kb:.0} kB"
+        ));
+        self.mode = mode;
     }
 }
