--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,7 +32,7 @@
 const BUFFER_FACTOR: f64 = 4.0;
 /// q_avg forgets over so many seconds: w follows the gap between arrivals, from a floor.
 const Q_MEMORY: f64 = 0.4;
-const LEAST_W: f64 = 0.05;
+const LEAST_W: f64 = 0.2;
 /// C is the best of the last `C_SPANS` spans of `C_UPDATES` updates each: a minute.
 const C_SPANS: usize = 24;
 const C_UPDATES: usize = 5;
@@ -257,8 +257,6 @@
         {
             let victim = self.victim(now, place);
             self.turn_away(now, victim);
-        } else if self.hopeless(now, place, self.wait(place)) {
-            self.turn_away(now, place);
         }
         self.fill(now);
     }
@@ -470,19 +468,12 @@
         self.rows[self.in_hand[place].op].pace * self.in_hand[place].size
     }
 
-    /// Expected wait behind all that is held and goes first.
-    fn wait(&self, place: usize) -> f64 {
-        let merit = self.merit(place);
-        let ahead = self.hold.iter().filter(|&&other| other != place && self.merit(other) >= merit);
-        ahead.map(|&other| self.length(other)).sum::<f64>() / self.limit
-    }
-
-    /// Whether an answer would earn nothing even if it ran after `wait`. While cores show room, only what is
-    /// late already counts: an expectation may err, and nothing else wants the core.
-    fn hopeless(&self, now: Nanos, place: usize, wait: f64) -> bool {
+    /// Whether an answer would earn nothing even if it ran now. While cores show room, only what is late
+    /// already counts: an expectation may err, and nothing else wants the core.
+    fn hopeless(&self, now: Nanos, place: usize) -> bool {
         let inv = &self.in_hand[place];
         let pays_late = self.rows[inv.op].agreed.late_share > 0.0;
-        let expected = if self.busy < FULL { 0.0 } else { wait + self.length(place) };
+        let expected = if self.busy < FULL { 0.0 } else { self.length(place) };
         let end = now + (expected * 1e9) as Nanos;
         end > if pays_late { inv.due } else { inv.objective.min(inv.due) }
     }
@@ -506,7 +497,7 @@
             for i in (0..self.hold.len()).rev() {
                 let place = self.hold[i];
                 let rank = (self.merit(place), Reverse(self.in_hand[place].arrived));
-                if self.hopeless(now, place, 0.0) {
+                if self.hopeless(now, place) {
                     self.turn_away(now, place);
                 } else if best.is_none_or(|(first, _)| rank > first) {
                     best = Some((rank, place));
