--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -97,7 +97,8 @@
 
 #[derive(Default)]
 struct Adapter {
-    instances: BTreeMap<u16, Instance>,
+    /// `None` once the module has failed for an instance: the bench was told, and it gets no more events.
+    instances: BTreeMap<u16, Option<Instance>>,
     reply: Rc<RefCell<Reply>>,
 }
 
@@ -239,19 +240,20 @@
                 passes_deadline: start.passes_deadline,
                 choice: Choice::new(now, host, start.premises, seed),
             };
-            self.instances.insert(number, instance);
+            self.instances.insert(number, Some(instance));
             return Ok(());
         }
         let Some(instance) = self.instances.get_mut(&number) else {
             return Err(fields.malformed("I", format!("no instance {number}")));
         };
+        let Some(instance) = instance else { return Ok(()) };
         match catch_unwind(AssertUnwindSafe(|| instance.event(code, now, &mut fields))) {
             Ok(done) => done,
             Err(panic) => {
                 let text = panic.downcast_ref::<&str>().map(ToString::to_string);
                 let text = text.or_else(|| panic.downcast_ref::<String>().cloned());
                 host.text(30, &text.unwrap_or_else(|| "panic".into()));
-                self.instances.remove(&number);
+                self.instances.insert(number, None);
                 Ok(())
             }
         }
--- a/crates/simhost/src/tests.rs
+++ b/crates/simhost/src/tests.rs
@@ -1,1 +1,93 @@
+//! Frame-level tests of the adapter.
 
+use super::*;
+
+const FACTS: &str = r#"{"Extra": {"Advert": "weight", "Below": "none", "Cores": 2, "Halt": "none",
+    "Gauges": ["novel", "cpu_busy"], "MemLimitKb": 9000.0, "RunFactor": 4.0, "Novel": [1]},
+    "Rules": {"TipMultiple": 5.0}, "Servers": 3,
+    "Services": [{"Aim": 1.0, "Deadline": 3.0, "Effect": "read_like", "Points": 1.0}]}"#;
+
+/// One record: its code, the length of its fields, the fields.
+fn record(code: u8, parts: &[&[u8]]) -> Vec<u8> {
+    let fields = parts.concat();
+    [&[code], &(fields.len() as u32).to_be_bytes()[..], &fields].concat()
+}
+
+fn batch(records: &[Vec<u8>]) -> Vec<u8> {
+    let body = records.concat();
+    [&(body.len() as u32).to_be_bytes()[..], &8.5f64.to_be_bytes(), &body].concat()
+}
+
+fn init(facts: &str) -> Vec<u8> {
+    let len = (facts.len() as u32).to_be_bytes();
+    record(20, &[&[0, 3], &7u64.to_be_bytes(), &len, facts.as_bytes()])
+}
+
+fn request(kind: u8) -> Vec<u8> {
+    let (none, id) = ([0; 8], 77u64.to_be_bytes());
+    let floats = [10f32.to_be_bytes(), 0.5f32.to_be_bytes()].concat();
+    record(23, &[&[0, 3], &id, &[kind, 0, 0], &none, &none, &none, &floats, &[0, 0, 1], &none, &none])
+}
+
+fn serve(input: &[u8]) -> (Result<(), String>, Vec<u8>) {
+    let mut output = Vec::new();
+    let result = Adapter::default().serve(&mut &input[..], &mut output);
+    (result, output)
+}
+
+#[test]
+fn an_empty_batch_gets_an_empty_reply() {
+    assert_eq!(serve(&batch(&[])), (Ok(()), vec![0; 8]));
+}
+
+#[test]
+fn a_request_is_run_and_unknown_settings_are_skipped() {
+    let (result, output) = serve(&batch(&[init(FACTS), request(0)]));
+    assert_eq!(result, Ok(()));
+    let run = [&[16, 0, 0, 0, 10, 0, 3][..], &77u64.to_be_bytes()].concat();
+    assert!(output.windows(run.len()).any(|w| w == run));
+}
+
+#[test]
+fn gauges_are_read_by_name() {
+    let text = facts::decode(FACTS.as_bytes()).map(|s| s.gauges);
+    assert_eq!(text, Ok(vec!["novel".to_owned(), "cpu_busy".to_owned()]));
+}
+
+#[test]
+fn broken_input_is_named() {
+    let cut = &batch(&[request(0)])[..40];
+    let alarm = record(21, &[&[0, 3], &[0; 8], &[2], &[0; 4]]);
+    let negative = FACTS.replace("9000.0", "-1.0");
+    for (input, expected) in [
+        (cut.to_vec(), "record batch, field header, offset 40: input ended after 28 of 69 bytes"),
+        (batch(&[record(99, &[])]), "record 99, field code, offset 17: unknown record"),
+        (batch(&[request(0)]), "record req, field I, offset 19: no instance 3"),
+        (batch(&[init(FACTS), request(4)]), "field Kind"),
+        (batch(&[init(FACTS), alarm]), "field Feedback"),
+        (batch(&[init("{}")]), "record init, field Facts"),
+        (batch(&[init(&negative)]), "Extra.MemLimitKb is -1"),
+        (vec![255; 12], "field header"),
+    ] {
+        let (result, _) = serve(&input);
+        let message = result.unwrap_err();
+        assert!(message.contains(expected), "{message} lacks {expected}");
+    }
+}
+
+#[test]
+fn random_frames_end_in_a_reply_or_a_message() {
+    let whole = batch(&[init(FACTS), request(0)]);
+    let mut state = 11u64;
+    for _ in 0..2000 {
+        let mut bytes = whole.clone();
+        for _ in 0..3 {
+            state = state.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            let at = 4 + (state >> 33) as usize % (bytes.len() - 4);
+            bytes[at] = (state >> 20) as u8;
+        }
+        let (result, output) = serve(&bytes);
+        let message = result.err().unwrap_or_else(|| "a reply, so no offset".into());
+        assert!(message.contains("offset") && (output.len() >= 8 || !message.starts_with("a reply")));
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -499,7 +499,7 @@
                 let rank = (self.merit(place), Reverse(self.in_hand[place].arrived));
                 if self.hopeless(now, place) {
                     self.turn_away(now, place);
-                } else if best.is_none_or(|(first, _)| rank > first) {
+                } else if best.is_none_or(|(first, _)| rank >= first) {
                     best = Some((rank, place));
                 }
             }
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -1,1 +1,487 @@
+//! Each test sets up the state it needs and calls one function.
 
+use super::*;
+use crate::{DispatcherId, OpId, Tenant, TenantId};
+use std::fmt;
+
+const MS: Nanos = 1_000_000;
+const S: Nanos = 1_000_000_000;
+
+#[derive(Debug, PartialEq)]
+enum Did {
+    Run(u64),
+    Halt(u64),
+    Throttle(u64, bool),
+    Error(u64),
+    Call(u64, Nanos),
+    Skip(u64),
+    Remember(u64, Nanos),
+    Join(u64),
+    Health(bool),
+    Advert(f64),
+    Wake(u64, Nanos),
+}
+
+#[derive(Default)]
+struct Diary(Vec<Did>);
+
+impl Host for Diary {
+    fn run(&mut self, id: InvId) {
+        self.0.push(Did::Run(id.0));
+    }
+    fn halt(&mut self, id: InvId) {
+        self.0.push(Did::Halt(id.0));
+    }
+    fn throttle(&mut self, id: InvId, _pause: Nanos, last: bool) {
+        self.0.push(Did::Throttle(id.0, last));
+    }
+    fn error(&mut self, id: InvId) {
+        self.0.push(Did::Error(id.0));
+    }
+    fn call(&mut self, id: InvId, timeout: Nanos) {
+        self.0.push(Did::Call(id.0, timeout));
+    }
+    fn skip_call(&mut self, id: InvId) {
+        self.0.push(Did::Skip(id.0));
+    }
+    fn remember(&mut self, id: InvId, lifetime: Nanos) {
+        self.0.push(Did::Remember(id.0, lifetime));
+    }
+    fn forget(&mut self, _id: InvId) {}
+    fn join(&mut self, id: InvId) {
+        self.0.push(Did::Join(id.0));
+    }
+    fn health(&mut self, good: bool, _from_store: bool) {
+        self.0.push(Did::Health(good));
+    }
+    fn advertise(&mut self, value: f64) {
+        self.0.push(Did::Advert(value));
+    }
+    fn close_idle(&mut self, _after: Nanos) {}
+    fn wake(&mut self, alarm: AlarmId, after: Nanos) {
+        self.0.push(Did::Wake(alarm.0, after));
+    }
+    fn log(&mut self, _line: fmt::Arguments<'_>) {}
+}
+
+fn site() -> Premises {
+    let operation = Operation {
+        effect: Effect::Idempotent,
+        latency_objective: 2 * S,
+        objective_stretch: 0.0,
+        client_timeout: 8 * S,
+        repeat_window: 5 * S,
+        billed_value: 1.0,
+        late_share: 0.0,
+        calls_below: true,
+        share_without_call: 0.0,
+    };
+    Premises {
+        cores: 4,
+        memory_kb: 10_000.0,
+        run_memory_factor: 4.0,
+        key_kb: 100.0,
+        cold: false,
+        cold_speed: 0.25,
+        warm_after: 10 * S,
+        crowd_per_core: 5.0,
+        drain_grace: 2 * S,
+        step: 5 * MS,
+        nodes: 10,
+        dispatchers: 3,
+        below: Below::Shared,
+        call_share: 2.5,
+        call_span: 5 * S,
+        call_linger: 200 * MS,
+        halt: Halt::Discard,
+        advert: Advert::Weight,
+        answer_fresh: 0,
+        longest_pause: S,
+        billed_by_work: false,
+        over_share_value: 0.05,
+        operations: vec![operation.clone(), Operation { billed_value: 4.0, ..operation }],
+        tenants: vec![Tenant { quota_per_s: 10.0 }],
+    }
+}
+
+fn choice(site: Premises) -> Choice<Diary> {
+    let mut choice = Choice::new(0, Diary::default(), site, 7);
+    choice.host.0.clear();
+    choice
+}
+
+fn arrival(id: u64) -> Arrival {
+    Arrival {
+        id: InvId(id),
+        op: OpId(0),
+        tenant: None,
+        dispatcher: DispatcherId(0),
+        has_subject: false,
+        time_left: None,
+        work_hint: None,
+        held_kb: 10.0,
+        age: 0,
+        repeats: None,
+    }
+}
+
+/// Puts invocations of operation 0 in hand at this stage, as if they had arrived at 0.
+fn put(choice: &mut Choice<Diary>, ids: std::ops::Range<u64>, stage: Stage) {
+    for id in ids {
+        let place = choice.in_hand.insert(Invocation {
+            id: InvId(id),
+            op: 0,
+            tenant: None,
+            arrived: 0,
+            objective: 2 * S,
+            due: 8 * S,
+            kb: 10.0,
+            size: 1.0,
+            stage,
+            over: false,
+            repeat: false,
+            failed_calls: 0,
+        });
+        choice.places.insert(InvId(id), place);
+        choice.ledger_kb += 10.0;
+        match stage {
+            Stage::Held => choice.hold.push(place),
+            Stage::Joining => {}
+            _ => {
+                choice.running += 1;
+                choice.ledger_kb += 30.0;
+                choice.calls += usize::from(stage == Stage::Calling);
+            }
+        }
+    }
+}
+
+fn busy(share: f64) -> Gauges {
+    Gauges { cpu_busy: Some(share), ..Gauges::default() }
+}
+
+#[test]
+fn refusal_chance_follows_the_curve() {
+    let mut choice = choice(site());
+    (choice.buffer, choice.q_virtual) = (40.0, 20.0);
+    let mut last = -1.0;
+    for (q, low, high) in
+        [(0.0, 0.0, 0.0), (16.0, 0.01, 0.1), (20.0, 0.45, 0.55), (24.0, 0.9, 0.99), (40.0, 1.0, 1.0)]
+    {
+        choice.q_avg = q;
+        let chance = choice.chance();
+        assert!((low..=high).contains(&chance) && chance > last, "at {q}: {chance}");
+        last = chance;
+    }
+}
+
+#[test]
+fn average_counts_more_after_a_gap() {
+    let mut choice = choice(site());
+    put(&mut choice, 0..10, Stage::Held);
+    choice.average(0);
+    assert!((choice.q_avg - 10.0 * LEAST_W).abs() < 1e-9);
+    choice.average(4 * S);
+    assert!(choice.q_avg > 9.99);
+}
+
+#[test]
+fn walk_moves_by_the_error_and_keeps_its_bounds() {
+    let mut choice = choice(site());
+    put(&mut choice, 0..10, Stage::Held);
+    (choice.busy, choice.buffer, choice.q_target, choice.q_virtual, choice.q_avg) =
+        (1.0, 40.0, 10.0, 20.0, 14.0);
+    choice.walk();
+    assert!((choice.q_virtual - 19.0).abs() < 1e-9, "0.25 x (10 - 14)");
+    choice.q_avg = 1e4;
+    choice.walk();
+    assert_eq!(choice.q_virtual, 4.0, "never under the cores");
+    (choice.q_target, choice.q_avg, choice.q_virtual) = (1e4, 0.0, 20.0);
+    choice.walk();
+    assert_eq!(choice.q_virtual, 39.0, "never over B - 1");
+}
+
+#[test]
+fn calm_does_not_wind_the_target_up() {
+    let mut choice = choice(site());
+    (choice.busy, choice.buffer, choice.q_target, choice.q_virtual) = (0.3, 40.0, 10.0, 30.0);
+    choice.walk();
+    assert!((choice.q_virtual - 28.0).abs() < 1e-9);
+}
+
+#[test]
+fn capacity_is_the_best_of_the_minute_capped_by_the_present_rate() {
+    let mut choice = choice(site());
+    choice.done[3] = 100.0; // 40 a second
+    choice.measure_capacity();
+    assert!((choice.q_target - 20.0).abs() < 1e-9, "40 x 0.5 s");
+    assert!((choice.buffer - 80.0).abs() < 1e-9);
+    choice.rate = 12.0;
+    put(&mut choice, 0..1, Stage::Held);
+    choice.measure_capacity();
+    assert!((choice.q_target - 6.0).abs() < 1e-9, "a slow spell");
+}
+
+#[test]
+fn buffer_is_capped_by_memory() {
+    let mut choice = choice(site());
+    choice.done[3] = 1000.0;
+    choice.typical_kb = 100.0;
+    choice.measure_capacity();
+    // (10,000 x 0.85 / 2 - 4 x 4 x 100) / 100
+    assert!((choice.buffer - 26.5).abs() < 1e-9, "{}", choice.buffer);
+}
+
+#[test]
+fn running_limit_grows_by_half_the_idle_cores_and_falls_by_one() {
+    let mut choice = choice(site());
+    put(&mut choice, 0..1, Stage::Held);
+    choice.steer_running(&busy(0.5));
+    assert_eq!(choice.limit, 5.0);
+    (choice.tally.runs, choice.tally.stretch) = (2.0, 7.0);
+    choice.steer_running(&busy(1.0));
+    assert_eq!(choice.limit, 4.0);
+    choice.steer_running(&busy(1.0));
+    assert_eq!(choice.limit, 4.0, "the floor");
+}
+
+#[test]
+fn everything_is_refused_at_b() {
+    let mut choice = choice(site());
+    (choice.running, choice.buffer) = (16, 6.0);
+    put(&mut choice, 0..6, Stage::Held);
+    choice.arrive(S, arrival(9));
+    assert_eq!(choice.hold.len(), 6);
+    assert!(choice.host.0.contains(&Did::Throttle(9, false)));
+}
+
+#[test]
+fn refusal_rests_while_cores_show_room() {
+    let mut choice = choice(site());
+    (choice.running, choice.buffer, choice.q_avg, choice.busy) = (17, 26.0, 26.0, 0.5);
+    put(&mut choice, 0..20, Stage::Held);
+    choice.arrive(MS, arrival(99));
+    assert_eq!(choice.hold.len(), 21);
+}
+
+#[test]
+fn refusal_falls_on_the_least_merit_among_the_young() {
+    let mut choice = choice(site());
+    put(&mut choice, 0..2, Stage::Held);
+    (choice.in_hand[1].op, choice.rows[0].pace, choice.rows[1].pace) = (1, 1.0, 1.0);
+    assert_eq!(choice.victim(MS, 1), 0);
+    assert_eq!(choice.victim(3 * S, 1), 1, "held too long to be sent elsewhere");
+}
+
+#[test]
+fn a_tenant_beyond_its_share_loses_merit() {
+    let mut choice = choice(site());
+    put(&mut choice, 0..2, Stage::Held);
+    choice.in_hand[0].tenant = Some(0);
+    choice.tenants[0].1 = 4.0; // over 10 nodes: 40 a second against 10
+    assert!((choice.merit(0) / choice.merit(1) - (0.25 + 0.75 * 0.05)).abs() < 1e-9);
+}
+
+#[test]
+fn what_cannot_meet_its_objective_is_not_started() {
+    let mut choice = choice(site());
+    put(&mut choice, 0..2, Stage::Held);
+    (choice.busy, choice.rows[0].pace) = (1.0, 1.5);
+    choice.in_hand[1].objective = S;
+    choice.fill(MS);
+    assert_eq!(choice.host.0, [Did::Throttle(1, false), Did::Run(0)]);
+}
+
+#[test]
+fn large_work_runs_while_cores_show_room() {
+    // Guards against nodes that refuse the large ones for good though nothing else wants the core.
+    let mut choice = choice(site());
+    put(&mut choice, 0..1, Stage::Held);
+    (choice.busy, choice.rows[0].pace) = (0.2, 30.0);
+    choice.fill(MS);
+    assert_eq!(choice.host.0, [Did::Run(0)]);
+}
+
+#[test]
+fn runs_at_a_call_leave_their_place() {
+    let mut choice = choice(site());
+    put(&mut choice, 0..4, Stage::Calling);
+    put(&mut choice, 4..6, Stage::Held);
+    choice.fill(MS);
+    assert_eq!(choice.host.0, [Did::Run(4), Did::Run(5)]);
+}
+
+#[test]
+fn crowd_is_bounded_and_less_while_cold() {
+    let mut choice = choice(Premises { cold: true, ..site() });
+    assert_eq!(choice.crowd_limit(0), 6); // 4 x (1 + 4 x 0.25) x 0.85
+    assert_eq!(choice.crowd_limit(20 * S), 17);
+    choice.site.cold = false;
+    assert_eq!(choice.crowd_limit(0), 17);
+}
+
+#[test]
+fn what_is_due_is_answered_and_running_work_keeps_its_place() {
+    let mut choice = choice(Premises { halt: Halt::No, ..site() });
+    put(&mut choice, 0..1, Stage::Held);
+    put(&mut choice, 1..2, Stage::Running);
+    choice.answer_due(8 * S);
+    assert_eq!(choice.host.0, [Did::Throttle(0, true), Did::Error(1)]);
+    assert_eq!((choice.in_hand.len(), choice.running), (1, 1));
+    choice.answer_due(9 * S);
+    assert_eq!(choice.host.0.len(), 2, "exactly one answer");
+}
+
+#[test]
+fn client_timeout_counts_from_arrival_at_the_machine() {
+    let mut choice = choice(site());
+    choice.arrive(10 * S, Arrival { age: 3 * S, time_left: None, ..arrival(1) });
+    assert!(choice.host.0.contains(&Did::Wake(2, 5 * S - MARGIN)));
+}
+
+#[test]
+fn memory_bounds_what_is_taken() {
+    let mut choice = choice(site());
+    choice.ledger_kb = 4245.0; // doubled until the gauge has spoken
+    choice.arrive(MS, arrival(1));
+    assert_eq!(choice.host.0, [Did::Throttle(1, false)]);
+}
+
+#[test]
+fn memory_count_learns_from_the_gauge() {
+    let mut choice = choice(site());
+    choice.ledger_kb = 1000.0;
+    choice.watch_memory(0, &Gauges { memory_used: Some(0.3), ..Gauges::default() });
+    assert!((choice.memory_stretch - 3.0).abs() < 1e-9);
+    choice.watch_memory(0, &Gauges { memory_used: Some(0.1), ..Gauges::default() });
+    assert!((choice.memory_stretch - 2.8).abs() < 1e-9);
+}
+
+#[test]
+fn calls_below_stay_within_the_share() {
+    let mut choice = choice(site());
+    put(&mut choice, 0..2, Stage::Calling);
+    put(&mut choice, 2..3, Stage::Running);
+    choice.needs_call(MS, InvId(2));
+    assert_eq!(choice.host.0, [], "waits");
+    choice.call_ended(S, InvId(0), CallEnding::Abandoned, S);
+    assert_eq!(choice.host.0, [], "an abandoned call lingers");
+    choice.rows[0].agreed.share_without_call = 0.5;
+    choice.make_calls(S);
+    assert_eq!(choice.host.0, [Did::Skip(0), Did::Skip(2)]);
+}
+
+#[test]
+fn a_share_under_one_is_kept_in_the_mean() {
+    let mut choice = choice(Premises { call_share: 0.5, ..site() });
+    put(&mut choice, 0..2, Stage::Waiting);
+    choice.make_calls(MS);
+    assert_eq!(choice.host.0, [Did::Call(0, 2300 * MS)]);
+    choice.call_ended(S, InvId(0), CallEnding::Succeeded, S);
+    choice.make_calls(3 * S);
+    assert_eq!(choice.host.0.len(), 1);
+    choice.make_calls(4 * S);
+    assert_eq!(choice.host.0.len(), 2);
+}
+
+#[test]
+fn a_call_that_may_have_run_is_not_repeated() {
+    let mut choice = choice(Premises { below: Below::Tier, ..site() });
+    put(&mut choice, 0..2, Stage::Calling);
+    choice.rows[0].agreed.effect = Effect::NonIdempotent;
+    choice.call_ended(MS, InvId(0), CallEnding::MayHaveRun, MS);
+    choice.call_ended(MS, InvId(1), CallEnding::NeverRan, MS);
+    assert_eq!(choice.host.0, [Did::Error(0), Did::Call(1, 8 * S - MS)]);
+}
+
+#[test]
+fn a_token_is_remembered_before_the_run() {
+    let mut choice = choice(site());
+    choice.rows[0].agreed.effect = Effect::Tokened;
+    choice.arrive(MS, arrival(1));
+    assert_eq!(choice.host.0[1..], [Did::Remember(1, 5 * S), Did::Run(1)]);
+}
+
+#[test]
+fn a_repeat_joins_and_is_never_throttled() {
+    let mut choice = choice(site());
+    choice.arrive(MS, Arrival { repeats: Some(InvId(1)), ..arrival(2) });
+    assert_eq!(choice.host.0[1..], [Did::Join(2)]);
+    choice.answer_due(9 * S);
+    assert_eq!(choice.host.0[2..], [Did::Error(2)]);
+    assert!(choice.in_hand.is_empty());
+}
+
+#[test]
+fn a_stopped_run_is_not_taken_up_again() {
+    let mut choice = choice(site());
+    put(&mut choice, 0..1, Stage::Running);
+    choice.ended(MS, InvId(0), Ending::Cancelled, MS);
+    assert_eq!(choice.host.0, [Did::Error(0)]);
+    assert_eq!((choice.running, choice.ledger_kb), (0, 0.0));
+}
+
+#[test]
+fn figures_are_learnt_from_successes_alone() {
+    let mut choice = choice(site());
+    put(&mut choice, 0..2, Stage::Running);
+    choice.ended(MS, InvId(0), Ending::Errored, MS);
+    assert_eq!(choice.rows[0].pace, 0.0);
+    choice.ended(MS, InvId(1), Ending::Succeeded, 300 * MS);
+    assert!((choice.rows[0].pace - 0.3).abs() < 1e-9);
+}
+
+#[test]
+fn work_that_nobody_waits_for_is_stopped() {
+    let mut choice = choice(site());
+    put(&mut choice, 0..1, Stage::Running);
+    choice.caller_left(MS, InvId(0));
+    assert_eq!(choice.host.0, [Did::Halt(0)]);
+    assert_eq!(choice.running, 1, "until the host says so");
+}
+
+#[test]
+fn a_drain_answers_all_before_the_stop() {
+    let mut choice = choice(site());
+    put(&mut choice, 0..1, Stage::Running);
+    choice.drain(S, 4 * S);
+    assert_eq!(choice.in_hand[0].due, 5 * S - MARGIN);
+    assert_eq!(choice.host.0, [Did::Wake(2, 4 * S - MARGIN), Did::Health(false), Did::Advert(0.0)]);
+}
+
+#[test]
+fn nothing_that_comes_after_the_grace_runs() {
+    let mut choice = choice(site());
+    choice.stop = Some((S, 6 * S));
+    choice.arrive(4 * S, Arrival { age: 500 * MS, ..arrival(1) });
+    choice.arrive(4 * S, Arrival { age: 1500 * MS, ..arrival(2) });
+    assert!(matches!(choice.host.0[..], [Did::Throttle(1, _), Did::Wake(2, _), Did::Run(2)]));
+}
+
+#[test]
+fn advert_follows_what_is_turned_away_and_falls_with_room() {
+    let mut choice = choice(site());
+    (choice.busy, choice.tally.read, choice.tally.turned) = (1.0, 10.0, 5.0);
+    choice.steer_traffic();
+    assert!((choice.shed - SHED_GAIN * 0.47).abs() < 1e-9);
+    (choice.busy, choice.shed) = (0.5, 0.5);
+    choice.steer_traffic();
+    assert!((choice.shed - 0.45).abs() < 1e-9);
+}
+
+#[test]
+fn each_advert_speaks_its_own_scale() {
+    for (advert, value) in [(Advert::Level, 0.5), (Advert::Weight, 0.5), (Advert::Credit, 4.0)] {
+        let mut choice = choice(Premises { advert, ..site() });
+        (choice.shed, choice.limit, choice.q_target) = (0.5, 10.0, 6.0);
+        choice.advertise();
+        assert_eq!(choice.host.0, [Did::Advert(value)]);
+    }
+}
+
+#[test]
+fn the_tenant_rate_is_counted_on_arrival() {
+    let mut choice = choice(site());
+    choice.arrive(MS, Arrival { tenant: Some(TenantId(0)), ..arrival(1) });
+    assert_eq!(choice.tenants[0].0, 1.0);
+}
