--- a/src/choice.rs
+++ b/src/choice.rs
@@ -91,6 +91,7 @@
     over: bool,
     repeat: bool,
     failed_calls: u8,
+    started: Nanos,
 }
 
 /// What was seen since the last update: billed value read and turned away, runs and their stretch.
@@ -227,6 +228,7 @@
             over: false,
             repeat: repeats.is_some(),
             failed_calls: 0,
+            started: 0,
         });
         self.places.insert(id, place);
         self.ledger_kb += arrival.held_kb;
@@ -355,6 +357,13 @@
             self.answer_due(now);
         } else {
             self.host.wake(TICK, T_UPDATE);
+            for (_, inv) in &self.in_hand {
+                let row = &mut self.rows[inv.op];
+                let age = seconds(now.saturating_sub(inv.started)) / inv.size;
+                if inv.started > 0 && age > row.pace && row.pace > 0.0 {
+                    row.pace += LEARN * (age - row.pace);
+                }
+            }
             self.watch_memory(now, &gauges);
             self.steer_running(&gauges);
             self.measure_capacity();
@@ -513,6 +522,7 @@
             self.ledger_kb += kb;
             self.running += 1;
             self.in_hand[place].stage = Stage::Running;
+            self.in_hand[place].started = now;
             self.host.run(self.in_hand[place].id);
         }
     }
@@ -691,7 +701,9 @@
             self.shed *= 1.0 - LEARN;
         } else {
             let turned = if self.tally.read > 0.0 { self.tally.turned / self.tally.read } else { 0.0 };
-            self.shed = (self.shed + SHED_GAIN * (turned - SHED_GOAL)).clamp(0.0, SHED_MOST);
+            let best = self.done.iter().fold(0.0, |a: f64, &b| a.max(b)) / (C_UPDATES as f64 * seconds(T_UPDATE));
+            let lost = if self.hold.is_empty() { 0.0 } else { 1.0 - 2.0 * self.rate / best.max(0.1) };
+            self.shed = (self.shed + SHED_GAIN * (turned - SHED_GOAL)).max(lost).clamp(0.0, SHED_MOST);
         }
         for (count, rate) in &mut self.tenants {
             *rate += LEARN * (*count / seconds(T_UPDATE) - *rate);
