--- a/src/choice.rs
+++ b/src/choice.rs
@@ -546,7 +546,8 @@
         } else {
             // Fleet-wide trouble, or lateness, is not cured by asking the next node.
             let last = now >= inv.objective || self.rng.random::<f64>() < self.shed;
-            let pause = if self.stop.is_some() { self.site.longest_pause } else { 0 };
+            let away = if self.stop.is_some() { 1.0 } else { self.shed };
+            let pause = (self.site.longest_pause as f64 * away) as Nanos;
             self.host.throttle(inv.id, pause, last);
             self.host.forget(inv.id);
         }
