Calls that hang are abandoned after eight times their usual time

Guards against any hanging dependency; could harm where call times jump at once by more than eight, but the wait doubles with each try and abandoned calls teach.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,10 +23,8 @@
 
 /// Interval of the walk, the running loop and the gauges.
 const T_UPDATE: Nanos = 500_000_000;
-/// Spread of the refusal curve, and the steps of the walk up and down.
+/// Spread of the refusal curve. The walk's Alpha and Beta are 1.
 const THETA: f64 = 0.1;
-const ALPHA: f64 = 1.0;
-const BETA: f64 = 1.0;
 /// T_target as a share of the shortest latency objective, and B as a multiple of q_target.
 const TARGET_SHARE: f64 = 0.25;
 const BUFFER_FACTOR: f64 = 4.0;
@@ -51,8 +49,9 @@
 const SHED_GOAL: f64 = 0.03;
 const SHED_GAIN: f64 = 0.15;
 const SHED_MOST: f64 = 0.95;
-/// Tries of one call.
+/// Tries of one call, and how many times its usual time the first may take.
 const CALL_TRIES: u8 = 3;
+const CALL_PATIENCE: f64 = 8.0;
 
 const TICK: AlarmId = AlarmId(1);
 const DUE: AlarmId = AlarmId(2);
@@ -63,6 +62,8 @@
     /// Recent run time, and recent short run time, in seconds for each unit of size; 0 = not known.
     pace: f64,
     brisk: f64,
+    /// Recent time of a call.
+    call: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,7 +90,6 @@
     stage: Stage,
     /// Whether its caller has its answer or has left, while the work goes on.
     over: bool,
-    repeat: bool,
     failed_calls: u8,
     started: Nanos,
 }
@@ -144,6 +144,8 @@
     done: [f64; C_SPANS],
     update: usize,
     rate: f64,
+    /// Share of the best rate that is lost, beyond a half that chance explains.
+    lost: f64,
     limit: f64,
     busy: f64,
     tally: Tally,
@@ -165,7 +167,7 @@
         host.health(true, true);
         host.wake(TICK, T_UPDATE);
         let cores = site.cores as f64;
-        let row = |agreed: &Operation| Row { agreed: agreed.clone(), pace: 0.0, brisk: 0.0 };
+        let row = |agreed: &Operation| Row { agreed: agreed.clone(), pace: 0.0, brisk: 0.0, call: 0.0 };
         let mut choice = Choice {
             host,
             rows: site.operations.iter().map(row).collect(),
@@ -191,6 +193,7 @@
             done: [0.0; C_SPANS],
             update: 0,
             rate: 0.0,
+            lost: 0.0,
             limit: cores,
             busy: 0.0,
             tally: Tally::default(),
@@ -224,9 +227,8 @@
             due,
             kb: arrival.held_kb,
             size: work_hint.unwrap_or(1.0),
-            stage: Stage::Held,
+            stage: if repeats.is_some() { Stage::Joining } else { Stage::Held },
             over: false,
-            repeat: repeats.is_some(),
             failed_calls: 0,
             started: 0,
         });
@@ -246,7 +248,6 @@
         }
         self.arm(now, due);
         if repeats.is_some() {
-            self.in_hand[place].stage = Stage::Joining;
             return self.host.join(id);
         }
         if keyed {
@@ -306,14 +307,17 @@
         if inv.stage != Stage::Calling {
             return;
         }
-        let agreed = &self.rows[inv.op].agreed;
+        let row = &mut self.rows[inv.op];
         let failed = ending != CallEnding::Succeeded;
+        if !failed || ending == CallEnding::Abandoned {
+            row.call += (seconds(latency) - row.call) * if row.call > 0.0 { LEARN } else { 1.0 };
+        }
         inv.stage = if failed { Stage::Waiting } else { Stage::Running };
         inv.failed_calls += u8::from(failed);
         // Only what is known not to have run below, or may run twice, is called again.
-        let repeatable = agreed.effect == Effect::Idempotent || ending == CallEnding::NeverRan;
+        let repeatable = row.agreed.effect == Effect::Idempotent || ending == CallEnding::NeverRan;
         let tired = inv.failed_calls >= CALL_TRIES || !repeatable;
-        let skippable = agreed.share_without_call > 0.0;
+        let skippable = row.agreed.share_without_call > 0.0;
         let over = inv.over;
         self.calls -= 1;
         self.linger(now, ending == CallEnding::Abandoned, latency);
@@ -357,15 +361,8 @@
             self.answer_due(now);
         } else {
             self.host.wake(TICK, T_UPDATE);
-            for (_, inv) in &self.in_hand {
-                let row = &mut self.rows[inv.op];
-                let age = seconds(now.saturating_sub(inv.started)) / inv.size;
-                if inv.started > 0 && age > row.pace && row.pace > 0.0 {
-                    row.pace += LEARN * (age - row.pace);
-                }
-            }
             self.watch_memory(now, &gauges);
-            self.steer_running(&gauges);
+            self.steer_running(now, &gauges);
             self.measure_capacity();
             self.walk();
             self.steer_traffic();
@@ -410,7 +407,9 @@
     /// held, the present rate caps the best: a node gone slow must not hold what it could do before.
     fn measure_capacity(&mut self) {
         let cores = self.site.cores as f64;
-        let best = self.done.iter().fold(0.0, |a: f64, &b| a.max(b)) / (C_UPDATES as f64 * seconds(T_UPDATE));
+        let span = C_UPDATES as f64 * seconds(T_UPDATE);
+        let best = self.done.iter().fold(0.0, |a: f64, &b| a.max(b)) / span;
+        self.lost = if self.hold.is_empty() { 0.0 } else { 1.0 - 2.0 * self.rate / best.max(1e-9) };
         let capacity = if self.hold.is_empty() { best } else { best.min(self.rate) };
         let shortest = self.rows.iter().map(|r| r.agreed.latency_objective).min().unwrap_or(0);
         self.q_target = (capacity * TARGET_SHARE * seconds(shortest)).max(cores);
@@ -428,19 +427,15 @@
     /// instead, so that a calm spell does not wind it up against the next surge.
     fn walk(&mut self) {
         let mu = self.q_virtual / self.buffer;
-        let error = self.q_target - self.q_avg;
-        let step = if error > 0.0 { ALPHA } else { BETA };
-        self.q_virtual += if self.rests() {
-            LEARN * (self.q_target - self.q_virtual)
-        } else {
-            step * mu * (1.0 - mu) * error
-        };
+        let step = mu * (1.0 - mu) * (self.q_target - self.q_avg);
+        let back = LEARN * (self.q_target - self.q_virtual);
+        self.q_virtual += if self.rests() { back } else { step };
         let least = (self.site.cores as f64).max(self.buffer / 50.0);
         self.q_virtual = self.q_virtual.clamp(least, self.buffer - 1.0);
     }
 
     /// The running loop: grows by half the idle cores while work is held, falls while full cores run long.
-    fn steer_running(&mut self, gauges: &Gauges) {
+    fn steer_running(&mut self, now: Nanos, gauges: &Gauges) {
         let cores = self.site.cores as f64;
         let held = !self.hold.is_empty();
         self.busy = gauges.cpu_busy.unwrap_or(f64::from(u8::from(held)));
@@ -455,6 +450,11 @@
         for row in &mut self.rows {
             row.pace *= 0.98; // what cannot start for its expected length gets another look in time
         }
+        for (_, inv) in self.in_hand.iter().filter(|(_, inv)| inv.started > 0) {
+            // Runs still going teach too: on a node gone slow the first to end comes late.
+            let (age, row) = (seconds(now - inv.started) / inv.size, &mut self.rows[inv.op]);
+            row.pace += LEARN * (age - row.pace).max(0.0);
+        }
     }
 
     // ---- What is held, and who bears a refusal ----
@@ -541,7 +541,7 @@
     fn turn_away(&mut self, now: Nanos, place: usize) {
         self.tally.turned += self.merit(place);
         let inv = &self.in_hand[place];
-        if inv.repeat {
+        if inv.stage == Stage::Joining {
             self.host.error(inv.id); // what it repeats may have run
         } else {
             // Fleet-wide trouble, or lateness, is not cured by asking the next node.
@@ -655,8 +655,14 @@
         while self.lingering.front().is_some_and(|&end| end < now) {
             self.lingering.pop_front();
         }
-        let skippable = self.rows[inv.op].agreed.share_without_call > 0.0;
+        let row = &self.rows[inv.op];
+        let skippable = row.agreed.share_without_call > 0.0;
         let mut time = (if skippable { inv.objective } else { inv.due }).saturating_sub(now);
+        if row.call > 0.0 && (skippable || row.agreed.effect == Effect::Idempotent) {
+            // A call that hangs must not hold its run: the wait doubles with each try.
+            let tries = f64::from(1u32 << inv.failed_calls.min(CALL_TRIES));
+            time = time.min((CALL_PATIENCE * row.call * tries * 1e9) as Nanos);
+        }
         let mut room = true;
         if self.site.below == Below::Shared {
             let share = self.site.call_share;
@@ -702,9 +708,7 @@
             self.shed *= 1.0 - LEARN;
         } else {
             let turned = if self.tally.read > 0.0 { self.tally.turned / self.tally.read } else { 0.0 };
-            let best = self.done.iter().fold(0.0, |a: f64, &b| a.max(b)) / (C_UPDATES as f64 * seconds(T_UPDATE));
-            let lost = if self.hold.is_empty() { 0.0 } else { 1.0 - 2.0 * self.rate / best.max(0.1) };
-            self.shed = (self.shed + SHED_GAIN * (turned - SHED_GOAL)).max(lost).clamp(0.0, SHED_MOST);
+            self.shed = (self.shed + SHED_GAIN * (turned - SHED_GOAL)).max(self.lost).clamp(0.0, SHED_MOST);
         }
         for (count, rate) in &mut self.tenants {
             *rate += LEARN * (*count / seconds(T_UPDATE) - *rate);
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -139,8 +139,8 @@
             size: 1.0,
             stage,
             over: false,
-            repeat: false,
             failed_calls: 0,
+            started: 0,
         });
         choice.places.insert(InvId(id), place);
         choice.ledger_kb += 10.0;
@@ -236,12 +236,12 @@
 fn running_limit_grows_by_half_the_idle_cores_and_falls_by_one() {
     let mut choice = choice(site());
     put(&mut choice, 0..1, Stage::Held);
-    choice.steer_running(&busy(0.5));
+    choice.steer_running(0, &busy(0.5));
     assert_eq!(choice.limit, 5.0);
     (choice.tally.runs, choice.tally.stretch) = (2.0, 7.0);
-    choice.steer_running(&busy(1.0));
+    choice.steer_running(0, &busy(1.0));
     assert_eq!(choice.limit, 4.0);
-    choice.steer_running(&busy(1.0));
+    choice.steer_running(0, &busy(1.0));
     assert_eq!(choice.limit, 4.0, "the floor");
 }
 
