--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,10 +7,7 @@
 //! chance I_{q_avg/B}(mu, theta); every `T_UPDATE` the virtual target and the running limit are walked.
 //! What is held runs in the order of its billed value for the time that it takes.
 
-use crate::{
-    Advert, AlarmId, Arrival, Below, CallEnding, Effect, Ending, Gauges, Halt, Host, InvId, Nanos, Operation,
-    Premises,
-};
+use crate::*;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use slab::Slab;
@@ -42,13 +39,11 @@
 const LEARN: f64 = 0.1;
 /// Answers go out this long before they are due: ticks and late timers.
 const MARGIN: Nanos = 30_000_000;
-/// Parts of the memory and of the survivable crowd that are used.
-const MEMORY_USE: f64 = 0.85;
-const CROWD_USE: f64 = 0.85;
+/// Part of the memory and of the survivable crowd that is used.
+const SAFE: f64 = 0.85;
 /// The advert holds back traffic until this share of the billed value that is read is still turned away.
 const SHED_GOAL: f64 = 0.03;
 const SHED_GAIN: f64 = 0.15;
-const SHED_MOST: f64 = 0.95;
 /// Tries of one call, and how many times its usual time the first may take.
 const CALL_TRIES: u8 = 3;
 const CALL_PATIENCE: f64 = 8.0;
@@ -59,10 +54,9 @@
 /// An operation as agreed, and what its runs have shown.
 struct Row {
     agreed: Operation,
-    /// Recent run time, and recent short run time, in seconds for each unit of size; 0 = not known.
+    /// Recent run time and short run time, for each unit of size, and time of a call; 0 = not known.
     pace: f64,
     brisk: f64,
-    /// Recent time of a call.
     call: f64,
 }
 
@@ -91,7 +85,6 @@
     /// Whether its caller has its answer or has left, while the work goes on.
     over: bool,
     failed_calls: u8,
-    started: Nanos,
 }
 
 /// What was seen since the last update: billed value read and turned away, runs and their stretch.
@@ -103,6 +96,20 @@
     stretch: f64,
 }
 
+/// State of the mechanism, in its own words.
+#[derive(Default)]
+struct Red {
+    q_avg: f64,
+    q_virtual: f64,
+    q_target: f64,
+    buffer: f64,
+    last_arrival: Nanos,
+    /// Runs that succeeded in each span, the update within them, and a second lately.
+    done: [f64; C_SPANS],
+    update: usize,
+    rate: f64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Mode {
     Calm,
@@ -135,17 +142,7 @@
     ledger_kb: f64,
     memory_stretch: f64,
     typical_kb: f64,
-    q_avg: f64,
-    q_virtual: f64,
-    q_target: f64,
-    buffer: f64,
-    last_arrival: Nanos,
-    /// Runs that succeeded in each span, the update within them, and a second lately.
-    done: [f64; C_SPANS],
-    update: usize,
-    rate: f64,
-    /// Share of the best rate that is lost, beyond a half that chance explains.
-    lost: f64,
+    red: Red,
     limit: f64,
     busy: f64,
     tally: Tally,
@@ -161,6 +158,11 @@
     span as f64 / 1e9
 }
 
+/// Moves a figure by a share towards a sample; the first sample stands as it is.
+fn learn(figure: &mut f64, sample: f64, share: f64) {
+    *figure += if *figure > 0.0 { share * (sample - *figure) } else { sample };
+}
+
 impl<H: Host> Choice<H> {
     /// Starts a node's decisions at `now`; chance comes from `seed` alone.
     pub fn new(now: Nanos, mut host: H, site: Premises, seed: u64) -> Self {
@@ -185,15 +187,7 @@
             ledger_kb: 0.0,
             memory_stretch: 2.0,
             typical_kb: 0.0,
-            q_avg: 0.0,
-            q_virtual: cores,
-            q_target: cores,
-            buffer: 0.0,
-            last_arrival: now,
-            done: [0.0; C_SPANS],
-            update: 0,
-            rate: 0.0,
-            lost: 0.0,
+            red: Red { q_virtual: cores, q_target: cores, last_arrival: now, ..Red::default() },
             limit: cores,
             busy: 0.0,
             tally: Tally::default(),
@@ -216,8 +210,8 @@
         let own_work = (work_hint.unwrap_or(0.0) * agreed.objective_stretch * 1e9) as Nanos;
         let due = timeout.min(self.stop.map_or(Nanos::MAX, |(_, stop)| stop)).saturating_sub(MARGIN);
         let window = agreed.repeat_window.max(self.site.answer_fresh);
-        let keyed = agreed.effect == Effect::Tokened
-            || (agreed.effect == Effect::Idempotent && self.site.answer_fresh > 0 && arrival.has_subject);
+        let shares = self.site.answer_fresh > 0 && arrival.has_subject && agreed.effect == Effect::Idempotent;
+        let keyed = repeats.is_none() && (shares || agreed.effect == Effect::Tokened);
         let place = self.in_hand.insert(Invocation {
             id,
             op: arrival.op.0,
@@ -230,20 +224,17 @@
             stage: if repeats.is_some() { Stage::Joining } else { Stage::Held },
             over: false,
             failed_calls: 0,
-            started: 0,
         });
         self.places.insert(id, place);
         self.ledger_kb += arrival.held_kb;
-        let learn = if self.typical_kb > 0.0 { LEARN } else { 1.0 };
-        self.typical_kb += learn * (arrival.held_kb - self.typical_kb);
+        learn(&mut self.typical_kb, arrival.held_kb, LEARN);
         if let Some(t) = arrival.tenant {
             self.tenants[t.0].0 += 1.0;
         }
         self.tally.read += self.merit(place);
         self.average(now);
         let too_late = due <= now || self.stop.is_some_and(|(n, _)| arrived > n + self.site.drain_grace);
-        let key_kb = if keyed && repeats.is_none() { self.site.key_kb } else { 0.0 };
-        if too_late || !self.memory_fits(key_kb) {
+        if too_late || !self.memory_fits(if keyed { self.site.key_kb } else { 0.0 }) {
             return self.turn_away(now, place);
         }
         self.arm(now, due);
@@ -256,7 +247,8 @@
             self.keys.push(Reverse(now + window));
         }
         self.hold.push(place);
-        if self.hold.len() as f64 > self.buffer || (!self.rests() && self.rng.random::<f64>() < self.chance())
+        if self.hold.len() as f64 > self.red.buffer
+            || (!self.rests() && self.rng.random::<f64>() < self.chance())
         {
             let victim = self.victim(now, place);
             self.turn_away(now, victim);
@@ -274,14 +266,12 @@
         } else if ending == Ending::Succeeded && inv.stage == Stage::Running {
             let row = &mut self.rows[inv.op];
             let pace = seconds(latency) / inv.size;
-            if row.pace == 0.0 {
-                (row.pace, row.brisk) = (pace, pace);
-            }
-            row.pace += LEARN * (pace - row.pace);
-            row.brisk += (pace - row.brisk) * if pace < row.brisk { 2.0 * LEARN } else { LEARN / 10.0 };
+            learn(&mut row.pace, pace, LEARN);
+            let down = pace < row.brisk;
+            learn(&mut row.brisk, pace, if down { 2.0 * LEARN } else { LEARN / 10.0 });
             self.tally.runs += 1.0;
             self.tally.stretch += pace / row.brisk;
-            self.done[self.update / C_UPDATES] += 1.0;
+            self.red.done[self.red.update / C_UPDATES] += 1.0;
         }
         if ending == Ending::Cancelled && !self.in_hand[place].over {
             // Stopped though its caller waits: what must not run twice cannot be taken up again.
@@ -289,14 +279,14 @@
         }
         self.remove(place);
         self.fill(now);
-        self.make_calls(now);
+        self.make_calls(now, false);
     }
 
     /// A running invocation has come to a call below.
     pub fn needs_call(&mut self, now: Nanos, id: InvId) {
         let Some(&place) = self.places.get(&id) else { return };
-        self.in_hand[place].stage = Stage::Waiting;
-        self.in_hand[place].failed_calls = 0;
+        let inv = &mut self.in_hand[place];
+        (inv.stage, inv.failed_calls) = (Stage::Waiting, 0);
         self.make_call(now, place);
     }
 
@@ -310,7 +300,7 @@
         let row = &mut self.rows[inv.op];
         let failed = ending != CallEnding::Succeeded;
         if !failed || ending == CallEnding::Abandoned {
-            row.call += (seconds(latency) - row.call) * if row.call > 0.0 { LEARN } else { 1.0 };
+            learn(&mut row.call, seconds(latency), LEARN);
         }
         inv.stage = if failed { Stage::Waiting } else { Stage::Running };
         inv.failed_calls += u8::from(failed);
@@ -318,18 +308,18 @@
         let repeatable = row.agreed.effect == Effect::Idempotent || ending == CallEnding::NeverRan;
         let tired = inv.failed_calls >= CALL_TRIES || !repeatable;
         let skippable = row.agreed.share_without_call > 0.0;
-        let over = inv.over;
+        let retry = failed && !inv.over;
         self.calls -= 1;
         self.linger(now, ending == CallEnding::Abandoned, latency);
-        if failed && !over {
-            match self.site.below {
-                _ if skippable && (tired || self.site.below == Below::Shared) => self.skip_call(place),
+        if retry {
+            match self.site.below == Below::Shared {
+                shared if skippable && (tired || shared) => self.skip_call(place),
                 _ if tired => self.give_up(place),
-                Below::Tier => self.make_call(now, place),
-                _ => {} // until the next update, so as not to hammer what is shared
+                true => {} // not to be hammered: the next try waits for the next update
+                false => self.make_call(now, place),
             }
         }
-        self.make_calls(now);
+        self.make_calls(now, false);
     }
 
     /// The caller of an invocation no longer waits.
@@ -362,33 +352,32 @@
         } else {
             self.host.wake(TICK, T_UPDATE);
             self.watch_memory(now, &gauges);
-            self.steer_running(now, &gauges);
+            self.steer_running(&gauges);
             self.measure_capacity();
             self.walk();
             self.steer_traffic();
-            let mode = match self.mode {
+            self.enter(match self.mode {
                 Mode::Draining => Mode::Draining,
                 _ if !self.memory_fits(0.0) => Mode::ShortOfMemory,
-                _ if self.hold.len() as f64 >= self.buffer => Mode::Full,
+                _ if self.hold.len() as f64 >= self.red.buffer => Mode::Full,
                 _ if self.tally.turned > 0.0 => Mode::Refusing,
                 mode if self.shed > SHED_GOAL => mode,
                 _ => Mode::Calm,
-            };
-            self.enter(mode);
+            });
             self.tally = Tally::default();
         }
         self.fill(now);
-        self.make_calls(now);
+        self.make_calls(now, alarm == TICK);
     }
 
     // ---- Dynamic Beta RED ----
 
     /// q_avg with the arrival; w grows with the gap, so that a thinly fed node does not judge by old news.
     fn average(&mut self, now: Nanos) {
-        let gap = seconds(now - self.last_arrival);
+        let gap = seconds(now - self.red.last_arrival);
         let w = (1.0 - (-gap / Q_MEMORY).exp()).max(LEAST_W);
-        self.q_avg += w * (self.hold.len() as f64 - self.q_avg);
-        self.last_arrival = now;
+        self.red.q_avg += w * (self.hold.len() as f64 - self.red.q_avg);
+        self.red.last_arrival = now;
     }
 
     /// Whether the random refusal rests: the cores show room, or fewer than their number are held.
@@ -398,9 +387,9 @@
 
     /// The chance that an arrival is refused.
     fn chance(&self) -> f64 {
-        let mu = self.q_virtual / self.buffer;
+        let mu = self.red.q_virtual / self.red.buffer;
         let spread = 1.0 / (THETA * THETA) - 1.0;
-        beta_reg(mu * spread, (1.0 - mu) * spread, (self.q_avg / self.buffer).clamp(0.0, 1.0))
+        beta_reg(mu * spread, (1.0 - mu) * spread, (self.red.q_avg / self.red.buffer).clamp(0.0, 1.0))
     }
 
     /// q_target from the best completions of the last minute, and B from it and from memory. While work is
@@ -408,38 +397,37 @@
     fn measure_capacity(&mut self) {
         let cores = self.site.cores as f64;
         let span = C_UPDATES as f64 * seconds(T_UPDATE);
-        let best = self.done.iter().fold(0.0, |a: f64, &b| a.max(b)) / span;
-        self.lost = if self.hold.is_empty() { 0.0 } else { 1.0 - 2.0 * self.rate / best.max(1e-9) };
-        let capacity = if self.hold.is_empty() { best } else { best.min(self.rate) };
+        let best = self.red.done.iter().fold(0.0, |a: f64, &b| a.max(b)) / span;
+        let capacity = if self.hold.is_empty() { best } else { best.min(self.red.rate) };
         let shortest = self.rows.iter().map(|r| r.agreed.latency_objective).min().unwrap_or(0);
-        self.q_target = (capacity * TARGET_SHARE * seconds(shortest)).max(cores);
+        self.red.q_target = (capacity * TARGET_SHARE * seconds(shortest)).max(cores);
         let running_kb = self.limit * self.site.run_memory_factor * self.typical_kb;
-        let free_kb = (self.site.memory_kb * MEMORY_USE - self.keys_kb()) / self.memory_stretch - running_kb;
+        let free_kb = (self.site.memory_kb * SAFE - self.keys_kb()) / self.memory_stretch - running_kb;
         let room = free_kb / self.typical_kb.max(f64::MIN_POSITIVE);
-        self.buffer = (BUFFER_FACTOR * self.q_target).min(room).max(cores + 2.0);
-        self.update = (self.update + 1) % (C_SPANS * C_UPDATES);
-        if self.update.is_multiple_of(C_UPDATES) {
-            self.done[self.update / C_UPDATES] = 0.0;
+        self.red.buffer = (BUFFER_FACTOR * self.red.q_target).min(room).max(cores + 2.0);
+        self.red.update = (self.red.update + 1) % (C_SPANS * C_UPDATES);
+        if self.red.update.is_multiple_of(C_UPDATES) {
+            self.red.done[self.red.update / C_UPDATES] = 0.0;
         }
     }
 
     /// Moves the virtual target by the error of q_avg. While the refusal rests it goes back to q_target
     /// instead, so that a calm spell does not wind it up against the next surge.
     fn walk(&mut self) {
-        let mu = self.q_virtual / self.buffer;
-        let step = mu * (1.0 - mu) * (self.q_target - self.q_avg);
-        let back = LEARN * (self.q_target - self.q_virtual);
-        self.q_virtual += if self.rests() { back } else { step };
-        let least = (self.site.cores as f64).max(self.buffer / 50.0);
-        self.q_virtual = self.q_virtual.clamp(least, self.buffer - 1.0);
+        let mu = self.red.q_virtual / self.red.buffer;
+        let step = mu * (1.0 - mu) * (self.red.q_target - self.red.q_avg);
+        let back = LEARN * (self.red.q_target - self.red.q_virtual);
+        self.red.q_virtual += if self.rests() { back } else { step };
+        let least = (self.site.cores as f64).max(self.red.buffer / 50.0);
+        self.red.q_virtual = self.red.q_virtual.clamp(least, self.red.buffer - 1.0);
     }
 
     /// The running loop: grows by half the idle cores while work is held, falls while full cores run long.
-    fn steer_running(&mut self, now: Nanos, gauges: &Gauges) {
+    fn steer_running(&mut self, gauges: &Gauges) {
         let cores = self.site.cores as f64;
         let held = !self.hold.is_empty();
         self.busy = gauges.cpu_busy.unwrap_or(f64::from(u8::from(held)));
-        self.rate += LEARN * (self.tally.runs / seconds(T_UPDATE) - self.rate);
+        self.red.rate += LEARN * (self.tally.runs / seconds(T_UPDATE) - self.red.rate);
         if held {
             self.limit += (1.0 - self.busy).max(0.0) * cores / 2.0;
         }
@@ -450,11 +438,6 @@
         for row in &mut self.rows {
             row.pace *= 0.98; // what cannot start for its expected length gets another look in time
         }
-        for (_, inv) in self.in_hand.iter().filter(|(_, inv)| inv.started > 0) {
-            // Runs still going teach too: on a node gone slow the first to end comes late.
-            let (age, row) = (seconds(now - inv.started) / inv.size, &mut self.rows[inv.op]);
-            row.pace += LEARN * (age - row.pace).max(0.0);
-        }
     }
 
     // ---- What is held, and who bears a refusal ----
@@ -490,11 +473,8 @@
     /// On whom a refusal falls: the least merit of the arrival and of those held for less than a fifth of
     /// their time, whose callers lose little by asking elsewhere.
     fn victim(&self, now: Nanos, arrival: usize) -> usize {
-        let young = |&place: &usize| {
-            let inv = &self.in_hand[place];
-            now - inv.arrived < inv.due.saturating_sub(inv.arrived) / 5
-        };
-        let others = self.hold.iter().copied().filter(young);
+        let young = |inv: &Invocation| now - inv.arrived < inv.due.saturating_sub(inv.arrived) / 5;
+        let others = self.hold.iter().copied().filter(|&p| young(&self.in_hand[p]));
         others.fold(arrival, |least, p| if self.merit(p) < self.merit(least) { p } else { least })
     }
 
@@ -522,7 +502,6 @@
             self.ledger_kb += kb;
             self.running += 1;
             self.in_hand[place].stage = Stage::Running;
-            self.in_hand[place].started = now;
             self.host.run(self.in_hand[place].id);
         }
     }
@@ -530,11 +509,11 @@
     /// The most runs that the cores survive if all that waits for disk or calls comes back at once; a cold
     /// node is taken to warm as slowly as it may.
     fn crowd_limit(&self, now: Nanos) -> usize {
-        let warm = !self.site.cold || now - self.born >= self.site.warm_after;
-        let warmth = if warm { 1.0 } else { (now - self.born) as f64 / self.site.warm_after as f64 };
+        let since = (now - self.born) as f64 / self.site.warm_after.max(1) as f64;
+        let warmth = if self.site.cold { since.min(1.0) } else { 1.0 };
         let speed = self.site.cold_speed + (1.0 - self.site.cold_speed) * warmth;
         let crowd = self.site.cores as f64 * (1.0 + (self.site.crowd_per_core - 1.0) * speed);
-        ((crowd * CROWD_USE) as usize).max(1)
+        ((crowd * SAFE) as usize).max(1)
     }
 
     /// Turns away what never ran.
@@ -547,8 +526,7 @@
             // Fleet-wide trouble, or lateness, is not cured by asking the next node.
             let last = now >= inv.objective || self.rng.random::<f64>() < self.shed;
             let away = if self.stop.is_some() { 1.0 } else { self.shed };
-            let pause = (self.site.longest_pause as f64 * away) as Nanos;
-            self.host.throttle(inv.id, pause, last);
+            self.host.throttle(inv.id, (self.site.longest_pause as f64 * away) as Nanos, last);
             self.host.forget(inv.id);
         }
         self.remove(place);
@@ -617,7 +595,7 @@
     }
 
     fn memory_fits(&self, more_kb: f64) -> bool {
-        (self.ledger_kb + more_kb) * self.memory_stretch + self.keys_kb() < self.site.memory_kb * MEMORY_USE
+        (self.ledger_kb + more_kb) * self.memory_stretch + self.keys_kb() < self.site.memory_kb * SAFE
     }
 
     /// Own count against the gauge: what operations really take is told nowhere.
@@ -636,9 +614,11 @@
 
     // ---- Calls below ----
 
-    fn make_calls(&mut self, now: Nanos) {
+    /// Makes what calls wait for room; those that failed before only if `again`.
+    fn make_calls(&mut self, now: Nanos, again: bool) {
         for place in 0..self.in_hand.capacity() {
-            if self.in_hand.get(place).is_some_and(|inv| inv.stage == Stage::Waiting) {
+            let Some(inv) = self.in_hand.get(place) else { continue };
+            if inv.stage == Stage::Waiting && (again || inv.failed_calls == 0) {
                 self.make_call(now, place);
             }
         }
@@ -708,7 +688,7 @@
             self.shed *= 1.0 - LEARN;
         } else {
             let turned = if self.tally.read > 0.0 { self.tally.turned / self.tally.read } else { 0.0 };
-            self.shed = (self.shed + SHED_GAIN * (turned - SHED_GOAL)).max(self.lost).clamp(0.0, SHED_MOST);
+            self.shed = (self.shed + SHED_GAIN * (turned - SHED_GOAL)).clamp(0.0, 0.95);
         }
         for (count, rate) in &mut self.tenants {
             *rate += LEARN * (*count / seconds(T_UPDATE) - *rate);
@@ -724,7 +704,7 @@
             Advert::Level => shed,
             Advert::Weight => 1.0 - shed,
             Advert::Credit if self.stop.is_some() => 0.0,
-            Advert::Credit => (self.limit + self.q_target).powf(1.0 - shed),
+            Advert::Credit => (self.limit + self.red.q_target).powf(1.0 - shed),
         };
         self.host.advertise(value);
     }
@@ -733,7 +713,8 @@
         if mode == self.mode {
             return;
         }
-        let Choice { q_avg, q_target, q_virtual, buffer, running, limit, busy, shed, .. } = self;
+        let Red { q_avg, q_target, q_virtual, buffer, .. } = self.red;
+        let Choice { running, limit, busy, shed, .. } = self;
         let (held, from, kb) = (self.hold.len(), self.mode, self.ledger_kb * self.memory_stretch);
         self.host.log(format_args!(
             "{from:?}->{mode:?} held {held} q_avg {q_avg:.1} target {q_target:.1} virtual {q_virtual:.1} \
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -140,7 +140,6 @@
             stage,
             over: false,
             failed_calls: 0,
-            started: 0,
         });
         choice.places.insert(InvId(id), place);
         choice.ledger_kb += 10.0;
@@ -163,12 +162,12 @@
 #[test]
 fn refusal_chance_follows_the_curve() {
     let mut choice = choice(site());
-    (choice.buffer, choice.q_virtual) = (40.0, 20.0);
+    (choice.red.buffer, choice.red.q_virtual) = (40.0, 20.0);
     let mut last = -1.0;
     for (q, low, high) in
         [(0.0, 0.0, 0.0), (16.0, 0.01, 0.1), (20.0, 0.45, 0.55), (24.0, 0.9, 0.99), (40.0, 1.0, 1.0)]
     {
-        choice.q_avg = q;
+        choice.red.q_avg = q;
         let chance = choice.chance();
         assert!((low..=high).contains(&chance) && chance > last, "at {q}: {chance}");
         last = chance;
@@ -180,75 +179,75 @@
     let mut choice = choice(site());
     put(&mut choice, 0..10, Stage::Held);
     choice.average(0);
-    assert!((choice.q_avg - 10.0 * LEAST_W).abs() < 1e-9);
+    assert!((choice.red.q_avg - 10.0 * LEAST_W).abs() < 1e-9);
     choice.average(4 * S);
-    assert!(choice.q_avg > 9.99);
+    assert!(choice.red.q_avg > 9.99);
 }
 
 #[test]
 fn walk_moves_by_the_error_and_keeps_its_bounds() {
     let mut choice = choice(site());
     put(&mut choice, 0..10, Stage::Held);
-    (choice.busy, choice.buffer, choice.q_target, choice.q_virtual, choice.q_avg) =
+    (choice.busy, choice.red.buffer, choice.red.q_target, choice.red.q_virtual, choice.red.q_avg) =
         (1.0, 40.0, 10.0, 20.0, 14.0);
     choice.walk();
-    assert!((choice.q_virtual - 19.0).abs() < 1e-9, "0.25 x (10 - 14)");
-    choice.q_avg = 1e4;
+    assert!((choice.red.q_virtual - 19.0).abs() < 1e-9, "0.25 x (10 - 14)");
+    choice.red.q_avg = 1e4;
     choice.walk();
-    assert_eq!(choice.q_virtual, 4.0, "never under the cores");
-    (choice.q_target, choice.q_avg, choice.q_virtual) = (1e4, 0.0, 20.0);
+    assert_eq!(choice.red.q_virtual, 4.0, "never under the cores");
+    (choice.red.q_target, choice.red.q_avg, choice.red.q_virtual) = (1e4, 0.0, 20.0);
     choice.walk();
-    assert_eq!(choice.q_virtual, 39.0, "never over B - 1");
+    assert_eq!(choice.red.q_virtual, 39.0, "never over B - 1");
 }
 
 #[test]
 fn calm_does_not_wind_the_target_up() {
     let mut choice = choice(site());
-    (choice.busy, choice.buffer, choice.q_target, choice.q_virtual) = (0.3, 40.0, 10.0, 30.0);
+    (choice.busy, choice.red.buffer, choice.red.q_target, choice.red.q_virtual) = (0.3, 40.0, 10.0, 30.0);
     choice.walk();
-    assert!((choice.q_virtual - 28.0).abs() < 1e-9);
+    assert!((choice.red.q_virtual - 28.0).abs() < 1e-9);
 }
 
 #[test]
 fn capacity_is_the_best_of_the_minute_capped_by_the_present_rate() {
     let mut choice = choice(site());
-    choice.done[3] = 100.0; // 40 a second
+    choice.red.done[3] = 100.0; // 40 a second
     choice.measure_capacity();
-    assert!((choice.q_target - 20.0).abs() < 1e-9, "40 x 0.5 s");
-    assert!((choice.buffer - 80.0).abs() < 1e-9);
-    choice.rate = 12.0;
+    assert!((choice.red.q_target - 20.0).abs() < 1e-9, "40 x 0.5 s");
+    assert!((choice.red.buffer - 80.0).abs() < 1e-9);
+    choice.red.rate = 12.0;
     put(&mut choice, 0..1, Stage::Held);
     choice.measure_capacity();
-    assert!((choice.q_target - 6.0).abs() < 1e-9, "a slow spell");
+    assert!((choice.red.q_target - 6.0).abs() < 1e-9, "a slow spell");
 }
 
 #[test]
 fn buffer_is_capped_by_memory() {
     let mut choice = choice(site());
-    choice.done[3] = 1000.0;
+    choice.red.done[3] = 1000.0;
     choice.typical_kb = 100.0;
     choice.measure_capacity();
     // (10,000 x 0.85 / 2 - 4 x 4 x 100) / 100
-    assert!((choice.buffer - 26.5).abs() < 1e-9, "{}", choice.buffer);
+    assert!((choice.red.buffer - 26.5).abs() < 1e-9, "{}", choice.red.buffer);
 }
 
 #[test]
 fn running_limit_grows_by_half_the_idle_cores_and_falls_by_one() {
     let mut choice = choice(site());
     put(&mut choice, 0..1, Stage::Held);
-    choice.steer_running(0, &busy(0.5));
+    choice.steer_running(&busy(0.5));
     assert_eq!(choice.limit, 5.0);
     (choice.tally.runs, choice.tally.stretch) = (2.0, 7.0);
-    choice.steer_running(0, &busy(1.0));
+    choice.steer_running(&busy(1.0));
     assert_eq!(choice.limit, 4.0);
-    choice.steer_running(0, &busy(1.0));
+    choice.steer_running(&busy(1.0));
     assert_eq!(choice.limit, 4.0, "the floor");
 }
 
 #[test]
 fn everything_is_refused_at_b() {
     let mut choice = choice(site());
-    (choice.running, choice.buffer) = (16, 6.0);
+    (choice.running, choice.red.buffer) = (16, 6.0);
     put(&mut choice, 0..6, Stage::Held);
     choice.arrive(S, arrival(9));
     assert_eq!(choice.hold.len(), 6);
@@ -258,7 +257,7 @@
 #[test]
 fn refusal_rests_while_cores_show_room() {
     let mut choice = choice(site());
-    (choice.running, choice.buffer, choice.q_avg, choice.busy) = (17, 26.0, 26.0, 0.5);
+    (choice.running, choice.red.buffer, choice.red.q_avg, choice.busy) = (17, 26.0, 26.0, 0.5);
     put(&mut choice, 0..20, Stage::Held);
     choice.arrive(MS, arrival(99));
     assert_eq!(choice.hold.len(), 21);
@@ -367,7 +366,7 @@
     choice.call_ended(S, InvId(0), CallEnding::Abandoned, S);
     assert_eq!(choice.host.0, [], "an abandoned call lingers");
     choice.rows[0].agreed.share_without_call = 0.5;
-    choice.make_calls(S);
+    choice.make_calls(S, true);
     assert_eq!(choice.host.0, [Did::Skip(0), Did::Skip(2)]);
 }
 
@@ -375,12 +374,12 @@
 fn a_share_under_one_is_kept_in_the_mean() {
     let mut choice = choice(Premises { call_share: 0.5, ..site() });
     put(&mut choice, 0..2, Stage::Waiting);
-    choice.make_calls(MS);
+    choice.make_calls(MS, false);
     assert_eq!(choice.host.0, [Did::Call(0, 2300 * MS)]);
     choice.call_ended(S, InvId(0), CallEnding::Succeeded, S);
-    choice.make_calls(3 * S);
+    choice.make_calls(3 * S, false);
     assert_eq!(choice.host.0.len(), 1);
-    choice.make_calls(4 * S);
+    choice.make_calls(4 * S, false);
     assert_eq!(choice.host.0.len(), 2);
 }
 
@@ -473,7 +472,7 @@
 fn each_advert_speaks_its_own_scale() {
     for (advert, value) in [(Advert::Level, 0.5), (Advert::Weight, 0.5), (Advert::Credit, 4.0)] {
         let mut choice = choice(Premises { advert, ..site() });
-        (choice.shed, choice.limit, choice.q_target) = (0.5, 10.0, 6.0);
+        (choice.shed, choice.limit, choice.red.q_target) = (0.5, 10.0, 6.0);
         choice.advertise();
         assert_eq!(choice.host.0, [Did::Advert(value)]);
     }
