--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,8 +42,10 @@
 /// Part of the memory and of the survivable crowd that is used.
 const SAFE: f64 = 0.85;
 /// The advert holds back traffic until this share of the billed value that is read is still turned away.
+/// From `LAST_FROM` held back on, throttled callers are asked not to try elsewhere.
 const SHED_GOAL: f64 = 0.03;
 const SHED_GAIN: f64 = 0.15;
+const LAST_FROM: f64 = 0.2;
 /// Tries of one call, and how many times its usual time the first may take.
 const CALL_TRIES: u8 = 3;
 const CALL_PATIENCE: f64 = 8.0;
@@ -87,18 +89,21 @@
     failed_calls: u8,
 }
 
-/// What was seen since the last update: billed value read and turned away, runs and their stretch.
+/// What was seen since the last update: billed value read and turned away, arrivals, runs, their stretch.
 #[derive(Default)]
 struct Tally {
     read: f64,
     turned: f64,
+    arrivals: f64,
     runs: f64,
     stretch: f64,
 }
 
-/// State of the mechanism, in its own words.
+/// State of the mechanism, in its own words; q_cur is what is held and unread, feed arrivals a second.
 #[derive(Default)]
 struct Red {
+    q_cur: f64,
+    feed: f64,
     q_avg: f64,
     q_virtual: f64,
     q_target: f64,
@@ -232,7 +237,8 @@
             self.tenants[t.0].0 += 1.0;
         }
         self.tally.read += self.merit(place);
-        self.average(now);
+        self.tally.arrivals += 1.0;
+        self.average(now, arrival.age);
         let too_late = due <= now || self.stop.is_some_and(|(n, _)| arrived > n + self.site.drain_grace);
         if too_late || !self.memory_fits(if keyed { self.site.key_kb } else { 0.0 }) {
             return self.turn_away(now, place);
@@ -356,14 +362,17 @@
             self.measure_capacity();
             self.walk();
             self.steer_traffic();
-            self.enter(match self.mode {
+            let mode = match self.mode {
                 Mode::Draining => Mode::Draining,
                 _ if !self.memory_fits(0.0) => Mode::ShortOfMemory,
                 _ if self.hold.len() as f64 >= self.red.buffer => Mode::Full,
                 _ if self.tally.turned > 0.0 => Mode::Refusing,
                 mode if self.shed > SHED_GOAL => mode,
                 _ => Mode::Calm,
-            });
+            };
+            if mode != self.mode {
+                self.enter(mode);
+            }
             self.tally = Tally::default();
         }
         self.fill(now);
@@ -372,17 +381,19 @@
 
     // ---- Dynamic Beta RED ----
 
-    /// q_avg with the arrival; w grows with the gap, so that a thinly fed node does not judge by old news.
-    fn average(&mut self, now: Nanos) {
+    /// q_avg with the arrival. What came after it and is unread counts as held (feed times its age), or slow
+    /// reading would hide the queue. w grows with the gap, so that thin feeding does not judge by old news.
+    fn average(&mut self, now: Nanos, age: Nanos) {
         let gap = seconds(now - self.red.last_arrival);
         let w = (1.0 - (-gap / Q_MEMORY).exp()).max(LEAST_W);
-        self.red.q_avg += w * (self.hold.len() as f64 - self.red.q_avg);
+        self.red.q_cur = self.hold.len() as f64 + self.red.feed * seconds(age);
+        self.red.q_avg += w * (self.red.q_cur - self.red.q_avg);
         self.red.last_arrival = now;
     }
 
-    /// Whether the random refusal rests: the cores show room, or fewer than their number are held.
+    /// Whether the random refusal rests: cores show room, or fewer than their number are held and unread.
     fn rests(&self) -> bool {
-        self.busy < FULL || self.hold.len() < self.site.cores
+        self.busy < FULL || self.red.q_cur < self.site.cores as f64
     }
 
     /// The chance that an arrival is refused.
@@ -427,6 +438,7 @@
         let cores = self.site.cores as f64;
         let held = !self.hold.is_empty();
         self.busy = gauges.cpu_busy.unwrap_or(f64::from(u8::from(held)));
+        self.red.feed += 2.0 * LEARN * (self.tally.arrivals / seconds(T_UPDATE) - self.red.feed);
         self.red.rate += LEARN * (self.tally.runs / seconds(T_UPDATE) - self.red.rate);
         if held {
             self.limit += (1.0 - self.busy).max(0.0) * cores / 2.0;
@@ -523,8 +535,8 @@
         if inv.stage == Stage::Joining {
             self.host.error(inv.id); // what it repeats may have run
         } else {
-            // Fleet-wide trouble, or lateness, is not cured by asking the next node.
-            let last = now >= inv.objective || self.rng.random::<f64>() < self.shed;
+            // Neither lateness nor an overload that the advert speaks of is cured by asking the next node.
+            let last = now >= inv.objective || self.shed > LAST_FROM;
             let away = if self.stop.is_some() { 1.0 } else { self.shed };
             self.host.throttle(inv.id, (self.site.longest_pause as f64 * away) as Nanos, last);
             self.host.forget(inv.id);
@@ -710,9 +722,6 @@
     }
 
     fn enter(&mut self, mode: Mode) {
-        if mode == self.mode {
-            return;
-        }
         let Red { q_avg, q_target, q_virtual, buffer, .. } = self.red;
         let Choice { running, limit, busy, shed, .. } = self;
         let (held, from, kb) = (self.hold.len(), self.mode, self.ledger_kb * self.memory_stretch);
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -178,16 +178,46 @@
 fn average_counts_more_after_a_gap() {
     let mut choice = choice(site());
     put(&mut choice, 0..10, Stage::Held);
-    choice.average(0);
+    choice.average(0, 0);
     assert!((choice.red.q_avg - 10.0 * LEAST_W).abs() < 1e-9);
-    choice.average(4 * S);
+    choice.average(4 * S, 0);
     assert!(choice.red.q_avg > 9.99);
 }
 
+#[test]
+fn what_is_unread_counts_as_held() {
+    // Guards against slow reading that hides the queue: held 0 while invocations waited 0.6 s unread.
+    let mut choice = choice(site());
+    choice.red.feed = 20.0;
+    choice.average(4 * S, 500 * MS);
+    assert!((choice.red.q_cur - 10.0).abs() < 1e-9 && choice.red.q_avg > 9.99);
+}
+
+#[test]
+fn a_call_that_hangs_is_abandoned_after_its_usual_time() {
+    let mut choice = choice(Premises { below: Below::Tier, ..site() });
+    put(&mut choice, 0..1, Stage::Waiting);
+    choice.rows[0].call = 0.1;
+    choice.make_call(MS, 0);
+    choice.call_ended(S, InvId(0), CallEnding::Abandoned, 100 * MS);
+    assert_eq!(choice.host.0, [Did::Call(0, 800 * MS), Did::Call(0, 1600 * MS)]);
+}
+
+#[test]
+fn throttled_callers_are_kept_from_the_next_node_in_overload_alone() {
+    let mut choice = choice(site());
+    put(&mut choice, 0..2, Stage::Held);
+    choice.turn_away(MS, 0);
+    choice.shed = 0.5;
+    choice.turn_away(MS, 1);
+    assert_eq!(choice.host.0, [Did::Throttle(0, false), Did::Throttle(1, true)]);
+}
+
 #[test]
 fn walk_moves_by_the_error_and_keeps_its_bounds() {
     let mut choice = choice(site());
     put(&mut choice, 0..10, Stage::Held);
+    choice.red.q_cur = 10.0;
     (choice.busy, choice.red.buffer, choice.red.q_target, choice.red.q_virtual, choice.red.q_avg) =
         (1.0, 40.0, 10.0, 20.0, 14.0);
     choice.walk();
