--- a/src/choice.rs
+++ b/src/choice.rs
@@ -67,8 +67,7 @@
     Held,
     Joining,
     Running,
-    /// Wants a call that was not made yet.
-    Waiting,
+    WantsCall,
     Calling,
 }
 
@@ -120,7 +119,6 @@
     Calm,
     Refusing,
     Full,
-    ShortOfMemory,
     Draining,
 }
 
@@ -138,9 +136,10 @@
     hold: Vec<usize>,
     running: usize,
     calls: usize,
-    /// When abandoned calls are surely over, and when a share under one allows the next call.
+    /// When abandoned calls are surely over, when a share under one allows the next, the share that fails.
     lingering: VecDeque<Nanos>,
     next_call: Nanos,
+    below_failed: f64,
     /// Expiry of remembered keys.
     keys: BinaryHeap<Reverse<Nanos>>,
     /// Memory in use by own count, how many times that the gauge shows, and a typical invocation's.
@@ -188,6 +187,7 @@
             calls: 0,
             lingering: VecDeque::with_capacity(64),
             next_call: 0,
+            below_failed: 0.0,
             keys: BinaryHeap::with_capacity(64),
             ledger_kb: 0.0,
             memory_stretch: 2.0,
@@ -292,7 +292,7 @@
     pub fn needs_call(&mut self, now: Nanos, id: InvId) {
         let Some(&place) = self.places.get(&id) else { return };
         let inv = &mut self.in_hand[place];
-        (inv.stage, inv.failed_calls) = (Stage::Waiting, 0);
+        (inv.stage, inv.failed_calls) = (Stage::WantsCall, 0);
         self.make_call(now, place);
     }
 
@@ -308,13 +308,16 @@
         if !failed || ending == CallEnding::Abandoned {
             learn(&mut row.call, seconds(latency), LEARN);
         }
-        inv.stage = if failed { Stage::Waiting } else { Stage::Running };
+        inv.stage = if failed { Stage::WantsCall } else { Stage::Running };
         inv.failed_calls += u8::from(failed);
         // Only what is known not to have run below, or may run twice, is called again.
         let repeatable = row.agreed.effect == Effect::Idempotent || ending == CallEnding::NeverRan;
-        let tired = inv.failed_calls >= CALL_TRIES || !repeatable;
+        // And the less often the more calls fail: tries that all nodes repeat would keep below what is down.
+        let spent = inv.failed_calls >= CALL_TRIES || !repeatable;
+        let tired = spent || self.rng.random::<f64>() < self.below_failed;
         let skippable = row.agreed.share_without_call > 0.0;
         let retry = failed && !inv.over;
+        self.below_failed += LEARN / 2.0 * (f64::from(u8::from(failed)) - self.below_failed);
         self.calls -= 1;
         self.linger(now, ending == CallEnding::Abandoned, latency);
         if retry {
@@ -364,7 +367,6 @@
             self.steer_traffic();
             let mode = match self.mode {
                 Mode::Draining => Mode::Draining,
-                _ if !self.memory_fits(0.0) => Mode::ShortOfMemory,
                 _ if self.hold.len() as f64 >= self.red.buffer => Mode::Full,
                 _ if self.tally.turned > 0.0 => Mode::Refusing,
                 mode if self.shed > SHED_GOAL => mode,
@@ -467,7 +469,6 @@
         self.rows[inv.op].agreed.billed_value / length * share
     }
 
-    /// Expected run time.
     fn length(&self, place: usize) -> f64 {
         self.rows[self.in_hand[place].op].pace * self.in_hand[place].size
     }
@@ -615,9 +616,8 @@
         while self.keys.peek().is_some_and(|k| k.0 < now) {
             self.keys.pop();
         }
-        if let Some(used) = gauges.memory_used
-            && self.ledger_kb > 0.02 * self.site.memory_kb
-        {
+        let Some(used) = gauges.memory_used else { return };
+        if self.ledger_kb > 0.02 * self.site.memory_kb {
             let seen = ((used * self.site.memory_kb - self.keys_kb()) / self.ledger_kb).max(1.0);
             let learn = if seen > self.memory_stretch { 1.0 } else { LEARN };
             self.memory_stretch += learn * (seen - self.memory_stretch);
@@ -630,7 +630,7 @@
     fn make_calls(&mut self, now: Nanos, again: bool) {
         for place in 0..self.in_hand.capacity() {
             let Some(inv) = self.in_hand.get(place) else { continue };
-            if inv.stage == Stage::Waiting && (again || inv.failed_calls == 0) {
+            if inv.stage == Stage::WantsCall && (again || inv.failed_calls == 0) {
                 self.make_call(now, place);
             }
         }
@@ -644,13 +644,13 @@
         if inv.over {
             return;
         }
-        while self.lingering.front().is_some_and(|&end| end < now) {
+        while self.lingering.front().is_some_and(|&end| end <= now) {
             self.lingering.pop_front();
         }
         let row = &self.rows[inv.op];
-        let skippable = row.agreed.share_without_call > 0.0;
-        let mut time = (if skippable { inv.objective } else { inv.due }).saturating_sub(now);
-        if row.call > 0.0 && (skippable || row.agreed.effect == Effect::Idempotent) {
+        let skip = row.agreed.share_without_call > 0.0;
+        let mut time = if skip { inv.objective.saturating_sub(now) / 2 } else { inv.due.saturating_sub(now) };
+        if row.call > 0.0 && (skip || row.agreed.effect == Effect::Idempotent) {
             // A call that hangs must not hold its run: the wait doubles with each try.
             let tries = f64::from(1u32 << inv.failed_calls.min(CALL_TRIES));
             time = time.min((CALL_PATIENCE * row.call * tries * 1e9) as Nanos);
@@ -665,11 +665,13 @@
                 room &= now >= self.next_call;
             }
         }
-        if room && time > 0 {
+        // Where most calls fail, some are not tried at all, so that what lies below can come back.
+        let spare = skip && self.rng.random::<f64>() < 2.0 * self.below_failed - 1.0;
+        if room && time > 0 && !spare {
             self.calls += 1;
             self.host.call(inv.id, time);
             self.in_hand[place].stage = Stage::Calling;
-        } else if skippable {
+        } else if skip {
             self.skip_call(place);
         }
     }
@@ -677,9 +679,7 @@
     /// A call left what lies below, at once or after lingering there.
     fn linger(&mut self, now: Nanos, abandoned: bool, latency: Nanos) {
         let linger = if abandoned { self.site.call_linger } else { 0 };
-        if linger > 0 {
-            self.lingering.push_back(now + linger);
-        }
+        self.lingering.push_back(now + linger);
         if self.site.call_share < 1.0 {
             let gap = (latency + linger) as f64 * (2.0 / self.site.call_share.max(1e-6) - 1.0);
             self.next_call = now + linger + gap as Nanos;
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -196,13 +196,25 @@
 #[test]
 fn a_call_that_hangs_is_abandoned_after_its_usual_time() {
     let mut choice = choice(Premises { below: Below::Tier, ..site() });
-    put(&mut choice, 0..1, Stage::Waiting);
+    put(&mut choice, 0..1, Stage::WantsCall);
     choice.rows[0].call = 0.1;
     choice.make_call(MS, 0);
     choice.call_ended(S, InvId(0), CallEnding::Abandoned, 100 * MS);
     assert_eq!(choice.host.0, [Did::Call(0, 800 * MS), Did::Call(0, 1600 * MS)]);
 }
 
+#[test]
+fn what_fails_below_is_not_hammered() {
+    // Guards against tries that all nodes repeat at a tier that refuses: four attempts for each invocation.
+    let mut choice = choice(Premises { below: Below::Tier, ..site() });
+    put(&mut choice, 0..1, Stage::Calling);
+    put(&mut choice, 1..2, Stage::WantsCall);
+    choice.rows[0].agreed.share_without_call = 0.5;
+    choice.below_failed = 1.0;
+    choice.call_ended(MS, InvId(0), CallEnding::NeverRan, MS);
+    assert_eq!(choice.host.0, [Did::Skip(0), Did::Skip(1)]);
+}
+
 #[test]
 fn throttled_callers_are_kept_from_the_next_node_in_overload_alone() {
     let mut choice = choice(site());
@@ -403,7 +415,7 @@
 #[test]
 fn a_share_under_one_is_kept_in_the_mean() {
     let mut choice = choice(Premises { call_share: 0.5, ..site() });
-    put(&mut choice, 0..2, Stage::Waiting);
+    put(&mut choice, 0..2, Stage::WantsCall);
     choice.make_calls(MS, false);
     assert_eq!(choice.host.0, [Did::Call(0, 2300 * MS)]);
     choice.call_ended(S, InvId(0), CallEnding::Succeeded, S);
