--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,9 +25,8 @@
 /// T_target as a share of the shortest latency objective, and B as a multiple of q_target.
 const TARGET_SHARE: f64 = 0.25;
 const BUFFER_FACTOR: f64 = 4.0;
-/// q_avg forgets over so many seconds: w follows the gap between arrivals, from a floor.
-const Q_MEMORY: f64 = 0.4;
-const LEAST_W: f64 = 0.2;
+/// Weight of an arrival in q_avg: a thinly fed node must not judge by old news.
+const W: f64 = 0.3;
 /// C is the best of the last `C_SPANS` spans of `C_UPDATES` updates each: a minute.
 const C_SPANS: usize = 24;
 const C_UPDATES: usize = 5;
@@ -107,7 +106,6 @@
     q_virtual: f64,
     q_target: f64,
     buffer: f64,
-    last_arrival: Nanos,
     /// Runs that succeeded in each span, the update within them, and a second lately.
     done: [f64; C_SPANS],
     update: usize,
@@ -192,7 +190,7 @@
             ledger_kb: 0.0,
             memory_stretch: 2.0,
             typical_kb: 0.0,
-            red: Red { q_virtual: cores, q_target: cores, last_arrival: now, ..Red::default() },
+            red: Red { q_virtual: cores, q_target: cores, ..Red::default() },
             limit: cores,
             busy: 0.0,
             tally: Tally::default(),
@@ -238,7 +236,7 @@
         }
         self.tally.read += self.merit(place);
         self.tally.arrivals += 1.0;
-        self.average(now, arrival.age);
+        self.average(arrival.age);
         let too_late = due <= now || self.stop.is_some_and(|(n, _)| arrived > n + self.site.drain_grace);
         if too_late || !self.memory_fits(if keyed { self.site.key_kb } else { 0.0 }) {
             return self.turn_away(now, place);
@@ -384,13 +382,10 @@
     // ---- Dynamic Beta RED ----
 
     /// q_avg with the arrival. What came after it and is unread counts as held (feed times its age), or slow
-    /// reading would hide the queue. w grows with the gap, so that thin feeding does not judge by old news.
-    fn average(&mut self, now: Nanos, age: Nanos) {
-        let gap = seconds(now - self.red.last_arrival);
-        let w = (1.0 - (-gap / Q_MEMORY).exp()).max(LEAST_W);
+    /// reading would hide the queue.
+    fn average(&mut self, age: Nanos) {
         self.red.q_cur = self.hold.len() as f64 + self.red.feed * seconds(age);
-        self.red.q_avg += w * (self.red.q_cur - self.red.q_avg);
-        self.red.last_arrival = now;
+        self.red.q_avg += W * (self.red.q_cur - self.red.q_avg);
     }
 
     /// Whether the random refusal rests: cores show room, or fewer than their number are held and unread.
@@ -449,9 +444,6 @@
             self.limit -= 1.0;
         }
         self.limit = self.limit.clamp(cores, cores * self.site.crowd_per_core.max(1.0));
-        for row in &mut self.rows {
-            row.pace *= 0.98; // what cannot start for its expected length gets another look in time
-        }
     }
 
     // ---- What is held, and who bears a refusal ----
@@ -665,9 +657,7 @@
                 room &= now >= self.next_call;
             }
         }
-        // Where most calls fail, some are not tried at all, so that what lies below can come back.
-        let spare = skip && self.rng.random::<f64>() < 2.0 * self.below_failed - 1.0;
-        if room && time > 0 && !spare {
+        if room && time > 0 {
             self.calls += 1;
             self.host.call(inv.id, time);
             self.in_hand[place].stage = Stage::Calling;
