Idle connections closed at once where dispatchers seldom come back

Told apart from the ledger (calls took 11 ms) and from the cores (busy, but with the table's load).

Should also guard tables against floods of callers; can harm where handshakes are dear and callers come back just past the bound.

--- a/crates/simhost/src/facts.rs
+++ b/crates/simhost/src/facts.rs
@@ -53,6 +53,8 @@
     gauges: Vec<String>,
     halt: String,
     #[serde(default)]
+    idle: f64,
+    #[serde(default)]
     key_kb: f64,
     #[serde(default)]
     linger: f64,
@@ -182,6 +184,7 @@
         step: nanos(facts.step, "Step")?,
         nodes: facts.servers,
         dispatchers: extra.clients_total,
+        longest_idle: nanos(extra.idle, "Extra.Idle")?,
         below: word(&extra.below, "Extra.Below", &belows)?,
         call_share: extra.fair_calls,
         call_span: nanos(extra.calls_over, "Extra.CallsOver")?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,6 +49,9 @@
 const CALL_TRIES: u8 = 3;
 const CALL_PATIENCE: f64 = 8.0;
 
+/// An idle connection that does not pay is closed after this.
+const LEAST_IDLE: Nanos = 10_000_000;
+
 const TICK: AlarmId = AlarmId(1);
 const DUE: AlarmId = AlarmId(2);
 
@@ -150,6 +153,8 @@
     tally: Tally,
     /// Share of the traffic that the advert holds back.
     shed: f64,
+    /// How long idle connections are kept.
+    kept_idle: Nanos,
     /// The notice to leave, and the stop.
     stop: Option<(Nanos, Nanos)>,
     next_due: Nanos,
@@ -195,6 +200,7 @@
             busy: 0.0,
             tally: Tally::default(),
             shed: 0.0,
+            kept_idle: site.longest_idle,
             stop: None,
             next_due: Nanos::MAX,
             mode: Mode::Calm,
@@ -697,6 +703,17 @@
             *count = 0.0;
         }
         self.advertise();
+        // Idle connections take capacity and fill the table, against those who find no room: they are kept only
+        // if dispatchers, on average, come back before they would close them. Costs handshakes where few do.
+        let (keep, dispatchers) = (seconds(self.site.longest_idle), self.site.dispatchers as f64);
+        let keep = if dispatchers <= self.red.feed * keep {
+            self.site.longest_idle
+        } else {
+            LEAST_IDLE.min(self.site.longest_idle)
+        };
+        if std::mem::replace(&mut self.kept_idle, keep) != keep {
+            self.host.close_idle(keep);
+        }
     }
 
     fn advertise(&mut self) {
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -19,6 +19,7 @@
     Join(u64),
     Health(bool),
     Advert(f64),
+    CloseIdle(Nanos),
     Wake(u64, Nanos),
 }
 
@@ -57,7 +58,9 @@
     fn advertise(&mut self, value: f64) {
         self.0.push(Did::Advert(value));
     }
-    fn close_idle(&mut self, _after: Nanos) {}
+    fn close_idle(&mut self, after: Nanos) {
+        self.0.push(Did::CloseIdle(after));
+    }
     fn wake(&mut self, alarm: AlarmId, after: Nanos) {
         self.0.push(Did::Wake(alarm.0, after));
     }
@@ -89,6 +92,7 @@
         step: 5 * MS,
         nodes: 10,
         dispatchers: 3,
+        longest_idle: 30 * S,
         below: Below::Shared,
         call_share: 2.5,
         call_span: 5 * S,
@@ -525,3 +529,14 @@
     choice.arrive(MS, Arrival { tenant: Some(TenantId(0)), ..arrival(1) });
     assert_eq!(choice.tenants[0].0, 1.0);
 }
+
+#[test]
+fn connections_of_dispatchers_that_seldom_return_are_closed_at_once() {
+    let mut choice = choice(Premises { dispatchers: 300, ..site() });
+    choice.red.feed = 5.0; // back after a minute, against 30 s
+    choice.steer_traffic();
+    assert!(choice.host.0.contains(&Did::CloseIdle(LEAST_IDLE)));
+    (choice.red.feed, choice.host.0) = (20.0, Vec::new());
+    choice.steer_traffic();
+    assert!(choice.host.0.contains(&Did::CloseIdle(30 * S)));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -163,6 +163,8 @@
     pub nodes: usize,
     /// Dispatchers that send here.
     pub dispatchers: usize,
+    /// After this dispatchers close an idle connection themselves.
+    pub longest_idle: Nanos,
     /// What lies below.
     pub below: Below,
     /// This node's part of the calls that what lies below survives, as a mean of those in hand.
