Calls wait for room below; a share under one is kept by a budget

Cause: the dependency does not grow with the fleet, so a node's share is 0.49 of a call. Told apart from a crowded dependency: it was at 6% of what it survives.

Change: a call waits for room up to an update, behind at most as many as there are cores; runs that wait leave their place on the cores to others; a share under one is kept by a budget (half flows back, half can be used at once) instead of gaps.

Should also help where cold nodes call more; can cost up to half a second where a dependency is far too small.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -136,8 +136,10 @@
     places: HashMap<InvId, usize>,
     hold: Vec<usize>,
     running: usize,
+    /// Runs that are at a call or wait for one, and calls in hand.
+    away: usize,
     calls: usize,
-    /// When abandoned calls are surely over, when a share under one allows the next, the share that fails.
+    /// When abandoned calls are surely over, when a share under one is made good, the share of calls that fails.
     lingering: VecDeque<Nanos>,
     next_call: Nanos,
     below_failed: f64,
@@ -187,6 +189,7 @@
             places: HashMap::with_capacity(512),
             hold: Vec::with_capacity(256),
             running: 0,
+            away: 0,
             calls: 0,
             lingering: VecDeque::with_capacity(64),
             next_call: 0,
@@ -297,7 +300,9 @@
         let Some(&place) = self.places.get(&id) else { return };
         let inv = &mut self.in_hand[place];
         (inv.stage, inv.failed_calls) = (Stage::WantsCall, 0);
-        self.make_call(now, place);
+        self.away += 1;
+        self.make_call(now, place, false);
+        self.fill(now);
     }
 
     /// A call below ended.
@@ -323,13 +328,14 @@
         let retry = failed && !inv.over;
         self.below_failed += LEARN / 2.0 * (f64::from(u8::from(failed)) - self.below_failed);
         self.calls -= 1;
+        self.away -= usize::from(!failed);
         self.linger(now, ending == CallEnding::Abandoned, latency);
         if retry {
             match self.site.below == Below::Shared {
                 shared if skippable && (tired || shared) => self.skip_call(place),
                 _ if tired => self.give_up(place),
                 true => {} // not to be hammered: the next try waits for the next update
-                false => self.make_call(now, place),
+                false => self.make_call(now, place, false),
             }
         }
         self.make_calls(now, false);
@@ -492,7 +498,7 @@
     /// Starts held invocations by merit, then age, while the running limit, the crowd on the cores and
     /// memory allow. Runs that are at a call leave their place on the cores to others.
     fn fill(&mut self, now: Nanos) {
-        while self.running - self.calls < self.limit as usize && self.running < self.crowd_limit(now) {
+        while self.running - self.away < self.limit as usize && self.running < self.crowd_limit(now) {
             let mut best = None;
             for i in (0..self.hold.len()).rev() {
                 let place = self.hold[i];
@@ -596,6 +602,7 @@
             Stage::Joining => {}
             _ => {
                 self.running -= 1;
+                self.away -= usize::from(inv.stage != Stage::Running);
                 self.ledger_kb -= inv.kb * (self.site.run_memory_factor - 1.0);
             }
         }
@@ -629,15 +636,15 @@
         for place in 0..self.in_hand.capacity() {
             let Some(inv) = self.in_hand.get(place) else { continue };
             if inv.stage == Stage::WantsCall && (again || inv.failed_calls == 0) {
-                self.make_call(now, place);
+                self.make_call(now, place, again);
             }
         }
     }
 
-    /// Makes the call that a run waits for, skips it, or lets it wait for room below. What is shared holds
-    /// no more of this node's calls than its share; a share under one is kept in the mean of the span, by
-    /// short calls and gaps between them.
-    fn make_call(&mut self, now: Nanos, place: usize) {
+    /// Makes the call that a run waits for, lets it wait for room below, or skips it when it has `waited` or
+    /// too many do. What is shared holds no more of this node's calls than its share; a share under one is
+    /// kept in the mean of any span: half of it flows back all the time, half can be used at once.
+    fn make_call(&mut self, now: Nanos, place: usize, waited: bool) {
         let inv = &self.in_hand[place];
         if inv.over {
             return;
@@ -646,7 +653,7 @@
             self.lingering.pop_front();
         }
         let row = &self.rows[inv.op];
-        let skip = row.agreed.share_without_call > 0.0;
+        let (skip, usual) = (row.agreed.share_without_call > 0.0, (row.call * 1e9) as Nanos);
         let mut time = if skip { inv.objective.saturating_sub(now) / 2 } else { inv.due.saturating_sub(now) };
         if row.call > 0.0 && (skip || row.agreed.effect == Effect::Idempotent) {
             // A call that hangs must not hold its run: the wait doubles with each try.
@@ -658,16 +665,16 @@
             let share = self.site.call_share;
             room = self.calls + self.lingering.len() < share.max(1.0) as usize;
             if share < 1.0 {
-                let longest = (share * self.site.call_span as f64) as Nanos;
+                let owed = share / 2.0 * self.next_call.saturating_sub(now) as f64;
+                let longest = (share / 2.0 * self.site.call_span as f64 - owed) as Nanos;
                 time = time.min(longest.saturating_sub(self.site.call_linger));
-                room &= now >= self.next_call;
             }
         }
-        if room && time > 0 {
+        if room && time > usual {
             self.calls += 1;
             self.host.call(inv.id, time);
             self.in_hand[place].stage = Stage::Calling;
-        } else if skip {
+        } else if skip && (waited || self.away - self.calls > self.site.cores) {
             self.skip_call(place);
         }
     }
@@ -677,13 +684,14 @@
         let linger = if abandoned { self.site.call_linger } else { 0 };
         self.lingering.push_back(now + linger);
         if self.site.call_share < 1.0 {
-            let gap = (latency + linger) as f64 * (2.0 / self.site.call_share.max(1e-6) - 1.0);
-            self.next_call = now + linger + gap as Nanos;
+            let cost = (latency + linger) as f64 * 2.0 / self.site.call_share.max(1e-6);
+            self.next_call = self.next_call.max(now) + cost as Nanos;
         }
     }
 
     fn skip_call(&mut self, place: usize) {
         self.in_hand[place].stage = Stage::Running;
+        self.away -= 1;
         self.host.skip_call(self.in_hand[place].id);
     }
 
