--- a/src/choice.rs
+++ b/src/choice.rs
@@ -90,14 +90,13 @@
     failed_calls: u8,
 }
 
-/// What was seen since the last update: billed value read and turned away, arrivals, runs, their stretch.
+/// What was seen since the last update: billed value read and turned away, arrivals, runs.
 #[derive(Default)]
 struct Tally {
     read: f64,
     turned: f64,
     arrivals: f64,
     runs: f64,
-    stretch: f64,
 }
 
 /// State of the mechanism, in its own words; q_cur is what is held and unread, feed arrivals a second.
@@ -151,6 +150,8 @@
     typical_kb: f64,
     red: Red,
     limit: f64,
+    /// Runs that ended since the limit was judged, and how many times the short run they took in all.
+    stretch: (f64, f64),
     busy: f64,
     tally: Tally,
     /// Share of the traffic that the advert holds back.
@@ -200,6 +201,7 @@
             typical_kb: 0.0,
             red: Red { q_virtual: cores, q_target: cores, ..Red::default() },
             limit: cores,
+            stretch: (0.0, 0.0),
             busy: 0.0,
             tally: Tally::default(),
             shed: 0.0,
@@ -283,7 +285,7 @@
             let down = pace < row.brisk;
             learn(&mut row.brisk, pace, if down { 2.0 * LEARN } else { LEARN / 10.0 });
             self.tally.runs += 1.0;
-            self.tally.stretch += pace / row.brisk;
+            self.stretch = (self.stretch.0 + 1.0, self.stretch.1 + pace / row.brisk);
             self.red.done[self.red.update / C_UPDATES] += 1.0;
         }
         if ending == Ending::Cancelled && !self.in_hand[place].over {
@@ -452,8 +454,12 @@
         if held {
             self.limit += (1.0 - self.busy).max(0.0) * cores / 2.0;
         }
-        if self.busy >= FULL && self.tally.stretch > LONG * self.tally.runs {
-            self.limit -= 1.0;
+        // Judged once as many runs have ended as may go at once: single runs of small nodes tell nothing.
+        if self.stretch.0 >= self.limit {
+            if self.busy >= FULL && self.stretch.1 > LONG * self.stretch.0 {
+                self.limit -= 1.0;
+            }
+            self.stretch = (0.0, 0.0);
         }
         self.limit = self.limit.clamp(cores, cores * self.site.crowd_per_core.max(1.0));
     }
