Callers may ask elsewhere while the fleet is within its tenants' shares

Cause: a share held back by one node does not tell a full fleet. Slow nodes, and those above a shrinking tier, asked their callers not to try elsewhere while others had room. Told apart by the tenants: their traffic here, times the nodes, against their shares of the fleet. It can harm where shares are set far from what the fleet can do.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -547,7 +547,7 @@
             self.host.error(inv.id); // what it repeats may have run
         } else {
             // Neither lateness nor an overload that the advert speaks of is cured by asking the next node.
-            let last = now >= inv.objective || self.shed > LAST_FROM;
+            let last = now >= inv.objective || self.shed > LAST_FROM && self.fleet_full();
             let away = if self.stop.is_some() { 1.0 } else { self.shed };
             self.host.throttle(inv.id, (self.site.longest_pause as f64 * away) as Nanos, last);
             self.host.forget(inv.id);
@@ -555,6 +555,13 @@
         self.remove(place);
     }
 
+    /// Whether other nodes are likely to be full too, as far as the tenants' shares of the fleet tell.
+    fn fleet_full(&self) -> bool {
+        let rate: f64 = self.tenants.iter().map(|t| t.1).sum();
+        let quota: f64 = self.site.tenants.iter().map(|t| t.quota_per_s).sum();
+        rate * self.site.nodes as f64 >= quota
+    }
+
     // ---- Guards ----
 
     /// Answers all that is due; work that goes on keeps its place until it ends.
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -219,16 +219,6 @@
     assert!(choice.host.0.contains(&Did::Skip(0)));
 }
 
-#[test]
-fn throttled_callers_are_kept_from_the_next_node_in_overload_alone() {
-    let mut choice = choice(site());
-    put(&mut choice, 0..2, Stage::Held);
-    choice.turn_away(MS, 0);
-    choice.shed = 0.5;
-    choice.turn_away(MS, 1);
-    assert_eq!(choice.host.0, [Did::Throttle(0, false), Did::Throttle(1, true)]);
-}
-
 #[test]
 fn walk_moves_by_the_error_and_keeps_its_bounds() {
     let mut choice = choice(site());
@@ -283,7 +273,7 @@
     put(&mut choice, 0..1, Stage::Held);
     choice.steer_running(&busy(0.5));
     assert_eq!(choice.limit, 5.0);
-    (choice.tally.runs, choice.tally.stretch) = (2.0, 7.0);
+    choice.stretch = (8.0, 28.0);
     choice.steer_running(&busy(1.0));
     assert_eq!(choice.limit, 4.0);
     choice.steer_running(&busy(1.0));
@@ -557,3 +547,15 @@
     choice.steer_traffic();
     assert!(choice.host.0.contains(&Did::CloseIdle(30 * S)));
 }
+
+#[test]
+fn callers_may_ask_elsewhere_while_the_fleet_is_within_its_shares() {
+    // Guards against slow nodes that keep invocations from others with room.
+    let mut choice = choice(site());
+    put(&mut choice, 0..2, Stage::Held);
+    choice.shed = 0.5;
+    choice.turn_away(MS, 0);
+    choice.tenants[0].1 = 2.0; // over 10 nodes: 20 a second against 10
+    choice.turn_away(MS, 1);
+    assert_eq!(choice.host.0, [Did::Throttle(0, false), Did::Throttle(1, true)]);
+}
