--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,7 +13,7 @@
 use slab::Slab;
 use statrs::function::beta::beta_reg;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap};
 
 #[cfg(test)]
 mod tests;
@@ -138,9 +138,8 @@
     /// Runs that are at a call or wait for one, and calls in hand.
     away: usize,
     calls: usize,
-    /// When abandoned calls are surely over, when a share under one is made good, the share of calls that fails.
-    lingering: VecDeque<Nanos>,
-    next_call: Nanos,
+    /// When what calls have used of the share below will be made good, and the share of calls that fails.
+    calls_owed_until: Nanos,
     below_failed: f64,
     /// Expiry of remembered keys.
     keys: BinaryHeap<Reverse<Nanos>>,
@@ -192,8 +191,7 @@
             running: 0,
             away: 0,
             calls: 0,
-            lingering: VecDeque::with_capacity(64),
-            next_call: 0,
+            calls_owed_until: 0,
             below_failed: 0.0,
             keys: BinaryHeap::with_capacity(64),
             ledger_kb: 0.0,
@@ -276,8 +274,7 @@
         let Some(&place) = self.places.get(&id) else { return };
         let inv = &self.in_hand[place];
         if inv.stage == Stage::Calling {
-            self.calls -= 1;
-            self.linger(now, true, latency);
+            self.book_call(now, true, latency);
         } else if ending == Ending::Succeeded && inv.stage == Stage::Running {
             let row = &mut self.rows[inv.op];
             let pace = seconds(latency) / inv.size;
@@ -329,9 +326,8 @@
         let skippable = row.agreed.share_without_call > 0.0;
         let retry = failed && !inv.over;
         self.below_failed += LEARN / 2.0 * (f64::from(u8::from(failed)) - self.below_failed);
-        self.calls -= 1;
         self.away -= usize::from(!failed);
-        self.linger(now, ending == CallEnding::Abandoned, latency);
+        self.book_call(now, ending == CallEnding::Abandoned, latency);
         if retry {
             match self.site.below == Below::Shared {
                 shared if skippable && (tired || shared) => self.skip_call(place),
@@ -655,16 +651,13 @@
     }
 
     /// Makes the call that a run waits for, lets it wait for room below, or skips it when it has `waited` or
-    /// too many do. What is shared holds no more of this node's calls than its share; a share under one is
-    /// kept in the mean of any span: half of it flows back all the time, half can be used at once.
+    /// too many do. What is shared holds no more of this node's calls than its share, or one, and the mean of
+    /// any span keeps to the share: half of it flows back all the time, half can be used at once.
     fn make_call(&mut self, now: Nanos, place: usize, waited: bool) {
         let inv = &self.in_hand[place];
         if inv.over {
             return;
         }
-        while self.lingering.front().is_some_and(|&end| end <= now) {
-            self.lingering.pop_front();
-        }
         let row = &self.rows[inv.op];
         let (skip, usual) = (row.agreed.share_without_call > 0.0, (row.call * 1e9) as Nanos);
         let mut time = if skip { inv.objective.saturating_sub(now) / 2 } else { inv.due.saturating_sub(now) };
@@ -673,16 +666,13 @@
             let tries = f64::from(1u32 << inv.failed_calls.min(CALL_TRIES));
             time = time.min((CALL_PATIENCE * row.call * tries * 1e9) as Nanos);
         }
-        let mut room = true;
+        let share = self.site.call_share;
         if self.site.below == Below::Shared {
-            let share = self.site.call_share;
-            room = self.calls + self.lingering.len() < share.max(1.0) as usize;
-            if share < 1.0 {
-                let owed = share / 2.0 * self.next_call.saturating_sub(now) as f64;
-                let longest = (share / 2.0 * self.site.call_span as f64 - owed) as Nanos;
-                time = time.min(longest.saturating_sub(self.site.call_linger));
-            }
+            let owed = self.calls_owed_until.saturating_sub(now) as f64;
+            let all = share / 2.0 * (self.site.call_span as f64 - owed);
+            time = time.min(((all / share.max(1.0)) as Nanos).saturating_sub(self.site.call_linger));
         }
+        let room = self.site.below != Below::Shared || self.calls < share.max(1.0) as usize;
         if room && time > usual {
             self.calls += 1;
             self.host.call(inv.id, time);
@@ -693,13 +683,11 @@
     }
 
     /// A call left what lies below, at once or after lingering there.
-    fn linger(&mut self, now: Nanos, abandoned: bool, latency: Nanos) {
-        let linger = if abandoned { self.site.call_linger } else { 0 };
-        self.lingering.push_back(now + linger);
-        if self.site.call_share < 1.0 {
-            let cost = (latency + linger) as f64 * 2.0 / self.site.call_share.max(1e-6);
-            self.next_call = self.next_call.max(now) + cost as Nanos;
-        }
+    fn book_call(&mut self, now: Nanos, abandoned: bool, latency: Nanos) {
+        self.calls -= 1;
+        let used = (latency + if abandoned { self.site.call_linger } else { 0 }) as f64;
+        let owed = used * 2.0 / self.site.call_share.max(1e-6);
+        self.calls_owed_until = self.calls_owed_until.max(now) + owed as Nanos;
     }
 
     fn skip_call(&mut self, place: usize) {
