Calls may take 16 times their usual time; idle connections with hysteresis

The doubling with each try goes. Idle closing no longer flips each second where dispatchers come back about as often as they would close.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,9 +45,9 @@
 const SHED_GOAL: f64 = 0.03;
 const SHED_GAIN: f64 = 0.15;
 const LAST_FROM: f64 = 0.2;
-/// Tries of one call, and how many times its usual time the first may take.
+/// Tries of one call, and how many times its usual time each may take.
 const CALL_TRIES: u8 = 3;
-const CALL_PATIENCE: f64 = 8.0;
+const CALL_PATIENCE: f64 = 16.0;
 
 /// An idle connection that does not pay is closed after this.
 const LEAST_IDLE: Nanos = 10_000_000;
@@ -155,8 +155,8 @@
     tally: Tally,
     /// Share of the traffic that the advert holds back.
     shed: f64,
-    /// How long idle connections are kept.
-    kept_idle: Nanos,
+    /// Whether idle connections are kept.
+    keeps_idle: bool,
     /// The notice to leave, and the stop.
     stop: Option<(Nanos, Nanos)>,
     next_due: Nanos,
@@ -203,7 +203,7 @@
             busy: 0.0,
             tally: Tally::default(),
             shed: 0.0,
-            kept_idle: site.longest_idle,
+            keeps_idle: true,
             stop: None,
             next_due: Nanos::MAX,
             mode: Mode::Calm,
@@ -445,7 +445,7 @@
         let cores = self.site.cores as f64;
         let held = !self.hold.is_empty();
         self.busy = gauges.cpu_busy.unwrap_or(f64::from(u8::from(held)));
-        self.red.feed += 2.0 * LEARN * (self.tally.arrivals / seconds(T_UPDATE) - self.red.feed);
+        learn(&mut self.red.feed, self.tally.arrivals / seconds(T_UPDATE), 2.0 * LEARN);
         self.red.rate += LEARN * (self.tally.runs / seconds(T_UPDATE) - self.red.rate);
         if held {
             self.limit += (1.0 - self.busy).max(0.0) * cores / 2.0;
@@ -662,9 +662,8 @@
         let (skip, usual) = (row.agreed.share_without_call > 0.0, (row.call * 1e9) as Nanos);
         let mut time = if skip { inv.objective.saturating_sub(now) / 2 } else { inv.due.saturating_sub(now) };
         if row.call > 0.0 && (skip || row.agreed.effect == Effect::Idempotent) {
-            // A call that hangs must not hold its run: the wait doubles with each try.
-            let tries = f64::from(1u32 << inv.failed_calls.min(CALL_TRIES));
-            time = time.min((CALL_PATIENCE * row.call * tries * 1e9) as Nanos);
+            // A call that hangs must not hold its run.
+            time = time.min((CALL_PATIENCE * row.call * 1e9) as Nanos);
         }
         let share = self.site.call_share;
         if self.site.below == Below::Shared {
@@ -714,14 +713,10 @@
         self.advertise();
         // Idle connections take capacity and fill the table, against those who find no room: they are kept only
         // if dispatchers, on average, come back before they would close them. Costs handshakes where few do.
-        let (keep, dispatchers) = (seconds(self.site.longest_idle), self.site.dispatchers as f64);
-        let keep = if dispatchers <= self.red.feed * keep {
-            self.site.longest_idle
-        } else {
-            LEAST_IDLE.min(self.site.longest_idle)
-        };
-        if std::mem::replace(&mut self.kept_idle, keep) != keep {
-            self.host.close_idle(keep);
+        let come_back = self.red.feed * seconds(self.site.longest_idle) / self.site.dispatchers.max(1) as f64;
+        if self.keeps_idle && come_back < 0.7 || !self.keeps_idle && come_back > 1.4 {
+            self.keeps_idle = !self.keeps_idle;
+            self.host.close_idle(if self.keeps_idle { self.site.longest_idle } else { LEAST_IDLE });
         }
     }
 
