--- a/src/choice.rs
+++ b/src/choice.rs
@@ -445,7 +445,7 @@
         let cores = self.site.cores as f64;
         let held = !self.hold.is_empty();
         self.busy = gauges.cpu_busy.unwrap_or(f64::from(u8::from(held)));
-        learn(&mut self.red.feed, self.tally.arrivals / seconds(T_UPDATE), 2.0 * LEARN);
+        self.red.feed += 2.0 * LEARN * (self.tally.arrivals / seconds(T_UPDATE) - self.red.feed);
         self.red.rate += LEARN * (self.tally.runs / seconds(T_UPDATE) - self.red.rate);
         if held {
             self.limit += (1.0 - self.busy).max(0.0) * cores / 2.0;
