What would be late ranks by what it still earns

Cause: what pays a fifth when late ran before invocations in time on full cores. Folds the hopeless test. It can let late answers wait until they are due while in-time work fills the cores.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -479,14 +479,16 @@
         self.rows[self.in_hand[place].op].pace * self.in_hand[place].size
     }
 
-    /// Whether an answer would earn nothing even if it ran now. While cores show room, only what is late
-    /// already counts: an expectation may err, and nothing else wants the core.
-    fn hopeless(&self, now: Nanos, place: usize) -> bool {
+    /// The share of its billed value that it would earn if it ran now. While cores show room, only what is
+    /// late already counts: an expectation may err, and nothing else wants the core.
+    fn prospect(&self, now: Nanos, place: usize) -> f64 {
         let inv = &self.in_hand[place];
-        let pays_late = self.rows[inv.op].agreed.late_share > 0.0;
         let expected = if self.busy < FULL { 0.0 } else { self.length(place) };
-        let end = now + (expected * 1e9) as Nanos;
-        end > if pays_late { inv.due } else { inv.objective.min(inv.due) }
+        match now + (expected * 1e9) as Nanos {
+            end if end > inv.due => 0.0,
+            end if end > inv.objective => self.rows[inv.op].agreed.late_share,
+            _ => 1.0,
+        }
     }
 
     /// On whom a refusal falls: the least merit of the arrival and of those held for less than a seventh of
@@ -504,8 +506,9 @@
             let mut best = None;
             for i in (0..self.hold.len()).rev() {
                 let place = self.hold[i];
-                let rank = (self.merit(place), Reverse(self.in_hand[place].arrived));
-                if self.hopeless(now, place) {
+                let prospect = self.prospect(now, place);
+                let rank = (self.merit(place) * prospect, Reverse(self.in_hand[place].arrived));
+                if prospect == 0.0 {
                     self.turn_away(now, place);
                 } else if best.is_none_or(|(first, _)| rank >= first) {
                     best = Some((rank, place));
