--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,8 +36,8 @@
 const LONG: f64 = 3.0;
 /// Learnt figures move by this share with each sample.
 const LEARN: f64 = 0.1;
-/// Answers go out this long before they are due: ticks and late timers.
-const MARGIN: Nanos = 30_000_000;
+/// What ticks and late timers can take: answers go out this long before they are due.
+const MOMENT: Nanos = 30_000_000;
 /// Part of the memory and of the survivable crowd that is used.
 const SAFE: f64 = 0.85;
 /// The advert holds back traffic until this share of the billed value that is read is still turned away.
@@ -49,9 +49,6 @@
 const CALL_TRIES: u8 = 3;
 const CALL_PATIENCE: f64 = 16.0;
 
-/// An idle connection that does not pay is closed after this.
-const LEAST_IDLE: Nanos = 10_000_000;
-
 const TICK: AlarmId = AlarmId(1);
 const DUE: AlarmId = AlarmId(2);
 
@@ -90,13 +87,12 @@
     failed_calls: u8,
 }
 
-/// What was seen since the last update: billed value read and turned away, arrivals, runs.
+/// What was seen since the last update: billed value read and turned away, arrivals.
 #[derive(Default)]
 struct Tally {
     read: f64,
     turned: f64,
     arrivals: f64,
-    runs: f64,
 }
 
 /// State of the mechanism, in its own words; q_cur is what is held and unread, feed arrivals a second.
@@ -108,10 +104,9 @@
     q_virtual: f64,
     q_target: f64,
     buffer: f64,
-    /// Runs that succeeded in each span, the update within them, and a second lately.
+    /// Runs that succeeded in each span, and the update within them.
     done: [f64; C_SPANS],
     update: usize,
-    rate: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -220,7 +215,7 @@
         let arrived = now.saturating_sub(arrival.age);
         let timeout = arrival.time_left.map_or(arrived + agreed.client_timeout, |left| now + left);
         let own_work = (work_hint.unwrap_or(0.0) * agreed.objective_stretch * 1e9) as Nanos;
-        let due = timeout.min(self.stop.map_or(Nanos::MAX, |(_, stop)| stop)).saturating_sub(MARGIN);
+        let due = timeout.min(self.stop.map_or(Nanos::MAX, |(_, stop)| stop)).saturating_sub(MOMENT);
         let window = agreed.repeat_window.max(self.site.answer_fresh);
         let shares = self.site.answer_fresh > 0 && arrival.has_subject && agreed.effect == Effect::Idempotent;
         let keyed = repeats.is_none() && (shares || agreed.effect == Effect::Tokened);
@@ -281,7 +276,6 @@
             learn(&mut row.pace, pace, LEARN);
             let down = pace < row.brisk;
             learn(&mut row.brisk, pace, if down { 2.0 * LEARN } else { LEARN / 10.0 });
-            self.tally.runs += 1.0;
             self.stretch = (self.stretch.0 + 1.0, self.stretch.1 + pace / row.brisk);
             self.red.done[self.red.update / C_UPDATES] += 1.0;
         }
@@ -352,7 +346,7 @@
     /// The node will be stopped after `left`.
     pub fn drain(&mut self, now: Nanos, left: Nanos) {
         self.stop = Some((now, now + left));
-        let last = (now + left).saturating_sub(MARGIN);
+        let last = (now + left).saturating_sub(MOMENT);
         for (_, inv) in &mut self.in_hand {
             inv.due = inv.due.min(last);
         }
@@ -410,15 +404,13 @@
         beta_reg(mu * spread, (1.0 - mu) * spread, (self.red.q_avg / self.red.buffer).clamp(0.0, 1.0))
     }
 
-    /// q_target from the best completions of the last minute, and B from it and from memory. While work is
-    /// held, the present rate caps the best: a node gone slow must not hold what it could do before.
+    /// q_target from the best completions of the last minute, and B from it and from memory.
     fn measure_capacity(&mut self) {
         let cores = self.site.cores as f64;
         let span = C_UPDATES as f64 * seconds(T_UPDATE);
         let best = self.red.done.iter().fold(0.0, |a: f64, &b| a.max(b)) / span;
-        let capacity = if self.hold.is_empty() { best } else { best.min(self.red.rate) };
         let shortest = self.rows.iter().map(|r| r.agreed.latency_objective).min().unwrap_or(0);
-        self.red.q_target = (capacity * TARGET_SHARE * seconds(shortest)).max(cores);
+        self.red.q_target = (best * TARGET_SHARE * seconds(shortest)).max(cores);
         let running_kb = self.limit * self.site.run_memory_factor * self.typical_kb;
         let free_kb = (self.site.memory_kb * SAFE - self.keys_kb()) / self.memory_stretch - running_kb;
         let room = free_kb / self.typical_kb.max(f64::MIN_POSITIVE);
@@ -446,15 +438,13 @@
         let held = !self.hold.is_empty();
         self.busy = gauges.cpu_busy.unwrap_or(f64::from(u8::from(held)));
         self.red.feed += 2.0 * LEARN * (self.tally.arrivals / seconds(T_UPDATE) - self.red.feed);
-        self.red.rate += LEARN * (self.tally.runs / seconds(T_UPDATE) - self.red.rate);
         if held {
             self.limit += (1.0 - self.busy).max(0.0) * cores / 2.0;
         }
         // Judged once as many runs have ended as may go at once: single runs of small nodes tell nothing.
         if self.stretch.0 >= self.limit {
-            if self.busy >= FULL && self.stretch.1 > LONG * self.stretch.0 {
-                self.limit -= 1.0;
-            }
+            let long = self.busy >= FULL && self.stretch.1 > LONG * self.stretch.0;
+            self.limit -= f64::from(u8::from(long));
             self.stretch = (0.0, 0.0);
         }
         self.limit = self.limit.clamp(cores, cores * self.site.crowd_per_core.max(1.0));
@@ -657,10 +647,7 @@
     /// too many do. What is shared holds no more of this node's calls than its share, or one, and the mean of
     /// any span keeps to the share: half of it flows back all the time, half can be used at once.
     fn make_call(&mut self, now: Nanos, place: usize, waited: bool) {
-        let inv = &self.in_hand[place];
-        if inv.over {
-            return;
-        }
+        let Some(inv) = self.in_hand.get(place).filter(|inv| !inv.over) else { return };
         let row = &self.rows[inv.op];
         let (skip, usual) = (row.agreed.share_without_call > 0.0, (row.call * 1e9) as Nanos);
         let mut time = if skip { inv.objective.saturating_sub(now) / 2 } else { inv.due.saturating_sub(now) };
@@ -719,7 +706,7 @@
         let come_back = self.red.feed * seconds(self.site.longest_idle) / self.site.dispatchers.max(1) as f64;
         if self.keeps_idle && come_back < 0.7 || !self.keeps_idle && come_back > 1.4 {
             self.keeps_idle = !self.keeps_idle;
-            self.host.close_idle(if self.keeps_idle { self.site.longest_idle } else { LEAST_IDLE });
+            self.host.close_idle(if self.keeps_idle { self.site.longest_idle } else { MOMENT });
         }
     }
 
