--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,10 +41,9 @@
 /// Part of the memory and of the survivable crowd that is used.
 const SAFE: f64 = 0.85;
 /// The advert holds back traffic until this share of the billed value that is read is still turned away.
-/// From `LAST_FROM` held back on, throttled callers are asked not to try elsewhere.
+/// From there on throttled callers are asked not to try elsewhere, if other nodes are likely to be full too.
 const SHED_GOAL: f64 = 0.03;
 const SHED_GAIN: f64 = 0.15;
-const LAST_FROM: f64 = 0.2;
 /// Tries of one call, and how many times its usual time each may take.
 const CALL_TRIES: u8 = 3;
 const CALL_PATIENCE: f64 = 16.0;
@@ -536,7 +535,7 @@
             self.host.error(inv.id); // what it repeats may have run
         } else {
             // Neither lateness nor an overload that the advert speaks of is cured by asking the next node.
-            let last = now >= inv.objective || self.shed > LAST_FROM && self.fleet_full();
+            let last = now >= inv.objective || self.shed > SHED_GOAL && self.fleet_full();
             let away = if self.stop.is_some() { 1.0 } else { self.shed };
             self.host.throttle(inv.id, (self.site.longest_pause as f64 * away) as Nanos, last);
             self.host.forget(inv.id);
