A call may take its lingering time on top of 16 times its usual time

Cause: short calls (8 ms) were abandoned after 0.13 s once many new nodes crowded the register, though an abandoned call stays there for 0.2 s and is booked with it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -651,8 +651,8 @@
         let (skip, usual) = (row.agreed.share_without_call > 0.0, (row.call * 1e9) as Nanos);
         let mut time = if skip { inv.objective.saturating_sub(now) / 2 } else { inv.due.saturating_sub(now) };
         if row.call > 0.0 && (skip || row.agreed.effect == Effect::Idempotent) {
-            // A call that hangs must not hold its run.
-            time = time.min((CALL_PATIENCE * row.call * 1e9) as Nanos);
+            // A call that hangs must not hold its run; given up sooner than it lingers, it spares nothing below.
+            time = time.min(self.site.call_linger + (CALL_PATIENCE * row.call * 1e9) as Nanos);
         }
         let share = self.site.call_share;
         if self.site.below == Below::Shared {
