--- a/src/choice.rs
+++ b/src/choice.rs
@@ -651,7 +651,7 @@
         let (skip, usual) = (row.agreed.share_without_call > 0.0, (row.call * 1e9) as Nanos);
         let mut time = if skip { inv.objective.saturating_sub(now) / 2 } else { inv.due.saturating_sub(now) };
         if row.call > 0.0 && (skip || row.agreed.effect == Effect::Idempotent) {
-            // A call that hangs must not hold its run; given up sooner than it lingers, it spares nothing below.
+            // A call that hangs must not hold its run; but giving it up before it lingers spares nothing.
             time = time.min(self.site.call_linger + (CALL_PATIENCE * row.call * 1e9) as Nanos);
         }
         let share = self.site.call_share;
@@ -700,8 +700,8 @@
             *count = 0.0;
         }
         self.advertise();
-        // Idle connections take capacity and fill the table, against those who find no room: they are kept only
-        // if dispatchers, on average, come back before they would close them. Costs handshakes where few do.
+        // Guards the table and the capacity that idle connections take: they are kept only if dispatchers,
+        // on average, come back before they would close them. Costs handshakes where that is a near thing.
         let come_back = self.red.feed * seconds(self.site.longest_idle) / self.site.dispatchers.max(1) as f64;
         if self.keeps_idle && come_back < 0.7 || !self.keeps_idle && come_back > 1.4 {
             self.keeps_idle = !self.keeps_idle;
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -555,3 +555,35 @@
     choice.turn_away(MS, 1);
     assert_eq!(choice.host.0, [Did::Throttle(0, false), Did::Throttle(1, true)]);
 }
+
+#[test]
+fn what_would_be_late_waits_for_what_is_in_time() {
+    // Guards against full cores that serve late answers for a fifth of their value first.
+    let mut choice = choice(site());
+    put(&mut choice, 0..2, Stage::Held);
+    (choice.busy, choice.limit, choice.rows[0].pace, choice.rows[0].agreed.late_share) = (1.0, 1.0, 1.5, 0.2);
+    choice.in_hand[0].objective = S;
+    choice.fill(MS);
+    assert_eq!(choice.host.0, [Did::Run(1)]);
+}
+
+#[test]
+fn without_a_share_below_no_call_is_made() {
+    let mut choice = choice(Premises { call_share: 0.0, ..site() });
+    put(&mut choice, 0..2, Stage::WantsCall);
+    choice.in_hand[1].op = 1;
+    choice.rows[1].agreed.share_without_call = 0.5;
+    choice.make_calls(MS, true);
+    assert_eq!(choice.host.0, [Did::Skip(1)]);
+    choice.answer_due(8 * S);
+    assert!(choice.host.0.contains(&Did::Error(0)));
+}
+
+#[test]
+fn one_core_and_nothing_told_of_the_fleet_still_serves() {
+    let tenants = Vec::new();
+    let mut choice = choice(Premises { cores: 1, nodes: 0, dispatchers: 0, tenants, ..site() });
+    choice.arrive(S, arrival(1));
+    choice.alarm(2 * S, TICK, busy(0.5));
+    assert!(choice.host.0.contains(&Did::Run(1)));
+}
