--- a/src/choice.rs
+++ b/src/choice.rs
@@ -634,7 +634,8 @@
 
     /// Makes what calls wait for room; those that failed before only if `again`.
     fn make_calls(&mut self, now: Nanos, again: bool) {
-        for place in 0..self.in_hand.capacity() {
+        let places = if self.away > self.calls { self.in_hand.capacity() } else { 0 }; // most often none wait
+        for place in 0..places {
             let Some(inv) = self.in_hand.get(place) else { continue };
             if inv.stage == Stage::WantsCall && (again || inv.failed_calls == 0) {
                 self.make_call(now, place, again);
