--- a/src/choice.rs
+++ b/src/choice.rs
@@ -480,10 +480,10 @@
         }
     }
 
-    /// On whom a refusal falls: the least merit of the arrival and of those held for less than a quarter of
+    /// On whom a refusal falls: the least merit of the arrival and of those held for less than a fifth of
     /// their time, whose callers lose little by asking elsewhere.
     fn victim(&self, now: Nanos, arrival: usize) -> usize {
-        let young = |inv: &Invocation| now - inv.arrived < inv.due.saturating_sub(inv.arrived) / 4;
+        let young = |inv: &Invocation| now - inv.arrived < inv.due.saturating_sub(inv.arrived) / 5;
         let others = self.hold.iter().copied().filter(|&p| young(&self.in_hand[p]));
         others.fold(arrival, |least, p| if self.merit(p) < self.merit(least) { p } else { least })
     }
