--- a/crates/simhost/src/facts.rs
+++ b/crates/facts/src/lib.rs
@@ -1,6 +1,9 @@
-//! The settings that come with `init`, as the library's [`Premises`].
+//! The settings that a node is handed at its start, as the library's [`Premises`].
 
-use madderpoint::{Advert, Below, Effect, Halt, Operation, Premises, Tenant};
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use madderpoint::{Advert, Below, Effect, Gauges, Halt, Operation, Premises, Tenant};
 use serde::Deserialize;
 
 #[derive(Deserialize)]
@@ -87,6 +90,8 @@
     dedup_window: f64,
     effect: String,
     #[serde(default)]
+    name: String,
+    #[serde(default)]
     late_worth: f64,
     #[serde(default)]
     points: f64,
@@ -95,16 +100,42 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Party {
+    #[serde(default)]
+    name: String,
     quota_rps: f64,
 }
 
-/// What one instance is told at its start.
+/// What a node is told at its start.
 pub struct Start {
+    /// What the decisions go by.
     pub premises: Premises,
+    /// Names of the operations, in their order.
+    pub operations: Vec<String>,
+    /// Names of the tenants, in their order.
+    pub tenants: Vec<String>,
+    /// Names of the gauges, in the order of their values.
     pub gauges: Vec<String>,
+    /// Whether invocations say how long their caller waits.
     pub passes_deadline: bool,
 }
 
+impl Start {
+    /// The gauges' values by their names.
+    pub fn gauges(&self, values: impl Iterator<Item = f64>) -> Gauges {
+        let mut gauges = Gauges::default();
+        for (name, value) in self.gauges.iter().zip(values) {
+            match name.as_str() {
+                "cpu_busy" => gauges.cpu_busy = Some(value),
+                "runnable" => gauges.runnable = Some(value),
+                "mem_used" => gauges.memory_used = Some(value),
+                "sockets" => gauges.connections = Some(value),
+                _ => {}
+            }
+        }
+        gauges
+    }
+}
+
 fn nanos(seconds: f64, name: &str) -> Result<u64, String> {
     if !seconds.is_finite() || seconds < 0.0 {
         return Err(format!("{name} is {seconds}, not a time"));
@@ -198,5 +229,11 @@
         operations,
         tenants: facts.tenants.iter().map(|t| Tenant { quota_per_s: t.quota_rps }).collect(),
     };
-    Ok(Start { premises, gauges: extra.gauges, passes_deadline: extra.passes_deadline })
+    Ok(Start {
+        premises,
+        operations: facts.services.into_iter().map(|s| s.name).collect(),
+        tenants: facts.tenants.into_iter().map(|t| t.name).collect(),
+        gauges: extra.gauges,
+        passes_deadline: extra.passes_deadline,
+    })
 }
--- /dev/null
+++ b/crates/node/src/core.rs
@@ -0,0 +1,363 @@
+//! The node without its I/O: takes what happened and the time, lets [`Choice`] decide, and acts through
+//! [`Outward`]. What it keeps of invocations is at the [`Desk`].
+
+use crate::backend;
+use crate::desk::{Deferred, Desk, Hands, Open, Timer};
+use crate::fastcgi::{self, ProtocolStatus, Reply};
+use crate::kernel::{End, Notice};
+use crate::request::{self, Head, Rejected, Wanted};
+use madderpoint::choice::Choice;
+use madderpoint::{Arrival, CallEnding, Ending, InvId, Nanos};
+use madderpoint_facts::Start;
+use std::cell::RefCell;
+use std::fmt;
+use std::rc::Rc;
+
+/// Kept back from the time between the notice to leave and the stop, for answers to be written out.
+const WRITE_OUT: Nanos = 150_000_000;
+
+/// A dispatcher's connection; never reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ConnId(pub u64);
+
+/// One call below; never reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CallNo(pub u64);
+
+/// A connection to the back end: its place, and how often it was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BackendLink {
+    /// Its place among the links.
+    pub place: usize,
+    /// How many connections were made there before.
+    pub generation: u64,
+}
+
+/// What the node does to the world. None of it may wait.
+pub trait Outward {
+    /// Write to a dispatcher.
+    fn reply(&mut self, conn: ConnId, reply: Reply);
+    /// Close a connection after what was handed over is written.
+    fn close(&mut self, conn: ConnId);
+    /// Write a line to the kernel.
+    fn kernel(&mut self, line: String);
+    /// Send a call below over the link at this place.
+    fn call(&mut self, place: usize, call: CallNo, id: InvId, bytes: Vec<u8>);
+    /// Give a call up over the link that it was sent on.
+    fn cancel(&mut self, place: usize, bytes: Vec<u8>);
+    /// Tell dispatchers that the node is leaving.
+    fn leaving(&mut self);
+    /// Take no more connections.
+    fn stop_listening(&mut self);
+    /// Write a line to the log.
+    fn log(&mut self, line: fmt::Arguments<'_>);
+}
+
+/// What happened.
+#[derive(Debug)]
+pub enum Event {
+    /// A dispatcher connected.
+    Connected(ConnId),
+    /// A connection is gone.
+    Disconnected(ConnId),
+    /// Something came on a connection.
+    Front(ConnId, fastcgi::Event),
+    /// There is no room for another connection.
+    Crowded,
+    /// A link to the kernel stands; the last notice that was read before it.
+    KernelLinked(u64),
+    /// The link to the kernel broke.
+    KernelLost,
+    /// The kernel said something.
+    Kernel(Notice),
+    /// A call was written whole.
+    CallWritten(CallNo, InvId, BackendLink),
+    /// A call could not be written whole, so that it never ran.
+    CallUnsent(CallNo, InvId),
+    /// The back end replied on a link.
+    Reply(usize, backend::Reply),
+    /// A connection to the back end ended.
+    BackendLost(BackendLink),
+    /// The notice to leave.
+    Drain,
+}
+
+/// A reading of the clocks.
+#[derive(Clone, Copy, Debug)]
+pub struct Moment {
+    /// Time since any fixed point; never goes back.
+    pub now: Nanos,
+    /// Unix time in milliseconds.
+    pub unix_ms: u64,
+}
+
+/// The node's state.
+pub struct Core<O: Outward> {
+    desk: Rc<RefCell<Desk<O>>>,
+    start: Rc<Start>,
+    seed: u64,
+    stop_after: Nanos,
+    /// There are none before the kernel is up: it says whether the node starts cold.
+    choice: Option<Choice<Hands<O>>>,
+}
+
+impl<O: Outward> Core<O> {
+    /// A node that waits for its kernel.
+    pub fn new(out: O, start: Start, seed: u64, stop_after: Nanos, has_backend: bool) -> Self {
+        let start = Rc::new(start);
+        let desk = Rc::new(RefCell::new(Desk::new(out, Rc::clone(&start), has_backend)));
+        Core { desk, start, seed, stop_after, choice: None }
+    }
+
+    /// Lets the driver or a test reach what it handed over.
+    pub fn out<T>(&mut self, f: impl FnOnce(&mut O) -> T) -> T {
+        f(&mut self.desk.borrow_mut().out)
+    }
+
+    /// When the next timer is due.
+    pub fn next_timer(&self) -> Option<Nanos> {
+        self.desk.borrow().next_timer()
+    }
+
+    /// Whether all is answered and every connection gone after the notice to leave.
+    pub fn has_left(&self) -> bool {
+        self.desk.borrow().has_left()
+    }
+
+    /// Fires the timers that are due.
+    pub fn fire(&mut self, now: Nanos) {
+        while let Some(timer) = self.due(now) {
+            self.timer(now, timer);
+            self.settle(now);
+        }
+    }
+
+    fn due(&mut self, now: Nanos) -> Option<Timer> {
+        let mut desk = self.desk.borrow_mut();
+        desk.now = now;
+        desk.pop_timer()
+    }
+
+    fn timer(&mut self, now: Nanos, timer: Timer) {
+        match timer {
+            Timer::Alarm(alarm) => {
+                let gauges = self.desk.borrow().gauges();
+                if let Some(choice) = &mut self.choice {
+                    choice.alarm(now, alarm, gauges);
+                }
+            }
+            Timer::CallLimit(id, no) => {
+                let given_up = self.desk.borrow_mut().give_up_call(id, no);
+                if given_up {
+                    self.call_over(now, id, CallEnding::Abandoned);
+                }
+            }
+            Timer::AskGauges => self.desk.borrow_mut().ask_gauges(),
+            Timer::CheckLimit(mark) => self.desk.borrow_mut().checked(mark, false),
+            Timer::Idle(conn) => self.desk.borrow_mut().close_if_idle(conn),
+            Timer::Leave => self.desk.borrow_mut().leave(),
+            Timer::Count => self.desk.borrow_mut().log_counts(),
+        }
+    }
+
+    /// Takes what happened.
+    pub fn handle(&mut self, moment: Moment, event: Event) {
+        let now = moment.now;
+        self.desk.borrow_mut().now = now;
+        match event {
+            Event::Connected(conn) => self.desk.borrow_mut().connected(conn),
+            Event::Disconnected(conn) => {
+                let left = self.desk.borrow_mut().disconnected(conn);
+                left.into_iter().for_each(|id| self.caller_left(now, id));
+            }
+            Event::Front(conn, fastcgi::Event::Request(request)) => self.request(moment, conn, request),
+            Event::Front(conn, fastcgi::Event::Abort(id)) => {
+                let left = self.desk.borrow_mut().aborted(conn, id);
+                left.into_iter().for_each(|id| self.caller_left(now, id));
+            }
+            Event::Front(conn, fastcgi::Event::Reply(reply)) => self.desk.borrow_mut().out.reply(conn, reply),
+            Event::Crowded => self.desk.borrow_mut().make_room(),
+            Event::KernelLinked(last) => self.desk.borrow_mut().kernel_linked(last),
+            Event::KernelLost => self.desk.borrow_mut().kernel_lost(),
+            Event::Kernel(notice) => self.notice(now, notice),
+            Event::CallWritten(no, id, link) => {
+                let broke = self.desk.borrow_mut().call_written(no, id, link);
+                if broke {
+                    self.call_over(now, id, CallEnding::MayHaveRun);
+                }
+            }
+            Event::CallUnsent(no, id) => {
+                let is_current = self.desk.borrow().is_current(id, no);
+                if is_current {
+                    self.call_over(now, id, CallEnding::NeverRan);
+                }
+            }
+            Event::Reply(place, reply) => self.reply(now, place, reply),
+            Event::BackendLost(link) => {
+                let broke = self.desk.borrow_mut().backend_lost(link);
+                broke.into_iter().for_each(|id| self.call_over(now, id, CallEnding::MayHaveRun));
+            }
+            Event::Drain => self.drain(now),
+        }
+        self.settle(now);
+    }
+
+    /// Deals with what came up while the decisions were acting.
+    fn settle(&mut self, now: Nanos) {
+        loop {
+            let Some(next) = self.desk.borrow_mut().deferred.pop_front() else { return };
+            match next {
+                Deferred::CallEnded(id, ending) => self.call_over(now, id, ending),
+                Deferred::NeverStarted(id) => self.ended(now, id, Ending::Cancelled, 0),
+                Deferred::JoinEnded(id, result) => {
+                    let joined = self.desk.borrow_mut().joined(id, result);
+                    if let Some((ending, latency)) = joined {
+                        self.ended(now, id, ending, latency);
+                    }
+                }
+            }
+        }
+    }
+
+    // ---- Dispatchers ----
+
+    fn request(&mut self, moment: Moment, conn: ConnId, request: fastcgi::Request) {
+        let mut desk = self.desk.borrow_mut();
+        let id = request.id;
+        if !desk.open(conn, &request) {
+            return;
+        }
+        if desk.crowded(conn) {
+            return desk.end(conn, id, Reply::end(id, ProtocolStatus::Overloaded));
+        }
+        match request::read(&self.start, &request) {
+            Err(Rejected(status, cause)) => desk.reject(conn, id, status, cause),
+            Ok(Wanted::Check { deep }) => desk.check(conn, id, deep),
+            Ok(Wanted::Invocation(_)) if self.choice.is_none() => {
+                desk.reject(conn, id, 503, "the kernel is not up");
+            }
+            Ok(Wanted::Invocation(head)) if desk.knows(&head.rid) => {
+                desk.reject(conn, id, 409, "correlation id in use");
+            }
+            Ok(Wanted::Invocation(head)) => {
+                drop(desk);
+                self.arrive(moment, Open { conn, id }, head, request.body);
+            }
+        }
+    }
+
+    fn arrive(&mut self, moment: Moment, front: Open, head: Head, body: Vec<u8>) {
+        let age = moment.unix_ms.saturating_sub(head.arrived_ms).saturating_mul(1_000_000);
+        let (id, repeats) = self.desk.borrow_mut().take(front, &head, body, age);
+        let arrival = Arrival {
+            id,
+            op: head.op,
+            tenant: head.tenant,
+            dispatcher: head.dispatcher,
+            has_subject: head.subject.is_some(),
+            time_left: None,
+            work_hint: head.work_hint,
+            held_kb: head.held_kb,
+            age,
+            repeats,
+        };
+        if let Some(choice) = &mut self.choice {
+            choice.arrive(moment.now, arrival);
+        }
+    }
+
+    fn caller_left(&mut self, now: Nanos, id: InvId) {
+        if let Some(choice) = &mut self.choice {
+            choice.caller_left(now, id);
+        }
+    }
+
+    fn drain(&mut self, now: Nanos) {
+        let left = self.stop_after.saturating_sub(WRITE_OUT);
+        let grace = self.start.premises.drain_grace;
+        if !self.desk.borrow_mut().drain(left, grace) {
+            return; // noticed before
+        }
+        if let Some(choice) = &mut self.choice {
+            choice.drain(now, left);
+        }
+    }
+
+    // ---- The kernel ----
+
+    fn notice(&mut self, now: Nanos, notice: Notice) {
+        match notice {
+            Notice::Booted { cold, up_ms } => self.booted(now, cold, up_ms),
+            Notice::Info { mark, values } => self.desk.borrow_mut().info(mark, values),
+            Notice::Posted { mark, ok } => self.desk.borrow_mut().checked(mark, ok),
+            Notice::EInval { command, rid } => {
+                let lost = self.desk.borrow_mut().einval(&command, &rid);
+                lost.into_iter().for_each(|id| self.ended(now, id, Ending::Errored, 0));
+            }
+            Notice::IoReq { no, rid, body } => {
+                let asked = self.desk.borrow_mut().call_asked(&rid, no, body);
+                if let (Some(id), Some(choice)) = (asked, &mut self.choice) {
+                    choice.needs_call(now, id);
+                }
+            }
+            Notice::Reap { rid, end, time_ms, body } => {
+                let Some(id) = self.desk.borrow_mut().reaped(&rid, end, body) else { return };
+                let ending = match end {
+                    End::Ok => Ending::Succeeded,
+                    End::Error => Ending::Errored,
+                    End::Stopped => Ending::Cancelled,
+                    End::Moot => Ending::Moot,
+                };
+                self.ended(now, id, ending, (time_ms * 1e6) as Nanos);
+            }
+        }
+    }
+
+    fn booted(&mut self, now: Nanos, cold: bool, up_ms: f64) {
+        if self.choice.is_none() {
+            let mut site = self.start.premises.clone();
+            site.cold = cold;
+            let born = now.saturating_sub((up_ms * 1e6) as Nanos);
+            let hands = Hands(Rc::clone(&self.desk));
+            let mut choice = Choice::new(born, hands, site, self.seed);
+            if let Some(left) = self.time_left() {
+                choice.drain(now, left);
+            }
+            self.choice = Some(choice);
+        }
+        self.desk.borrow_mut().booted(cold, up_ms);
+    }
+
+    fn time_left(&self) -> Option<Nanos> {
+        self.desk.borrow().time_left()
+    }
+
+    fn ended(&mut self, now: Nanos, id: InvId, ending: Ending, latency: Nanos) {
+        if let Some(choice) = &mut self.choice {
+            choice.ended(now, id, ending, latency);
+        }
+    }
+
+    // ---- Calls below ----
+
+    fn reply(&mut self, now: Nanos, place: usize, reply: backend::Reply) {
+        let Some(id) = self.desk.borrow_mut().replied(place, &reply) else { return };
+        let ending = match reply.outcome {
+            backend::Outcome::Ok => CallEnding::Succeeded,
+            backend::Outcome::Overload | backend::Outcome::Stale => CallEnding::NeverRan,
+            backend::Outcome::Internal => CallEnding::MayHaveRun,
+            backend::Outcome::Deadline => CallEnding::Abandoned,
+        };
+        if ending == CallEnding::Succeeded {
+            self.desk.borrow_mut().resume(id, Some(reply.body));
+        }
+        self.call_over(now, id, ending);
+    }
+
+    fn call_over(&mut self, now: Nanos, id: InvId, ending: CallEnding) {
+        let latency = self.desk.borrow_mut().call_over(id);
+        if let (Some(latency), Some(choice)) = (latency, &mut self.choice) {
+            choice.call_ended(now, id, ending, latency);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/desk.rs
@@ -0,0 +1,456 @@
+//! What the node keeps of connections, invocations, runs, calls and timers; the [`Host`] of the decisions.
+
+use crate::core::{BackendLink, CallNo, ConnId, Outward};
+use crate::fastcgi::Reply;
+use crate::kept::{Kept, Key};
+use crate::request::Head;
+use madderpoint::{AlarmId, CallEnding, Effect, Ending, Gauges, Host, InvId, Nanos, OpId};
+use madderpoint_facts::Start;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::fmt;
+use std::rc::Rc;
+
+/// Counts what must hold and does not, and stops a debug build there.
+macro_rules! invariant {
+    ($desk:expr, $holds:expr, $name:literal) => {
+        if !$holds {
+            debug_assert!(false, $name);
+            $desk.count(concat!("invariant: ", $name));
+        }
+    };
+}
+
+mod calls;
+mod front;
+mod runs;
+
+const MILLISECOND: Nanos = 1_000_000;
+/// Gauges are asked for so long before an alarm, and are told to it if they are no older than this.
+const GAUGES_LEAD: Nanos = 20 * MILLISECOND;
+const GAUGES_FRESH: Nanos = 100 * MILLISECOND;
+/// A deep health check is answered within this.
+const CHECK_LIMIT: Nanos = 2000 * MILLISECOND;
+/// Between two looks at the counts.
+const COUNT_PERIOD: Nanos = 10_000 * MILLISECOND;
+/// Connections to the back end. A call goes round one on which a late reply to an earlier call of the
+/// same invocation may still come.
+pub const BACKEND_LINKS: usize = 4;
+
+/// Where an answer is owed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Open {
+    pub conn: ConnId,
+    pub id: u16,
+}
+
+/// What happens next, after the decisions have acted.
+pub enum Deferred {
+    /// A call ended before it was sent.
+    CallEnded(InvId, CallEnding),
+    /// A run was stopped that the kernel was never told of.
+    NeverStarted(InvId),
+    /// What a join waited for is known: a result, or none.
+    JoinEnded(InvId, Option<Vec<u8>>),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Timer {
+    Alarm(AlarmId),
+    AskGauges,
+    CallLimit(InvId, CallNo),
+    CheckLimit(u64),
+    Idle(ConnId),
+    Leave,
+    Count,
+}
+
+/// What is open on a connection.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Asked {
+    Unread,
+    Invocation(InvId),
+    Check(u64),
+}
+
+struct Conn {
+    open: BTreeMap<u16, Asked>,
+    idle_since: Nanos,
+    /// Whether a timer looks after it while it is idle.
+    armed: bool,
+    /// Whether it is to be closed once nothing is open.
+    last: bool,
+    /// Whether closing was asked for: nothing that still comes was read.
+    closing: bool,
+}
+
+/// What a run waits for, seen from the kernel.
+enum Wait {
+    Nothing,
+    Call {
+        no: u64,
+    },
+    /// It was told to go on, with a reply or without one; and with which command.
+    Resumed {
+        no: u64,
+        reply: Option<Vec<u8>>,
+        sent: u64,
+    },
+}
+
+/// A run that the kernel was asked for. `sent` counts commands; 0 = could not be sent yet.
+struct Run {
+    sent: u64,
+    halted: Option<u64>,
+    /// Whether the kernel has spoken of it.
+    seen: bool,
+    wait: Wait,
+    /// The body of the call that it waits for.
+    call_body: Vec<u8>,
+}
+
+struct Call {
+    no: CallNo,
+    place: usize,
+    since: Nanos,
+    /// The connection on which it was written whole.
+    written: Option<BackendLink>,
+}
+
+struct Invocation {
+    rid: String,
+    op: OpId,
+    body: Vec<u8>,
+    arrived: Nanos,
+    /// `None` once it is answered or its caller has left.
+    front: Option<Open>,
+    run: Option<Run>,
+    ran: bool,
+    call: Option<Call>,
+    /// Links on which a late reply may come.
+    tainted: [bool; BACKEND_LINKS],
+    key: Option<Key>,
+    /// What it repeats, when it was joined to it, and who waits for its own result.
+    repeats: Option<InvId>,
+    joined: Option<Nanos>,
+    joiners: Vec<InvId>,
+}
+
+/// The link to the kernel. Commands are counted; a gauge's mark tells which have arrived.
+#[derive(Default)]
+struct KernelLink {
+    up: bool,
+    /// Whether all that ended while there was no link is known, so that commands may be sent.
+    synced: bool,
+    sent: u64,
+    arrived: u64,
+    /// The mark whose return shows that all missed notices were read.
+    sync: u64,
+    asked: Nanos,
+    gauges: Option<(Nanos, Gauges)>,
+}
+
+pub struct Desk<O: Outward> {
+    pub out: O,
+    pub now: Nanos,
+    pub deferred: VecDeque<Deferred>,
+    start: Rc<Start>,
+    has_backend: bool,
+    conns: BTreeMap<ConnId, Conn>,
+    invs: BTreeMap<InvId, Invocation>,
+    ids: HashMap<String, InvId>,
+    next_id: u64,
+    next_call: u64,
+    timers: BTreeMap<(Nanos, u64), Timer>,
+    timers_set: u64,
+    kernel: KernelLink,
+    /// Connections made to the back end at each place that are known to have ended.
+    lost: [u64; BACKEND_LINKS],
+    kept: Kept,
+    checks: HashMap<u64, Open>,
+    health: (bool, bool),
+    advert: Option<f64>,
+    idle_after: Nanos,
+    /// The notice to leave and the stop.
+    leaving: Option<(Nanos, Nanos)>,
+    closing: bool,
+    counts: BTreeMap<&'static str, u64>,
+    counts_told: u64,
+}
+
+impl<O: Outward> Desk<O> {
+    pub fn new(out: O, start: Rc<Start>, has_backend: bool) -> Self {
+        let idle_after = start.premises.longest_idle;
+        let mut desk = Desk {
+            out,
+            now: 0,
+            deferred: VecDeque::new(),
+            start,
+            has_backend,
+            conns: BTreeMap::new(),
+            invs: BTreeMap::new(),
+            ids: HashMap::new(),
+            next_id: 0,
+            next_call: 0,
+            timers: BTreeMap::new(),
+            timers_set: 0,
+            kernel: KernelLink::default(),
+            lost: [0; BACKEND_LINKS],
+            kept: Kept::default(),
+            checks: HashMap::new(),
+            health: (false, true),
+            advert: None,
+            idle_after,
+            leaving: None,
+            closing: false,
+            counts: BTreeMap::new(),
+            counts_told: 0,
+        };
+        desk.set_timer(COUNT_PERIOD, Timer::Count);
+        desk
+    }
+}
+
+impl<O: Outward> Desk<O> {
+    // ---- Timers and counts ----
+
+    pub fn set_timer(&mut self, after: Nanos, timer: Timer) {
+        self.timers_set += 1; // timers of one moment fire in the order in which they were set
+        self.timers.insert((self.now.saturating_add(after), self.timers_set), timer);
+    }
+
+    pub fn next_timer(&self) -> Option<Nanos> {
+        self.timers.first_key_value().map(|(&(due, _), _)| due)
+    }
+
+    /// Takes the next timer that is due.
+    pub fn pop_timer(&mut self) -> Option<Timer> {
+        self.next_timer().filter(|&due| due <= self.now)?;
+        self.timers.pop_first().map(|(_, timer)| timer)
+    }
+
+    pub fn count(&mut self, what: &'static str) {
+        *self.counts.entry(what).or_default() += 1;
+    }
+
+    /// Logs the counts if any has moved.
+    pub fn log_counts(&mut self) {
+        self.set_timer(COUNT_PERIOD, Timer::Count);
+        let total = self.counts.values().sum();
+        if total != self.counts_told {
+            self.counts_told = total;
+            let counts: Vec<_> = self.counts.iter().map(|(what, n)| format!("{what} {n}")).collect();
+            self.out.log(format_args!("counts: {}", counts.join(", ")));
+        }
+    }
+
+    pub fn gauges(&self) -> Gauges {
+        let fresh = self.kernel.gauges.filter(|(read, _)| self.now - read <= GAUGES_FRESH);
+        fresh.map_or_else(Gauges::default, |(_, gauges)| gauges)
+    }
+
+    // ---- Invocations ----
+
+    pub fn knows(&self, rid: &str) -> bool {
+        self.ids.contains_key(rid)
+    }
+
+    /// Takes an invocation in hand; gives its id and what it repeats.
+    pub fn take(&mut self, front: Open, head: &Head, body: Vec<u8>, age: Nanos) -> (InvId, Option<InvId>) {
+        self.next_id += 1;
+        let id = InvId(self.next_id);
+        let shares = self.start.premises.answer_fresh > 0 && self.effect(head.op) == Effect::Idempotent;
+        let key = head.subject.filter(|_| shares).map(|subject| (head.op.0, subject));
+        let repeats = key.and_then(|key| self.kept.original(self.now, key));
+        let invocation = Invocation {
+            rid: head.rid.clone(),
+            op: head.op,
+            body,
+            arrived: self.now.saturating_sub(age),
+            front: Some(front),
+            run: None,
+            ran: false,
+            call: None,
+            tainted: [false; BACKEND_LINKS],
+            key,
+            repeats,
+            joined: None,
+            joiners: Vec::new(),
+        };
+        self.ids.insert(head.rid.clone(), id);
+        self.invs.insert(id, invocation);
+        if let Some(conn) = self.conns.get_mut(&front.conn) {
+            conn.open.insert(front.id, Asked::Invocation(id));
+        }
+        (id, repeats)
+    }
+
+    fn effect(&self, op: OpId) -> Effect {
+        self.start.premises.operations[op.0].effect
+    }
+
+    /// Writes the one answer of an invocation; nothing if it has had it or its caller has left.
+    fn answer(&mut self, id: InvId, status: u16, more: &str, body: Vec<u8>) {
+        let Some(inv) = self.invs.get_mut(&id) else { return };
+        let Some(front) = inv.front.take() else { return };
+        let timeout = self.start.premises.operations[inv.op.0].client_timeout;
+        if self.now > inv.arrived + timeout {
+            self.count("answers after the client timeout");
+        }
+        let fields = self.fields() + more;
+        self.end(front.conn, front.id, Reply::answer(front.id, status, &fields, body));
+        self.settle(id);
+    }
+
+    /// Lets go of an invocation that is answered and of which nothing goes on.
+    fn settle(&mut self, id: InvId) {
+        let Some(inv) = self.invs.get_mut(&id) else { return };
+        if inv.front.is_some() {
+            return;
+        }
+        if inv.run.as_ref().is_some_and(|run| run.sent == 0) {
+            return self.never_started(id);
+        }
+        if inv.run.is_none() {
+            self.remove(id);
+        }
+    }
+
+    /// Stops a run of which the kernel has not heard.
+    fn never_started(&mut self, id: InvId) {
+        if let Some(inv) = self.invs.get_mut(&id) {
+            inv.run = None;
+            self.deferred.push_back(Deferred::NeverStarted(id));
+            self.settle(id);
+        }
+    }
+
+    fn remove(&mut self, id: InvId) {
+        let Some(inv) = self.invs.remove(&id) else { return };
+        self.ids.remove(&inv.rid);
+        let result = self.kept.result(id).map(<[u8]>::to_vec);
+        if result.is_none() {
+            self.kept.forget(id);
+        }
+        for joiner in inv.joiners {
+            self.deferred.push_back(Deferred::JoinEnded(joiner, result.clone()));
+        }
+    }
+
+    /// Answers an invocation that was joined to another; gives how that ended and how long it took.
+    pub fn joined(&mut self, id: InvId, result: Option<Vec<u8>>) -> Option<(Ending, Nanos)> {
+        let inv = self.invs.get(&id)?;
+        let latency = self.now - inv.joined?;
+        let ending = if result.is_some() { Ending::Succeeded } else { Ending::Errored };
+        match result {
+            Some(body) => self.answer(id, 200, "", body),
+            None => self.answer(id, 500, "", Vec::new()),
+        }
+        Some((ending, latency))
+    }
+
+    // ---- Leaving ----
+
+    /// The notice to leave; gives false if it was heard before.
+    pub fn drain(&mut self, left: Nanos, grace: Nanos) -> bool {
+        if self.leaving.is_some() {
+            return false;
+        }
+        self.leaving = Some((self.now, self.now + left));
+        self.out.leaving();
+        self.out.log(format_args!("notice to leave: stop in {} ms", left / MILLISECOND));
+        self.set_timer(left.min(grace), Timer::Leave);
+        true
+    }
+
+    /// The time left until the stop, if the node is to leave.
+    pub fn time_left(&self) -> Option<Nanos> {
+        self.leaving.map(|(_, stop)| stop.saturating_sub(self.now))
+    }
+
+    /// From here on nothing that comes would be run: connections end as they have nothing open.
+    pub fn leave(&mut self) {
+        self.closing = true;
+        self.out.stop_listening();
+        let idle: Vec<_> = self.conns.iter().filter(|(_, c)| c.open.is_empty()).map(|(&id, _)| id).collect();
+        idle.into_iter().for_each(|conn| self.close(conn));
+    }
+
+    pub fn has_left(&self) -> bool {
+        self.closing && self.conns.is_empty()
+    }
+}
+
+/// The desk as the decisions' [`Host`].
+pub struct Hands<O: Outward>(pub Rc<RefCell<Desk<O>>>);
+
+impl<O: Outward> Host for Hands<O> {
+    fn run(&mut self, id: InvId) {
+        self.0.borrow_mut().run(id);
+    }
+    fn halt(&mut self, id: InvId) {
+        self.0.borrow_mut().halt(id);
+    }
+    fn throttle(&mut self, id: InvId, pause: Nanos, last: bool) {
+        let desk = &mut *self.0.borrow_mut();
+        let Some(inv) = desk.invs.get(&id) else { return };
+        let may = !(inv.ran || inv.run.is_some()) || desk.effect(inv.op) == Effect::Idempotent;
+        invariant!(desk, may, "what may have run is not throttled");
+        let mut more = String::new();
+        if pause > 0 {
+            more += &format!("X-Pushback-Ms: {}\r\n", pause.div_ceil(MILLISECOND));
+        }
+        if last {
+            more += "X-Stop-Trying: 1\r\n";
+        }
+        desk.answer(id, 429, &more, Vec::new());
+    }
+    fn error(&mut self, id: InvId) {
+        self.0.borrow_mut().answer(id, 500, "", Vec::new());
+    }
+    fn call(&mut self, id: InvId, timeout: Nanos) {
+        self.0.borrow_mut().call(id, timeout);
+    }
+    fn skip_call(&mut self, id: InvId) {
+        self.0.borrow_mut().resume(id, None);
+    }
+    fn remember(&mut self, id: InvId, lifetime: Nanos) {
+        let desk = &mut *self.0.borrow_mut();
+        let Some(key) = desk.invs.get(&id).and_then(|inv| inv.key) else { return };
+        desk.kept.remember(desk.now, id, key, desk.now + lifetime);
+    }
+    fn forget(&mut self, id: InvId) {
+        self.0.borrow_mut().kept.forget(id);
+    }
+    fn join(&mut self, id: InvId) {
+        let desk = &mut *self.0.borrow_mut();
+        let Some(inv) = desk.invs.get_mut(&id) else { return };
+        inv.joined = Some(desk.now);
+        let original = inv.repeats;
+        if let Some(result) = original.and_then(|of| desk.kept.result(of)) {
+            let result = result.to_vec();
+            return desk.deferred.push_back(Deferred::JoinEnded(id, Some(result)));
+        }
+        match original.and_then(|of| desk.invs.get_mut(&of)) {
+            Some(original) => original.joiners.push(id),
+            None => desk.deferred.push_back(Deferred::JoinEnded(id, None)),
+        }
+    }
+    fn health(&mut self, good: bool, from_store: bool) {
+        self.0.borrow_mut().health = (good, from_store);
+    }
+    fn advertise(&mut self, value: f64) {
+        self.0.borrow_mut().advert = Some(value);
+    }
+    fn close_idle(&mut self, after: Nanos) {
+        self.0.borrow_mut().close_idle(after);
+    }
+    fn wake(&mut self, alarm: AlarmId, after: Nanos) {
+        let desk = &mut *self.0.borrow_mut();
+        desk.set_timer(after.saturating_sub(GAUGES_LEAD), Timer::AskGauges);
+        desk.set_timer(after, Timer::Alarm(alarm));
+    }
+    fn log(&mut self, line: fmt::Arguments<'_>) {
+        self.0.borrow_mut().out.log(line);
+    }
+}
--- /dev/null
+++ b/crates/node/src/desk/calls.rs
@@ -0,0 +1,118 @@
+//! Calls below.
+
+use super::{Call, Deferred, Desk, MILLISECOND, Timer, Wait};
+use crate::backend;
+use crate::core::{BackendLink, CallNo, Outward};
+use crate::kernel::Command;
+use madderpoint::{CallEnding, InvId, Nanos};
+
+impl<O: Outward> Desk<O> {
+    pub fn call(&mut self, id: InvId, timeout: Nanos) {
+        let Some(inv) = self.invs.get_mut(&id) else { return };
+        let Some(run) = inv.run.as_ref().filter(|run| matches!(run.wait, Wait::Call { .. })) else {
+            return self.count("calls of runs that wait for none");
+        };
+        let place = inv.tainted.iter().position(|tainted| !tainted);
+        let (Some(place), true, None) = (place, self.has_backend, &inv.call) else {
+            return self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
+        };
+        let longest = self.start.premises.operations[inv.op.0].client_timeout;
+        let timeout = if timeout == 0 { longest } else { timeout };
+        let bytes = backend::invoke(&inv.rid, timeout.div_ceil(MILLISECOND), &run.call_body);
+        self.next_call += 1;
+        let no = CallNo(self.next_call);
+        inv.call = Some(Call { no, place, since: self.now, written: None });
+        self.out.call(place, no, id, bytes);
+        self.set_timer(timeout, Timer::CallLimit(id, no));
+    }
+
+    pub fn is_current(&self, id: InvId, no: CallNo) -> bool {
+        self.invs.get(&id).and_then(|inv| inv.call.as_ref()).is_some_and(|call| call.no == no)
+    }
+
+    /// A call's time is up: true if it was still in hand.
+    pub fn give_up_call(&mut self, id: InvId, no: CallNo) -> bool {
+        if !self.is_current(id, no) {
+            return false;
+        }
+        let Some(inv) = self.invs.get_mut(&id) else { return false };
+        let Some(place) = inv.call.as_ref().map(|call| call.place) else { return false };
+        inv.tainted[place] = true;
+        let rid = inv.rid.clone();
+        self.cancel(&rid, place);
+        true
+    }
+
+    pub fn cancel(&mut self, rid: &str, place: usize) {
+        self.out.cancel(place, backend::cancel(rid));
+    }
+
+    /// A call was written whole: true if the connection is known to have ended since.
+    pub fn call_written(&mut self, no: CallNo, id: InvId, link: BackendLink) -> bool {
+        if !self.is_current(id, no) {
+            return false;
+        }
+        if let Some(call) = self.invs.get_mut(&id).and_then(|inv| inv.call.as_mut()) {
+            call.written = Some(link);
+        }
+        self.lost[link.place] > link.generation
+    }
+
+    /// A connection ended; gives the invocations whose calls were written on it and had no reply.
+    pub fn backend_lost(&mut self, link: BackendLink) -> Vec<InvId> {
+        self.lost[link.place] = link.generation + 1;
+        let lost = |call: &Call| call.written == Some(link);
+        let broke = self.invs.iter().filter(|(_, inv)| inv.call.as_ref().is_some_and(lost));
+        let broke: Vec<_> = broke.map(|(&id, _)| id).collect();
+        if !broke.is_empty() {
+            self.out.log(format_args!("back end: connection ended with {} calls", broke.len()));
+        }
+        broke
+    }
+
+    /// A reply came: gives the invocation whose call it ends.
+    pub fn replied(&mut self, place: usize, reply: &backend::Reply) -> Option<InvId> {
+        let id = self.ids.get(&reply.id).copied();
+        let call = id.and_then(|id| self.invs.get(&id)).and_then(|inv| inv.call.as_ref());
+        if call.is_none_or(|call| call.place != place) {
+            self.count("back end: replies to calls given up");
+            return None;
+        }
+        id
+    }
+
+    /// Takes a call that has ended; gives how long it took.
+    pub fn call_over(&mut self, id: InvId) -> Option<Nanos> {
+        let inv = self.invs.get_mut(&id)?;
+        inv.run.as_ref()?;
+        Some(inv.call.take().map_or(0, |call| self.now - call.since))
+    }
+
+    /// Lets a run go on, with the reply to its call or without one.
+    pub fn resume(&mut self, id: InvId, reply: Option<Vec<u8>>) {
+        let Some(run) = self.invs.get_mut(&id).and_then(|inv| inv.run.as_mut()) else { return };
+        let Wait::Call { no } = run.wait else { return };
+        run.wait = Wait::Resumed { no, reply, sent: 0 };
+        self.resume_again(id, |sent| sent == 0);
+    }
+
+    /// Sends word to go on, if it was not sent or is `lacking` at the kernel.
+    pub fn resume_again(&mut self, id: InvId, lacking: impl Fn(u64) -> bool) {
+        let Some(inv) = self.invs.get_mut(&id) else { return };
+        let rid = inv.rid.clone();
+        let Some(run) = inv.run.as_mut() else { return };
+        let Wait::Resumed { no, reply, sent } = &mut run.wait else { return };
+        if !lacking(*sent) {
+            return;
+        }
+        let (no, reply) = (*no, reply.take());
+        let command = match &reply {
+            Some(body) => Command::IoDone { rid: &rid, body },
+            None => Command::NoIo { rid: &rid, no },
+        };
+        let sent = self.command(command);
+        if let Some(run) = self.invs.get_mut(&id).and_then(|inv| inv.run.as_mut()) {
+            run.wait = Wait::Resumed { no, reply, sent };
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/desk/runs.rs
@@ -0,0 +1,178 @@
+//! The kernel's link and what runs there.
+
+use super::{Desk, GAUGES_LEAD, Run, Wait};
+use crate::core::Outward;
+use crate::kernel::{Command, End};
+use madderpoint::{Effect, InvId};
+
+impl<O: Outward> Desk<O> {
+    // ---- The link ----
+
+    /// Sends a command and gives its number; 0 while it must wait until the link is in step.
+    pub fn command(&mut self, command: Command<'_>) -> u64 {
+        if !self.kernel.synced {
+            return 0;
+        }
+        self.kernel.sent += 1;
+        self.out.kernel(command.line());
+        self.kernel.sent
+    }
+
+    pub fn kernel_linked(&mut self, last: u64) {
+        (self.kernel.up, self.kernel.synced) = (true, false);
+        self.out.kernel(Command::Open(last).line());
+    }
+
+    pub fn kernel_lost(&mut self) {
+        (self.kernel.up, self.kernel.synced) = (false, false);
+        self.out.log(format_args!("kernel: link lost, {} in hand", self.invs.len()));
+    }
+
+    /// All that was missed follows; the answer to a question asked now comes after it.
+    pub fn booted(&mut self, cold: bool, up_ms: f64) {
+        let state = if cold { "cold" } else { "warm" };
+        self.out.log(format_args!("kernel: linked, started {state} {up_ms:.0} ms ago"));
+        self.kernel.sync = self.kernel.sent + 1;
+        self.ask();
+    }
+
+    pub fn ask_gauges(&mut self) {
+        if self.kernel.synced && self.now >= self.kernel.asked + GAUGES_LEAD / 2 {
+            self.ask();
+        }
+    }
+
+    fn ask(&mut self) {
+        self.kernel.asked = self.now;
+        self.kernel.sent += 1;
+        self.out.kernel(Command::SysInfo(self.kernel.sent).line());
+    }
+
+    pub fn info(&mut self, mark: u64, values: Vec<f64>) {
+        self.kernel.gauges = Some((self.now, self.start.gauges(values.into_iter())));
+        let arrived = self.kernel.arrived;
+        self.kernel.arrived = arrived.max(mark);
+        if self.kernel.up && !self.kernel.synced && mark >= self.kernel.sync {
+            self.kernel.synced = true;
+            self.catch_up(arrived);
+        }
+    }
+
+    /// Sends what waited for the link, and again what may not have arrived over the one before.
+    fn catch_up(&mut self, arrived: u64) {
+        let lacks = |sent: u64| sent == 0 || sent > arrived;
+        let running: Vec<_> =
+            self.invs.iter().filter(|(_, inv)| inv.run.is_some()).map(|(&id, _)| id).collect();
+        for id in running {
+            let Some(inv) = self.invs.get(&id) else { continue };
+            let Some(run) = &inv.run else { continue };
+            // What may not run twice could have ended this moment, so it is only started if it never was.
+            let again = self.effect(inv.op) == Effect::Idempotent || inv.front.is_none();
+            let (sent, halted, seen) = (run.sent, run.halted, run.seen);
+            if !seen && lacks(sent) {
+                if sent == 0 || again {
+                    self.start(id)
+                } else {
+                    self.count("runs in doubt after a broken link")
+                }
+            }
+            self.resume_again(id, lacks);
+            if halted.is_some_and(lacks) {
+                self.halt(id);
+            }
+        }
+    }
+
+    // ---- Runs ----
+
+    pub fn run(&mut self, id: InvId) {
+        let Some(inv) = self.invs.get(&id) else { return };
+        let twice = inv.ran && self.effect(inv.op) != Effect::Idempotent;
+        let late =
+            self.leaving.is_some_and(|(notice, _)| inv.arrived > notice + self.start.premises.drain_grace);
+        let wanted = inv.front.is_some();
+        invariant!(self, !twice, "what must not run twice runs once");
+        invariant!(self, !late, "what arrives past the grace does not run");
+        invariant!(self, wanted, "only what is owed an answer is run");
+        self.start(id);
+    }
+
+    fn start(&mut self, id: InvId) {
+        let Some(inv) = self.invs.get(&id) else { return };
+        let (rid, body) = (inv.rid.clone(), inv.body.clone());
+        let route = self.start.operations[inv.op.0].clone();
+        let sent = self.command(Command::Sched { rid: &rid, route: &route, body: &body });
+        if let Some(inv) = self.invs.get_mut(&id) {
+            let run = inv.run.get_or_insert_with(|| Run {
+                sent,
+                halted: None,
+                seen: false,
+                wait: Wait::Nothing,
+                call_body: Vec::new(),
+            });
+            run.sent = sent;
+        }
+    }
+
+    pub fn halt(&mut self, id: InvId) {
+        let Some(inv) = self.invs.get(&id) else { return };
+        let Some(run) = &inv.run else { return };
+        if run.sent == 0 {
+            return self.never_started(id);
+        }
+        let rid = inv.rid.clone();
+        let sent = self.command(Command::Preempt(&rid));
+        if let Some(run) = self.invs.get_mut(&id).and_then(|inv| inv.run.as_mut()) {
+            run.halted = Some(sent);
+        }
+    }
+
+    /// A run has come to a call.
+    pub fn call_asked(&mut self, rid: &str, no: u64, body: Vec<u8>) -> Option<InvId> {
+        let id = self.ids.get(rid).copied();
+        let run = id.and_then(|id| self.invs.get_mut(&id)).and_then(|inv| inv.run.as_mut());
+        let Some(run) = run else {
+            self.count("kernel: calls of what does not run");
+            return None;
+        };
+        (run.seen, run.wait, run.call_body) = (true, Wait::Call { no }, body);
+        id
+    }
+
+    /// A run is over: answers its caller.
+    pub fn reaped(&mut self, rid: &str, end: End, body: Vec<u8>) -> Option<InvId> {
+        let id = self.ids.get(rid).copied();
+        let inv = id.and_then(|id| self.invs.get_mut(&id)).filter(|inv| inv.run.is_some());
+        let (Some(id), Some(inv)) = (id, inv) else {
+            self.count("kernel: ends of what does not run");
+            return None;
+        };
+        inv.run = None;
+        inv.ran |= end != End::Moot;
+        let call = inv.call.take();
+        if let Some(call) = call {
+            self.cancel(rid, call.place);
+        }
+        match end {
+            End::Ok => {
+                let fresh = self.start.premises.answer_fresh;
+                self.kept.keep(id, &body, self.now + fresh);
+                self.answer(id, 200, "", body);
+            }
+            End::Error => self.answer(id, 500, "", Vec::new()),
+            End::Stopped | End::Moot => {}
+        }
+        self.settle(id);
+        Some(id)
+    }
+
+    /// The kernel did not carry a command out.
+    pub fn einval(&mut self, command: &str, rid: &str) -> Option<InvId> {
+        self.count("kernel: commands not carried out");
+        self.out.log(format_args!("kernel: {command:.20} not carried out for {rid:.20}"));
+        let id = self.ids.get(rid).copied().filter(|_| command == "SCHED")?;
+        self.invs.get_mut(&id)?.run.take_if(|run| !run.seen)?;
+        self.answer(id, 500, "", Vec::new());
+        Some(id)
+    }
+}
--- /dev/null
+++ b/crates/node/src/log.rs
@@ -0,0 +1,41 @@
+//! The node's log: lines on standard error, so many a second at most.
+
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Lines a second.
+const MOST: u64 = 40;
+
+static SECOND: AtomicU64 = AtomicU64::new(0);
+static WRITTEN: AtomicU64 = AtomicU64::new(0);
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
+/// Whether another line may be written now, and how many were left out before it.
+pub fn permit() -> Option<u64> {
+    let second = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_secs());
+    permit_in(second)
+}
+
+fn permit_in(second: u64) -> Option<u64> {
+    if SECOND.swap(second, Relaxed) != second {
+        WRITTEN.store(0, Relaxed);
+    }
+    if WRITTEN.fetch_add(1, Relaxed) >= MOST {
+        LEFT_OUT.fetch_add(1, Relaxed);
+        return None;
+    }
+    Some(LEFT_OUT.swap(0, Relaxed))
+}
+
+/// Writes a line to the log, unless too many were written this second.
+macro_rules! log {
+    ($($text:tt)*) => {
+        if let Some(left_out) = $crate::log::permit() {
+            if left_out > 0 {
+                eprintln!("madderpoint: log: {left_out} lines left out");
+            }
+            eprintln!("madderpoint: {}", format_args!($($text)*));
+        }
+    };
+}
+pub(crate) use log;
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,46 @@
+//! A madderpoint node: dispatchers, the kernel, the back end and the membership service on real sockets,
+//! round the decisions of [`madderpoint::choice`].
+
+#![forbid(unsafe_code)]
+
+mod backend;
+mod config;
+mod core;
+mod desk;
+mod driver;
+mod fastcgi;
+mod kept;
+mod kernel;
+mod log;
+mod members;
+mod request;
+
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::thread;
+
+fn start() -> Result<(), String> {
+    let path = std::env::var_os("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?;
+    let who = config::read(&PathBuf::from(path), |name| std::env::var(name).ok())?;
+    let listen = who.listen;
+    let mut signals = Signals::new([SIGTERM]).map_err(|e| format!("signals: {e}"))?;
+    let (notices, drain) = crossbeam_channel::bounded(1);
+    thread::spawn(move || {
+        for _ in signals.forever() {
+            let _ = notices.send(());
+        }
+    });
+    driver::serve(who, drain).map_err(|e| format!("listen {listen}: {e}"))
+}
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("madderpoint: {what}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -2,7 +2,6 @@
 
 #![forbid(unsafe_code)]
 
-mod facts;
 mod frame;
 #[cfg(test)]
 mod tests;
@@ -12,6 +11,7 @@
 use madderpoint::{
     AlarmId, Arrival, CallEnding, DispatcherId, Ending, Gauges, Host, InvId, Nanos, OpId, TenantId,
 };
+use madderpoint_facts::{self as facts, Start};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -89,10 +89,7 @@
 /// One node's decisions, with what is needed to decode its events.
 struct Instance {
     choice: Choice<WireHost>,
-    operations: usize,
-    tenants: usize,
-    gauges: Vec<String>,
-    passes_deadline: bool,
+    start: Start,
 }
 
 #[derive(Default)]
@@ -131,7 +128,7 @@
     fn arrival(&self, fields: &mut Fields<'_>) -> Result<Arrival, Malformed> {
         let id = InvId(fields.u64("Ticket")?);
         let op = usize::from(fields.u8("Kind")?);
-        if op >= self.operations {
+        if op >= self.start.operations.len() {
             return Err(fields.malformed("Kind", format!("no class {op}")));
         }
         let tenant = usize::from(fields.u16("Party")?);
@@ -147,10 +144,10 @@
         Ok(Arrival {
             id,
             op: OpId(op),
-            tenant: (tenant < self.tenants).then_some(TenantId(tenant)),
+            tenant: (tenant < self.start.tenants.len()).then_some(TenantId(tenant)),
             dispatcher,
             has_subject: subject != 0,
-            time_left: if self.passes_deadline { present(time_left) } else { None },
+            time_left: if self.start.passes_deadline { present(time_left) } else { None },
             work_hint: (opts & 1 != 0 && work > 0.0).then_some(work),
             held_kb: f64::from(held_kb.max(0.0)),
             age,
@@ -159,18 +156,9 @@
     }
 
     fn read_gauges(&self, fields: &mut Fields<'_>) -> Result<Gauges, Malformed> {
-        let mut gauges = Gauges::default();
-        for i in 0..usize::from(fields.u8("Feedback")?) {
-            let value = Some(f64::from(fields.f32("Feedback")?));
-            match self.gauges.get(i).map(String::as_str) {
-                Some("cpu_busy") => gauges.cpu_busy = value,
-                Some("runnable") => gauges.runnable = value,
-                Some("mem_used") => gauges.memory_used = value,
-                Some("sockets") => gauges.connections = value,
-                _ => {}
-            }
-        }
-        Ok(gauges)
+        let count = fields.u8("Feedback")?;
+        let values: Vec<_> = (0..count).map(|_| fields.f32("Feedback")).collect::<Result<_, _>>()?;
+        Ok(self.start.gauges(values.into_iter().map(f64::from)))
     }
 
     /// Decodes one event's fields and calls the method for it.
@@ -233,14 +221,8 @@
             let len = fields.u32("Facts")? as usize;
             let text = fields.bytes("Facts", len)?;
             let start = facts::decode(text).map_err(|what| fields.malformed("Facts", what))?;
-            let instance = Instance {
-                operations: start.premises.operations.len(),
-                tenants: start.premises.tenants.len(),
-                gauges: start.gauges,
-                passes_deadline: start.passes_deadline,
-                choice: Choice::new(now, host, start.premises, seed),
-            };
-            self.instances.insert(number, Some(instance));
+            let choice = Choice::new(now, host, start.premises.clone(), seed);
+            self.instances.insert(number, Some(Instance { choice, start }));
             return Ok(());
         }
         let Some(instance) = self.instances.get_mut(&number) else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,7 +15,7 @@
 pub type Nanos = u64;
 
 /// One try of an invocation at this node; never reused while the node lives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct InvId(pub u64);
 
 /// An operation: its place in [`Premises::operations`].
