Driver split by peer, bounds on what peers make the node keep, tests of the state machines

A call that met a closed connection before it was written whole goes out on a new one: nothing ran. A call for which a link has no room ends as never run at once instead of by its time limit. Odd lines of the kernel are counted one by one.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -113,3 +113,6 @@
 pub fn cancel(id: &str) -> Vec<u8> {
     format!("cancel {id}\r\n").into_bytes()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -41,8 +41,8 @@
     fn close(&mut self, conn: ConnId);
     /// Write a line to the kernel.
     fn kernel(&mut self, line: String);
-    /// Send a call below over the link at this place.
-    fn call(&mut self, place: usize, call: CallNo, id: InvId, bytes: Vec<u8>);
+    /// Send a call below over the link at this place; false if that has no room.
+    fn call(&mut self, place: usize, call: CallNo, id: InvId, bytes: Vec<u8>) -> bool;
     /// Give a call up over the link that it was sent on.
     fn cancel(&mut self, place: usize, bytes: Vec<u8>);
     /// Tell dispatchers that the node is leaving.
@@ -290,6 +290,7 @@
             Notice::Booted { cold, up_ms } => self.booted(now, cold, up_ms),
             Notice::Info { mark, values } => self.desk.borrow_mut().info(mark, values),
             Notice::Posted { mark, ok } => self.desk.borrow_mut().checked(mark, ok),
+            Notice::Odd(what, times) => self.desk.borrow_mut().count(what, times),
             Notice::EInval { command, rid } => {
                 let lost = self.desk.borrow_mut().einval(&command, &rid);
                 lost.into_iter().for_each(|id| self.ended(now, id, Ending::Errored, 0));
@@ -361,3 +362,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -16,7 +16,7 @@
     ($desk:expr, $holds:expr, $name:literal) => {
         if !$holds {
             debug_assert!(false, $name);
-            $desk.count(concat!("invariant: ", $name));
+            $desk.count(concat!("invariant: ", $name), 1);
         }
     };
 }
@@ -31,6 +31,8 @@
 const GAUGES_FRESH: Nanos = 100 * MILLISECOND;
 /// A deep health check is answered within this.
 const CHECK_LIMIT: Nanos = 2000 * MILLISECOND;
+/// Idle connections are closed after this where the settings name no time.
+const IDLE: Nanos = 60_000 * MILLISECOND;
 /// Between two looks at the counts.
 const COUNT_PERIOD: Nanos = 10_000 * MILLISECOND;
 /// Connections to the back end. A call goes round one on which a late reply to an earlier call of the
@@ -171,6 +173,7 @@
     health: (bool, bool),
     advert: Option<f64>,
     idle_after: Nanos,
+    longest_idle: Nanos,
     /// The notice to leave and the stop.
     leaving: Option<(Nanos, Nanos)>,
     closing: bool,
@@ -180,7 +183,7 @@
 
 impl<O: Outward> Desk<O> {
     pub fn new(out: O, start: Rc<Start>, has_backend: bool) -> Self {
-        let idle_after = start.premises.longest_idle;
+        let longest_idle = Some(start.premises.longest_idle).filter(|&idle| idle > 0).unwrap_or(IDLE);
         let mut desk = Desk {
             out,
             now: 0,
@@ -200,7 +203,8 @@
             checks: HashMap::new(),
             health: (false, true),
             advert: None,
-            idle_after,
+            idle_after: longest_idle,
+            longest_idle,
             leaving: None,
             closing: false,
             counts: BTreeMap::new(),
@@ -229,8 +233,8 @@
         self.timers.pop_first().map(|(_, timer)| timer)
     }
 
-    pub fn count(&mut self, what: &'static str) {
-        *self.counts.entry(what).or_default() += 1;
+    pub fn count(&mut self, what: &'static str, times: u64) {
+        *self.counts.entry(what).or_default() += times;
     }
 
     /// Logs the counts if any has moved.
@@ -295,7 +299,7 @@
         let Some(front) = inv.front.take() else { return };
         let timeout = self.start.premises.operations[inv.op.0].client_timeout;
         if self.now > inv.arrived + timeout {
-            self.count("answers after the client timeout");
+            self.count("answers after the client timeout", 1);
         }
         let fields = self.fields() + more;
         self.end(front.conn, front.id, Reply::answer(front.id, status, &fields, body));
--- a/crates/node/src/desk/calls.rs
+++ b/crates/node/src/desk/calls.rs
@@ -10,7 +10,7 @@
     pub fn call(&mut self, id: InvId, timeout: Nanos) {
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(run) = inv.run.as_ref().filter(|run| matches!(run.wait, Wait::Call { .. })) else {
-            return self.count("calls of runs that wait for none");
+            return self.count("calls of runs that wait for none", 1);
         };
         let place = inv.tainted.iter().position(|tainted| !tainted);
         let (Some(place), true, None) = (place, self.has_backend, &inv.call) else {
@@ -21,8 +21,10 @@
         let bytes = backend::invoke(&inv.rid, timeout.div_ceil(MILLISECOND), &run.call_body);
         self.next_call += 1;
         let no = CallNo(self.next_call);
+        if !self.out.call(place, no, id, bytes) {
+            return self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
+        }
         inv.call = Some(Call { no, place, since: self.now, written: None });
-        self.out.call(place, no, id, bytes);
         self.set_timer(timeout, Timer::CallLimit(id, no));
     }
 
@@ -75,7 +77,7 @@
         let id = self.ids.get(&reply.id).copied();
         let call = id.and_then(|id| self.invs.get(&id)).and_then(|inv| inv.call.as_ref());
         if call.is_none_or(|call| call.place != place) {
-            self.count("back end: replies to calls given up");
+            self.count("back end: replies to calls given up", 1);
             return None;
         }
         id
--- a/crates/node/src/desk/front.rs
+++ b/crates/node/src/desk/front.rs
@@ -46,11 +46,11 @@
     /// Opens a request on its connection; false if that is no longer read, or must end for what came.
     pub fn open(&mut self, conn: ConnId, request: &Request) -> bool {
         let Some(state) = self.conns.get_mut(&conn).filter(|c| !c.closing) else {
-            self.count("requests that crossed a close");
+            self.count("requests that crossed a close", 1);
             return false;
         };
         if state.open.contains_key(&request.id) {
-            self.count("request ids begun twice");
+            self.count("request ids begun twice", 1);
             self.close(conn);
             return false;
         }
@@ -78,7 +78,7 @@
     }
 
     pub fn reject(&mut self, conn: ConnId, id: u16, status: u16, cause: &'static str) {
-        self.count(cause);
+        self.count(cause, 1);
         let fields = self.fields() + "Content-Type: text/plain\r\n";
         self.end(conn, id, Reply::answer(id, status, &fields, cause.as_bytes().to_vec()));
     }
@@ -104,6 +104,7 @@
     }
 
     pub fn close_idle(&mut self, after: Nanos) {
+        let after = if after == 0 { self.longest_idle } else { after };
         let sooner = after < self.idle_after;
         self.idle_after = after;
         if sooner {
@@ -137,7 +138,7 @@
 
     /// Closes the connection that is idle for longest, so that another one finds room.
     pub fn make_room(&mut self) {
-        self.count("connections beyond the limit");
+        self.count("connections beyond the limit", 1);
         let idle = self.conns.iter().filter(|(_, c)| c.open.is_empty() && !c.closing);
         if let Some((&conn, _)) = idle.min_by_key(|(_, c)| c.idle_since) {
             self.close(conn);
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -73,7 +73,7 @@
                 if sent == 0 || again {
                     self.start(id)
                 } else {
-                    self.count("runs in doubt after a broken link")
+                    self.count("runs in doubt after a broken link", 1)
                 }
             }
             self.resume_again(id, lacks);
@@ -132,7 +132,7 @@
         let id = self.ids.get(rid).copied();
         let run = id.and_then(|id| self.invs.get_mut(&id)).and_then(|inv| inv.run.as_mut());
         let Some(run) = run else {
-            self.count("kernel: calls of what does not run");
+            self.count("kernel: calls of what does not run", 1);
             return None;
         };
         (run.seen, run.wait, run.call_body) = (true, Wait::Call { no }, body);
@@ -144,7 +144,7 @@
         let id = self.ids.get(rid).copied();
         let inv = id.and_then(|id| self.invs.get_mut(&id)).filter(|inv| inv.run.is_some());
         let (Some(id), Some(inv)) = (id, inv) else {
-            self.count("kernel: ends of what does not run");
+            self.count("kernel: ends of what does not run", 1);
             return None;
         };
         inv.run = None;
@@ -168,7 +168,7 @@
 
     /// The kernel did not carry a command out.
     pub fn einval(&mut self, command: &str, rid: &str) -> Option<InvId> {
-        self.count("kernel: commands not carried out");
+        self.count("kernel: commands not carried out", 1);
         self.out.log(format_args!("kernel: {command:.20} not carried out for {rid:.20}"));
         let id = self.ids.get(rid).copied().filter(|_| command == "SCHED")?;
         self.invs.get_mut(&id)?.run.take_if(|run| !run.seen)?;
--- /dev/null
+++ b/crates/node/src/driver/backend_link.rs
@@ -0,0 +1,112 @@
+//! Connections to the back end: each has a thread that connects when a call needs it and writes, and a reader.
+
+use super::{CONNECT, Message, read_all, spawn};
+use crate::backend;
+use crate::core::{BackendLink, CallNo, Event};
+use crate::log::log;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use madderpoint::InvId;
+use std::io::{self, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Calls that may wait for one connection.
+const CALLS: usize = 1024;
+/// An idle connection to the back end is closed before the back end would.
+const IDLE: Duration = Duration::from_secs(8);
+
+/// What a connection is asked for.
+pub enum Below {
+    Call(CallNo, InvId, Vec<u8>),
+    Cancel(Vec<u8>),
+}
+
+/// Starts the thread for the link at this place.
+pub fn start(address: SocketAddr, place: usize, events: Sender<Message>) -> io::Result<Sender<Below>> {
+    let (queue, calls) = bounded(CALLS);
+    let link = Link { address, place, events, made: 0, stream: None };
+    spawn("back end", move || link.serve(&calls))?;
+    Ok(queue)
+}
+
+/// One connection to the back end, made when a call needs it.
+struct Link {
+    address: SocketAddr,
+    place: usize,
+    events: Sender<Message>,
+    made: u64,
+    stream: Option<Arc<TcpStream>>,
+}
+
+impl Link {
+    fn serve(mut self, queue: &Receiver<Below>) {
+        loop {
+            match queue.recv_timeout(IDLE) {
+                Ok(Below::Call(call, id, bytes)) => {
+                    let event = match self.write_call(&bytes) {
+                        Ok(link) => Event::CallWritten(call, id, link),
+                        Err(_) => Event::CallUnsent(call, id),
+                    };
+                    let _ = self.events.send(Message::Event(event));
+                }
+                Ok(Below::Cancel(bytes)) => {
+                    if let Some(mut stream) = self.stream.as_deref() {
+                        let _ = stream.write_all(&bytes);
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => self.close(),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn close(&mut self) {
+        if let Some(stream) = self.stream.take() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Writes a call whole. Where the connection ended before it took all of it, nothing ran, and the call
+    /// goes out on a new one.
+    fn write_call(&mut self, bytes: &[u8]) -> io::Result<BackendLink> {
+        let kept = self.stream.is_some();
+        let written = self.connected().and_then(|stream| (&*stream).write_all(bytes));
+        if written.is_err() {
+            self.close();
+            if kept {
+                return self.write_call(bytes);
+            }
+        }
+        written.map(|()| BackendLink { place: self.place, generation: self.made })
+    }
+
+    fn connected(&mut self) -> io::Result<Arc<TcpStream>> {
+        if let Some(stream) = &self.stream {
+            return Ok(Arc::clone(stream));
+        }
+        let stream = TcpStream::connect_timeout(&self.address, CONNECT)?;
+        stream.set_nodelay(true)?;
+        let stream = Arc::new(stream);
+        self.made += 1;
+        let (reader, events) = (Arc::clone(&stream), self.events.clone());
+        let link = BackendLink { place: self.place, generation: self.made };
+        spawn("back end read", move || read_replies(&reader, link, &events))?;
+        self.stream = Some(Arc::clone(&stream));
+        Ok(stream)
+    }
+}
+
+fn read_replies(stream: &TcpStream, link: BackendLink, events: &Sender<Message>) {
+    let mut parser = backend::Parser::default();
+    let feed = |bytes: &[u8]| {
+        parser.feed(bytes, &mut |reply| {
+            let _ = events.send(Message::Event(Event::Reply(link.place, reply)));
+        })
+    };
+    if let Err(backend::Broken(what)) = read_all(stream, feed) {
+        log!("back end: connection ended: {what}");
+    }
+    let _ = stream.shutdown(Shutdown::Both);
+    let _ = events.send(Message::Event(Event::BackendLost(link)));
+}
--- /dev/null
+++ b/crates/node/src/driver/kernel_link.rs
@@ -0,0 +1,89 @@
+//! The link to the kernel: one thread that connects and reads, and a writer for each link.
+
+use super::{CONNECT, Message, read_all, spawn, write_gathered};
+use crate::core::Event;
+use crate::kernel;
+use crate::log::log;
+use crossbeam_channel::{Sender, bounded};
+use std::io::{self, IoSlice};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// Lines that may wait for the writer, and lines written with one call.
+const LINES: usize = 4096;
+const GATHERED: usize = 16;
+/// Between the end of a link and the next try.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// The core's end of a link.
+pub struct KernelLink {
+    stream: Arc<TcpStream>,
+    queue: Sender<String>,
+}
+
+impl KernelLink {
+    /// Has a line written; false, and the link ends, if the kernel does not read.
+    pub fn write(&self, line: String) -> bool {
+        let taken = self.queue.try_send(line).is_ok();
+        if !taken {
+            log!("kernel: link ended, the kernel does not read");
+            let _ = self.stream.shutdown(Shutdown::Both);
+        }
+        taken
+    }
+}
+
+/// Keeps a link to the kernel from here on.
+pub fn start(address: SocketAddr, events: Sender<Message>) -> io::Result<()> {
+    spawn("kernel", move || keep(address, &events))
+}
+
+fn keep(address: SocketAddr, events: &Sender<Message>) {
+    let mut reader = kernel::Reader::default();
+    let mut told = false;
+    loop {
+        match TcpStream::connect_timeout(&address, CONNECT) {
+            Ok(stream) => {
+                told = false;
+                if let Err(e) = read(Arc::new(stream), &mut reader, events) {
+                    log!("kernel: {e}");
+                }
+                let _ = events.send(Message::Event(Event::KernelLost));
+            }
+            Err(e) if !told => {
+                told = true;
+                log!("kernel: no link: {e}");
+            }
+            Err(_) => {}
+        }
+        thread::sleep(RETRY);
+    }
+}
+
+fn read(stream: Arc<TcpStream>, reader: &mut kernel::Reader, events: &Sender<Message>) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let (queue, lines) = bounded::<String>(LINES);
+    let writer = Arc::clone(&stream);
+    spawn("kernel write", move || {
+        while let Ok(first) = lines.recv() {
+            let batch: Vec<_> = std::iter::once(first).chain(lines.try_iter().take(GATHERED - 1)).collect();
+            let mut slices: Vec<_> = batch.iter().map(|line| IoSlice::new(line.as_bytes())).collect();
+            if write_gathered(&writer, &mut slices).is_err() {
+                break;
+            }
+        }
+        let _ = writer.shutdown(Shutdown::Both);
+    })?;
+    let link = KernelLink { stream: Arc::clone(&stream), queue };
+    let _ = events.send(Message::Linked(reader.open(), link));
+    let feed = |bytes: &[u8]| {
+        reader.feed(bytes, &mut |notice| {
+            let _ = events.send(Message::Event(Event::Kernel(notice)));
+        })
+    };
+    let read = read_all(&stream, feed);
+    let _ = stream.shutdown(Shutdown::Both);
+    read.map_err(|kernel::Broken(what)| io::Error::other(what))
+}
--- /dev/null
+++ b/crates/node/src/driver/reports.rs
@@ -0,0 +1,66 @@
+//! Reports to the membership service, on a thread of their own.
+
+use super::spawn;
+use crate::log::log;
+use crate::members::{self, Phase};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Between two reports to the membership service, after one that failed, and what each step of one may take.
+const PERIOD: Duration = Duration::from_millis(800);
+const RETRY: Duration = Duration::from_millis(200);
+const STEP: Duration = Duration::from_millis(400);
+
+/// Reports from here on that the node is up, or that it is leaving.
+pub fn start(address: SocketAddr, node: String, leaving: Arc<AtomicBool>) -> io::Result<()> {
+    spawn("reports", move || report(address, &node, &leaving))
+}
+
+fn report(address: SocketAddr, node: &str, leaving: &AtomicBool) {
+    let mut failing = false;
+    loop {
+        let out = leaving.load(SeqCst);
+        let phase = if out { Phase::Out } else { Phase::Up };
+        let done = report_once(address, &members::report(&address.to_string(), node, phase));
+        if let Err(e) = &done
+            && !failing
+        {
+            log!("members: report failed: {e}");
+        }
+        if done.is_ok() && failing {
+            log!("members: reports arrive again");
+        }
+        failing = done.is_err();
+        let rest = if failing { RETRY } else { PERIOD };
+        let until = Instant::now() + rest;
+        while Instant::now() < until && leaving.load(SeqCst) == out {
+            thread::sleep(Duration::from_millis(50).min(rest));
+        }
+    }
+}
+
+fn report_once(address: SocketAddr, bytes: &[u8]) -> io::Result<()> {
+    let mut stream = TcpStream::connect_timeout(&address, STEP)?;
+    stream.set_read_timeout(Some(STEP))?;
+    stream.set_write_timeout(Some(STEP))?;
+    stream.write_all(bytes)?;
+    let until = Instant::now() + STEP;
+    let (mut answer, mut buffer) = (members::Answer::default(), [0; 512]);
+    while Instant::now() < until {
+        let n = stream.read(&mut buffer)?;
+        if n == 0 {
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+        match answer.feed(&buffer[..n]) {
+            Ok(None) => {}
+            Ok(Some(204)) => return Ok(()),
+            Ok(Some(status)) => return Err(io::Error::other(format!("status {status}"))),
+            Err(members::Broken) => return Err(io::Error::other("an answer that is no HTTP")),
+        }
+    }
+    Err(ErrorKind::TimedOut.into())
+}
--- a/crates/node/src/fastcgi.rs
+++ b/crates/node/src/fastcgi.rs
@@ -8,6 +8,8 @@
 pub const BODY_MAX: usize = 2048;
 /// The most that a request's parameters may take.
 const PARAMS_MAX: usize = 4096;
+/// The most that a connection's unfinished requests may take together.
+const UNFINISHED_MAX: usize = 96 * 1024;
 /// The most that is kept of a record that is no stream.
 const SIDE_MAX: usize = 1024;
 const HEADER: usize = 8;
@@ -76,6 +78,11 @@
 }
 
 impl Reply {
+    /// Bytes in all.
+    pub fn size(&self) -> usize {
+        self.head.len() + self.body.len() + self.tail.len()
+    }
+
     /// The parts in their order.
     pub fn slices(&self) -> [IoSlice<'_>; 3] {
         [IoSlice::new(&self.head), IoSlice::new(&self.body), IoSlice::new(&self.tail)]
@@ -182,11 +189,6 @@
         }
     }
 
-    /// Whether a part of a record or request has come.
-    pub fn mid_request(&self) -> bool {
-        self.have > 0 || self.record.is_some() || !self.opening.is_empty()
-    }
-
     /// Takes the next bytes and hands on what they complete.
     pub fn feed(&mut self, mut bytes: &[u8], sink: &mut impl FnMut(Event)) -> Result<(), Broken> {
         loop {
@@ -238,13 +240,15 @@
             let n = bytes.len().min(SIDE_MAX - self.side.len());
             return self.side.extend_from_slice(&bytes[..n]);
         }
+        let unfinished: usize =
+            self.opening.iter().map(|o| o.request.params.len() + o.request.body.len()).sum();
         let Some(Opening { request, params_done }) = self.opening(record.id) else { return };
         let (stream, most) = match record.kind {
             PARAMS if *params_done => return,
             PARAMS => (&mut request.params, PARAMS_MAX),
             _ => (&mut request.body, BODY_MAX),
         };
-        let n = bytes.len().min(most - stream.len());
+        let n = bytes.len().min(most - stream.len()).min(UNFINISHED_MAX - unfinished);
         stream.extend_from_slice(&bytes[..n]);
         request.oversize |= n < bytes.len();
     }
@@ -327,3 +331,6 @@
         Ok(Reply { head, body, tail: Vec::new() })
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -37,6 +37,8 @@
     Posted { mark: u64, ok: bool },
     /// A command was not carried out.
     EInval { command: String, rid: String },
+    /// Something that ought not to come, and how often it did.
+    Odd(&'static str, u64),
 }
 
 /// The link can't be read on: it must be renewed.
@@ -67,10 +69,6 @@
     last: u64,
     /// Whether no numbered notice was read on this link.
     fresh: bool,
-    /// Lines that made no sense, notices that came twice, and notices that are gone for good.
-    pub odd: u64,
-    pub repeated: u64,
-    pub missed: u64,
 }
 
 impl Reader {
@@ -103,25 +101,27 @@
             return Err(Broken("line too long"));
         }
         let Ok(parsed) = serde_json::from_slice::<Line>(line) else {
-            self.odd += 1;
+            sink(Notice::Odd("kernel: lines that make no sense", 1));
             return Ok(());
         };
         if let Some(no) = parsed.no {
             if no <= self.last {
-                self.repeated += 1;
+                sink(Notice::Odd("kernel: notices that came twice", 1));
                 return Ok(());
             }
             let gap = no - self.last - 1;
             if gap > 0 && !self.fresh {
                 return Err(Broken("a notice is missing"));
             }
-            self.missed += gap;
+            if gap > 0 {
+                sink(Notice::Odd("kernel: notices that are gone", gap));
+            }
             (self.last, self.fresh) = (no, false);
         }
         match notice(parsed) {
             Some(Some(notice)) => sink(notice),
             Some(None) => {}
-            None => self.odd += 1,
+            None => sink(Notice::Odd("kernel: lines that make no sense", 1)),
         }
         Ok(())
     }
@@ -197,3 +197,6 @@
         line
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/kernel/tests.rs
@@ -0,0 +1,124 @@
+use super::*;
+use crate::support::{damaged, same_at_every_split};
+
+fn read(parts: &[&[u8]]) -> (Vec<Notice>, Result<(), Broken>) {
+    let (mut reader, mut notices) = (Reader::default(), Vec::new());
+    assert_eq!(reader.open(), 0);
+    let result = parts.iter().try_for_each(|part| reader.feed(part, &mut |notice| notices.push(notice)));
+    (notices, result)
+}
+
+fn feed(reader: &mut Reader, text: &str) -> (Vec<Notice>, Result<(), Broken>) {
+    let mut notices = Vec::new();
+    let result = reader.feed(text.as_bytes(), &mut |notice| notices.push(notice));
+    (notices, result)
+}
+
+const TALK: &str = concat!(
+    "{\"t\":\"BOOTED\",\"status\":\"COLD\",\"time_ms\":12.5}\n",
+    "{\"t\":\"IOREQ\",\"no\":1,\"rid\":\"9b1f03aa5c7e2d41\",\"b64\":\"AAH/\"}\n",
+    "{\"t\":\"DMESG\",\"no\":2,\"status\":\"a \\u0022remark\\u0022\"}\n",
+    "{\"t\":\"INFO\",\"mark\":\"7\",\"v\":[0.5,2,0.25,9]}\n",
+    "{\"t\":\"REAP\",\"no\":3,\"rid\":\"9b1f03aa5c7e2d41\",\"status\":\"OK\",\"time_ms\":31,\"b64\":\"b2s=\"}\n",
+    "{\"t\":\"EINVAL\",\"status\":\"SCHED\",\"rid\":\"00\"}\n",
+    "{\"t\":\"POSTED\",\"mark\":\"8\",\"status\":\"ERROR\"}\n",
+);
+
+#[test]
+fn notices_are_the_same_at_every_split() {
+    let rid = || "9b1f03aa5c7e2d41".to_owned();
+    let expected = vec![
+        Notice::Booted { cold: true, up_ms: 12.5 },
+        Notice::IoReq { no: 1, rid: rid(), body: vec![0, 1, 255] },
+        Notice::Info { mark: 7, values: vec![0.5, 2.0, 0.25, 9.0] },
+        Notice::Reap { rid: rid(), end: End::Ok, time_ms: 31.0, body: b"ok".to_vec() },
+        Notice::EInval { command: "SCHED".into(), rid: "00".into() },
+        Notice::Posted { mark: 8, ok: false },
+    ];
+    assert_eq!(read(&[TALK.as_bytes()]), (expected, Ok(())));
+    same_at_every_split(TALK.as_bytes(), read);
+}
+
+fn moot(no: u64) -> String {
+    format!("{{\"t\":\"REAP\",\"no\":{no},\"rid\":\"aa\",\"status\":\"MOOT\",\"time_ms\":0}}\n")
+}
+
+#[test]
+fn a_replay_after_a_break_is_taken_once_each() {
+    let mut reader = Reader::default();
+    reader.open();
+    let (first, _) = feed(&mut reader, &(moot(1) + &moot(2) + &moot(3)[..20])); // cut in the middle of a line
+    assert_eq!((first.len(), reader.open()), (2, 2));
+    let (second, _) = feed(&mut reader, &(moot(2) + &moot(3)));
+    assert_eq!(second.len(), 2);
+    assert_eq!(second[0], Notice::Odd("kernel: notices that came twice", 1));
+    assert_eq!(reader.open(), 3); // and again, in the middle of the replay
+    assert_eq!(feed(&mut reader, &moot(4)).0.len(), 1);
+}
+
+#[test]
+fn a_missing_notice_renews_the_link_unless_it_is_gone_for_good() {
+    let mut reader = Reader::default();
+    reader.open();
+    feed(&mut reader, &moot(1)).1.unwrap();
+    assert!(feed(&mut reader, &moot(3)).1.is_err());
+    assert_eq!(reader.open(), 1);
+    let (notices, result) = feed(&mut reader, &moot(3));
+    assert_eq!(
+        (&notices[0], notices.len(), result),
+        (&Notice::Odd("kernel: notices that are gone", 1), 2, Ok(()))
+    );
+}
+
+#[test]
+fn what_makes_no_sense_is_told_and_passed_over() {
+    for line in [
+        "{\"t\":\"REAP\",\"no\":1,\"rid\":\"aa\",\"status\":\"OK\",\"b64\":\"%%%\"}\n",
+        "{\"t\":\"REAP\",\"no\":1,\"rid\":\"aa\",\"status\":\"LATER\"}\n",
+        "{\"t\":\"IOREQ\",\"no\":1,\"b64\":\"\"}\n",
+        "{\"t\":\"SONG\"}\n",
+        "{broken\n",
+        "[1,2]\n",
+        "\u{fffd}\n",
+    ] {
+        let (notices, result) = read(&[line.as_bytes()]);
+        assert_eq!(
+            (notices, result),
+            (vec![Notice::Odd("kernel: lines that make no sense", 1)], Ok(())),
+            "{line}"
+        );
+    }
+}
+
+#[test]
+fn an_overlong_line_breaks_the_link() {
+    for line in [vec![b'x'; LINE_MAX + 1], [vec![b'x'; LINE_MAX + 1], b"\n".to_vec()].concat()] {
+        assert_eq!(read(&[&line[..]]).1, Err(Broken("line too long")));
+    }
+}
+
+#[test]
+fn damage_ends_in_notices_or_an_error() {
+    let count = |notices: &[Notice]| notices.iter().filter(|n| matches!(n, Notice::Odd(..))).count();
+    let odd: usize = damaged(TALK.as_bytes()).map(|bytes| count(&read(&[&bytes[..]]).0)).sum();
+    assert!(odd > 100, "{odd}");
+}
+
+#[test]
+fn commands_are_lines_of_json() {
+    let rid = "9b1f03aa5c7e2d41";
+    for (command, line) in [
+        (Command::Open(3), r#"{"t":"OPEN","no":3}"#),
+        (
+            Command::Sched { rid, route: "a\"b", body: &[0, 1, 255] },
+            r#"{"t":"SCHED","rid":"9b1f03aa5c7e2d41","route":"a\"b","b64":"AAH/"}"#,
+        ),
+        (Command::Preempt(rid), r#"{"t":"PREEMPT","rid":"9b1f03aa5c7e2d41"}"#),
+        (Command::IoDone { rid, body: b"ok" }, r#"{"t":"IODONE","rid":"9b1f03aa5c7e2d41","b64":"b2s="}"#),
+        (Command::NoIo { rid, no: 4 }, r#"{"t":"NOIO","rid":"9b1f03aa5c7e2d41","no":4}"#),
+        (Command::SysInfo(5), r#"{"t":"SYSINFO","mark":"5"}"#),
+        (Command::Post(6), r#"{"t":"POST","mark":"6"}"#),
+    ] {
+        assert_eq!(command.line(), format!("{line}\n"));
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,23 @@
+//! A madderpoint node: dispatchers, the kernel, the back end and the membership service on real sockets,
+//! round the decisions of [`madderpoint::choice`].
+//!
+//! [`fastcgi`], [`kernel`], [`backend`] and [`members`] are protocols: fed bytes, they know no socket, clock
+//! or thread. [`core`] is the node without its I/O. [`driver`] has the sockets and threads.
+
+#![forbid(unsafe_code)]
+
+pub mod backend;
+pub mod config;
+pub mod core;
+mod desk;
+pub mod driver;
+pub mod fastcgi;
+mod kept;
+pub mod kernel;
+mod log;
+pub mod members;
+pub mod request;
+
+#[cfg(test)]
+#[path = "../tests/support/mod.rs"]
+mod support;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,20 +1,8 @@
-//! A madderpoint node: dispatchers, the kernel, the back end and the membership service on real sockets,
-//! round the decisions of [`madderpoint::choice`].
+//! Starts a node from the file that `PROXY_CONFIG` names, and hands it the notice to leave.
 
 #![forbid(unsafe_code)]
 
-mod backend;
-mod config;
-mod core;
-mod desk;
-mod driver;
-mod fastcgi;
-mod kept;
-mod kernel;
-mod log;
-mod members;
-mod request;
-
+use madderpoint_node::{config, driver};
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 use std::path::PathBuf;
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,135 @@
+//! What the tests share: settings, FastCGI as a dispatcher speaks it, splits and damage.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::fmt::Debug;
+
+/// Settings of a small node: a read, a tokened and a non-idempotent operation, all of which call below.
+pub const SETTINGS: &str = r#"{"Extra": {"Advert": "weight", "Below": "tier", "Cores": 1, "Halt": "discard",
+    "Gauges": ["cpu_busy", "mem_used"], "MemLimitKb": 90000.0, "RunFactor": 4.0, "Idle": 15.0, "Fresh": 0.0,
+    "ClientsTotal": 2, "KeyKb": 1.0, "DegradedWorth": [0.5, 0.0, 0.0]},
+    "Rules": {"TipMultiple": 5.0, "StopSendingWithin": 0.5}, "Servers": 2,
+    "Services": [{"Name": "read", "Aim": 1.0, "Deadline": 3.0, "Effect": "read_like", "Points": 1.0},
+        {"Name": "book", "Aim": 1.0, "Deadline": 3.0, "Effect": "idempotency_key", "DedupWindow": 5.0, "Points": 1.0},
+        {"Name": "pay", "Aim": 1.0, "Deadline": 3.0, "Effect": "non_idempotent", "Points": 1.0}],
+    "Tenants": [{"Name": "acme", "QuotaRps": 50.0}]}"#;
+
+pub const BEGIN: u8 = 1;
+pub const ABORT: u8 = 2;
+pub const PARAMS: u8 = 4;
+pub const STDIN: u8 = 5;
+pub const GET_VALUES: u8 = 9;
+
+/// One FastCGI record, padded.
+pub fn record(kind: u8, id: u16, content: &[u8], padding: u8) -> Vec<u8> {
+    let ([i1, i0], [l1, l0]) = (id.to_be_bytes(), (content.len() as u16).to_be_bytes());
+    let pad = vec![0xee; usize::from(padding)];
+    [&[1, kind, i1, i0, l1, l0, padding, 0], content, &pad].concat()
+}
+
+pub fn begin(id: u16, role: u8, keep_conn: bool) -> Vec<u8> {
+    record(BEGIN, id, &[0, role, u8::from(keep_conn), 0, 0, 0, 0, 0], 0)
+}
+
+/// Name-value pairs; long values get the four-byte length.
+pub fn pairs(pairs: &[(&str, &str)]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for (name, value) in pairs {
+        bytes.push(name.len() as u8);
+        match value.len() {
+            n if n < 128 => bytes.push(n as u8),
+            n => bytes.extend_from_slice(&(n as u32 | 1 << 31).to_be_bytes()),
+        }
+        bytes.extend_from_slice(name.as_bytes());
+        bytes.extend_from_slice(value.as_bytes());
+    }
+    bytes
+}
+
+/// A whole request; params and body each in one record.
+pub fn request(id: u16, params: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let params = [record(PARAMS, id, &pairs(params), 3), record(PARAMS, id, &[], 0)].concat();
+    let stdin = if body.is_empty() { Vec::new() } else { record(STDIN, id, body, 5) };
+    [begin(id, 1, true), params, stdin, record(STDIN, id, &[], 0)].concat()
+}
+
+/// The parameters of an invocation that came `arrived_ms` after the epoch.
+pub fn call<'a>(path: &'a str, rid: &'a str, arrived_ms: &'a str) -> Vec<(&'a str, &'a str)> {
+    vec![
+        ("REQUEST_METHOD", "POST"),
+        ("SCRIPT_NAME", path),
+        ("HTTP_X_CORRELATION_ID", rid),
+        ("HTTP_X_ARRIVED_MS", arrived_ms),
+        ("HTTP_X_UPSTREAM_PEER", "1"),
+        ("HTTP_X_ORG", "acme"),
+        ("HTTP_X_ESTIMATE_MS", "12.50"),
+        ("HTTP_X_NEED_KB", "24.5"),
+    ]
+}
+
+/// An answer as a dispatcher reads it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    pub id: u16,
+    pub status: String,
+    pub fields: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+    pub protocol_status: u8,
+}
+
+/// Takes the whole records from the front of the bytes, and gives the answers that END_REQUEST completes.
+pub fn answers(bytes: &mut Vec<u8>, open: &mut BTreeMap<u16, Vec<u8>>) -> Vec<Answer> {
+    let mut done = Vec::new();
+    while bytes.len() >= 8 {
+        let (kind, id) = (bytes[1], u16::from_be_bytes([bytes[2], bytes[3]]));
+        let len = usize::from(u16::from_be_bytes([bytes[4], bytes[5]]));
+        let whole = 8 + len + usize::from(bytes[6]);
+        if bytes.len() < whole {
+            break;
+        }
+        let content: Vec<u8> = bytes.drain(..whole).skip(8).take(len).collect();
+        match kind {
+            6 => open.entry(id).or_default().extend(content),
+            3 => done.push(answer(id, open.remove(&id).unwrap_or_default(), content[4])),
+            _ => {}
+        }
+    }
+    done
+}
+
+fn answer(id: u16, stdout: Vec<u8>, protocol_status: u8) -> Answer {
+    let end = stdout.windows(4).position(|w| w == b"\r\n\r\n");
+    let Some(end) = end else { return Answer { id, protocol_status, ..Answer::default() } };
+    let head = String::from_utf8_lossy(&stdout[..end]);
+    let pairs = head.lines().filter_map(|line| line.split_once(": "));
+    let mut fields: BTreeMap<_, _> = pairs.map(|(n, v)| (n.to_owned(), v.to_owned())).collect();
+    let status = fields.remove("Status").unwrap_or_default();
+    Answer { id, status, fields, body: stdout[end + 4..].to_vec(), protocol_status }
+}
+
+/// Checks that a reader finds the same however the bytes are split: in two at any place, and byte by byte.
+pub fn same_at_every_split<T: PartialEq + Debug>(bytes: &[u8], read: impl Fn(&[&[u8]]) -> T) {
+    let whole = read(&[bytes]);
+    for at in 0..=bytes.len() {
+        assert_eq!(read(&[&bytes[..at], &bytes[at..]]), whole, "split at {at}");
+    }
+    assert_eq!(read(&bytes.chunks(1).collect::<Vec<_>>()), whole, "byte by byte");
+}
+
+/// The bytes, damaged in a thousand ways that are the same in every run.
+pub fn damaged(bytes: &[u8]) -> impl Iterator<Item = Vec<u8>> {
+    let mut state = 11u64;
+    (0..1000).map(move |_| {
+        let mut bytes = bytes.to_vec();
+        for _ in 0..3 {
+            state = state.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            let at = (state >> 33) as usize % bytes.len();
+            match state >> 20 & 3 {
+                0 => drop(bytes.remove(at)),
+                1 => bytes.insert(at, (state >> 24) as u8),
+                _ => bytes[at] = (state >> 24) as u8,
+            }
+        }
+        bytes
+    })
+}
