--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -154,7 +154,7 @@
             }
             Timer::AskGauges => self.desk.borrow_mut().ask_gauges(),
             Timer::CheckLimit(mark) => self.desk.borrow_mut().checked(mark, false),
-            Timer::Idle(conn) => self.desk.borrow_mut().close_if_idle(conn),
+            Timer::Idle(conn, due) => self.desk.borrow_mut().close_if_idle(conn, due),
             Timer::Leave => self.desk.borrow_mut().leave(),
             Timer::Count => self.desk.borrow_mut().log_counts(),
         }
@@ -315,24 +315,17 @@
     }
 
     fn booted(&mut self, now: Nanos, cold: bool, up_ms: f64) {
-        if self.choice.is_none() {
+        // A node that was to leave before its kernel came up takes nothing up.
+        if self.choice.is_none() && !self.desk.borrow().is_leaving() {
             let mut site = self.start.premises.clone();
             site.cold = cold;
             let born = now.saturating_sub((up_ms * 1e6) as Nanos);
             let hands = Hands(Rc::clone(&self.desk));
-            let mut choice = Choice::new(born, hands, site, self.seed);
-            if let Some(left) = self.time_left() {
-                choice.drain(now, left);
-            }
-            self.choice = Some(choice);
+            self.choice = Some(Choice::new(born, hands, site, self.seed));
         }
         self.desk.borrow_mut().booted(cold, up_ms);
     }
 
-    fn time_left(&self) -> Option<Nanos> {
-        self.desk.borrow().time_left()
-    }
-
     fn ended(&mut self, now: Nanos, id: InvId, ending: Ending, latency: Nanos) {
         if let Some(choice) = &mut self.choice {
             choice.ended(now, id, ending, latency);
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -1,1 +1,656 @@
+//! The core against a recorder in place of the sockets. Each test plays one thing that went or could go wrong.
 
+use super::*;
+use crate::backend::Outcome;
+use crate::support::{self, Answer};
+use madderpoint::Host;
+use std::collections::BTreeMap;
+
+const MS: Nanos = 1_000_000;
+const A: &str = "00000000000000aa";
+const B: &str = "00000000000000bb";
+
+#[derive(Default)]
+struct Recorder {
+    written: Vec<u8>,
+    closed: Vec<ConnId>,
+    kernel: Vec<String>,
+    /// The mark of the last question for gauges.
+    asked: Option<u64>,
+    calls: Vec<(usize, CallNo, InvId, String)>,
+    cancelled: Vec<(usize, String)>,
+    no_room_below: bool,
+    stopped: bool,
+}
+
+impl Outward for Recorder {
+    fn reply(&mut self, _: ConnId, reply: Reply) {
+        reply.slices().iter().for_each(|s| self.written.extend_from_slice(s));
+    }
+    fn close(&mut self, conn: ConnId) {
+        self.closed.push(conn);
+    }
+    fn kernel(&mut self, line: String) {
+        match line.strip_prefix(r#"{"t":"SYSINFO","mark":""#) {
+            Some(rest) => self.asked = rest.split('"').next().map(|mark| mark.parse().unwrap()),
+            None => self.kernel.push(line.trim_end().to_owned()),
+        }
+    }
+    fn call(&mut self, place: usize, call: CallNo, id: InvId, bytes: Vec<u8>) -> bool {
+        self.calls.push((place, call, id, String::from_utf8(bytes).unwrap()));
+        !self.no_room_below
+    }
+    fn cancel(&mut self, place: usize, bytes: Vec<u8>) {
+        self.cancelled.push((place, String::from_utf8(bytes).unwrap()));
+    }
+    fn leaving(&mut self) {}
+    fn stop_listening(&mut self) {
+        self.stopped = true;
+    }
+    fn log(&mut self, _: fmt::Arguments<'_>) {}
+}
+
+/// A node whose clock the test turns. The node's time is also the Unix time.
+struct Node {
+    core: Core<Recorder>,
+    /// The connection in use; another one is made when it was closed.
+    conn: ConnId,
+    now: Nanos,
+}
+
+impl Node {
+    /// A node whose kernel is not up.
+    fn waiting(settings: &str) -> Node {
+        let start = madderpoint_facts::decode(settings.as_bytes()).unwrap();
+        let core = Core::new(Recorder::default(), start, 7, 3000 * MS, true);
+        let mut node = Node { core, conn: ConnId(1), now: 1000 * MS };
+        node.event(Event::Connected(ConnId(1)));
+        node.event(Event::KernelLinked(0));
+        node
+    }
+
+    fn with(settings: &str) -> Node {
+        let mut node = Node::waiting(settings);
+        node.boot();
+        node.kernel_lines();
+        node
+    }
+
+    fn new() -> Node {
+        Node::with(support::SETTINGS)
+    }
+
+    fn boot(&mut self) {
+        self.event(Event::Kernel(Notice::Booted { cold: false, up_ms: 0.0 }));
+        self.info();
+    }
+
+    /// The kernel answers the last question for gauges.
+    fn info(&mut self) {
+        let mark = self.core.out(|out| out.asked).unwrap();
+        self.event(Event::Kernel(Notice::Info { mark, values: vec![0.5, 0.1] }));
+    }
+
+    fn event(&mut self, event: Event) {
+        let moment = Moment { now: self.now, unix_ms: self.now / MS };
+        self.core.handle(moment, event);
+    }
+
+    fn wait(&mut self, ms: u64) {
+        let until = self.now + ms * MS;
+        while let Some(due) = self.core.next_timer().filter(|&due| due <= until) {
+            self.now = due;
+            self.core.fire(due);
+        }
+        self.now = until;
+        self.core.fire(until);
+    }
+
+    fn send(&mut self, id: u16, params: &[(&str, &str)], body: &[u8]) {
+        let conn = self.conn;
+        if self.core.out(|out| out.closed.contains(&conn)) {
+            self.conn.0 += 100;
+            self.event(Event::Connected(self.conn));
+        }
+        let (params, body) = (support::pairs(params), body.to_vec());
+        let request = fastcgi::Request { id, keep_conn: true, params, body, oversize: false };
+        self.event(Event::Front(self.conn, fastcgi::Event::Request(request)));
+    }
+
+    fn ask(&mut self, id: u16, path: &str, rid: &str) {
+        let arrived = (self.now / MS).to_string();
+        self.send(id, &support::call(path, rid, &arrived), b"body");
+    }
+
+    fn reap(&mut self, rid: &str, end: End, body: &[u8]) {
+        self.event(Event::Kernel(Notice::Reap { rid: rid.into(), end, time_ms: 5.0, body: body.to_vec() }));
+    }
+
+    fn call_wanted(&mut self, rid: &str, no: u64) {
+        self.event(Event::Kernel(Notice::IoReq { no, rid: rid.into(), body: b"call".to_vec() }));
+    }
+
+    fn reply(&mut self, place: usize, rid: &str, outcome: Outcome) {
+        self.event(Event::Reply(place, backend::Reply { id: rid.into(), outcome, body: b"reply".to_vec() }));
+    }
+
+    fn last_call(&mut self) -> (usize, CallNo, InvId, String) {
+        self.core.out(|out| out.calls.last().cloned()).unwrap()
+    }
+
+    fn calls(&mut self) -> usize {
+        self.core.out(|out| out.calls.len())
+    }
+
+    fn answers(&mut self) -> Vec<Answer> {
+        self.core.out(|out| support::answers(&mut out.written, &mut BTreeMap::new()))
+    }
+
+    fn statuses(&mut self) -> Vec<(u16, String)> {
+        self.answers().into_iter().map(|a| (a.id, a.status)).collect()
+    }
+
+    /// What the kernel was told, but for questions for gauges.
+    fn kernel_lines(&mut self) -> Vec<String> {
+        self.core.out(|out| std::mem::take(&mut out.kernel))
+    }
+
+    fn break_link(&mut self) {
+        self.event(Event::KernelLost);
+    }
+
+    /// A new link, up to where the kernel sends what was missed.
+    fn relink(&mut self, last: u64) {
+        self.event(Event::KernelLinked(last));
+        assert_eq!(self.kernel_lines(), [format!(r#"{{"t":"OPEN","no":{last}}}"#)]);
+        self.event(Event::Kernel(Notice::Booted { cold: false, up_ms: 100.0 }));
+    }
+
+    fn counted(&self, what: &str) -> u64 {
+        self.core.desk.borrow().counted(what)
+    }
+}
+
+fn sched(rid: &str, route: &str) -> String {
+    format!(r#"{{"t":"SCHED","rid":"{rid}","route":"{route}","b64":"Ym9keQ=="}}"#)
+}
+
+// ---- Dispatchers ----
+
+#[test]
+fn an_invocation_gets_the_kernels_bytes_once() {
+    let mut node = Node::new();
+    node.ask(9, "/call/read", A);
+    assert_eq!(node.kernel_lines(), [sched(A, "read")]);
+    node.reap(A, End::Ok, b"\0\xffresult");
+    node.reap(A, End::Ok, b"again");
+    let answers = node.answers();
+    assert_eq!(answers.len(), 1);
+    assert_eq!(
+        (answers[0].id, &answers[0].status[..], &answers[0].body[..]),
+        (9, "200", &b"\0\xffresult"[..])
+    );
+    assert_eq!(node.counted("kernel: ends of what does not run"), 1);
+}
+
+#[test]
+fn a_failed_run_is_an_error_and_a_late_arrival_is_throttled_for_good() {
+    let mut node = Node::new();
+    node.ask(1, "/call/read", A);
+    node.reap(A, End::Error, b"");
+    node.wait(5000);
+    node.send(2, &support::call("/call/read", B, "1000"), b"");
+    let answers = node.answers();
+    assert_eq!((&answers[0].status[..], &answers[1].status[..]), ("500", "429"));
+    assert_eq!(answers[1].fields["X-Stop-Trying"], "1");
+    assert!(answers[1].fields.contains_key("X-Backend-Says"));
+    assert_eq!(node.kernel_lines().len(), 1);
+}
+
+#[test]
+fn an_arrival_from_the_future_counts_from_now() {
+    let mut node = Node::new();
+    node.send(1, &support::call("/call/read", A, "99999999"), b"body");
+    node.wait(2900);
+    assert_eq!(node.statuses(), []);
+    node.wait(100);
+    assert_eq!(node.statuses(), [(1, "500".into())]);
+}
+
+#[test]
+fn what_cannot_be_read_gets_one_proper_answer() {
+    let mut node = Node::new();
+    let good = support::call("/call/read", A, "1000");
+    let but = |name: &'static str, value: Option<&'static str>| {
+        let mut params: Vec<_> = good.iter().copied().filter(|(n, _)| *n != name).collect();
+        params.extend(value.map(|v| (name, v)));
+        params
+    };
+    let cases = [
+        (but("SCRIPT_NAME", Some("/call/dance")), "404"),
+        (but("SCRIPT_NAME", Some("/else")), "404"),
+        (but("SCRIPT_NAME", None), "400"),
+        (but("REQUEST_METHOD", Some("GET")), "405"),
+        (but("HTTP_X_CORRELATION_ID", Some("aa")), "400"),
+        (but("HTTP_X_ARRIVED_MS", Some("-5")), "400"),
+        (but("HTTP_X_ARRIVED_MS", None), "400"),
+        (but("HTTP_X_UPSTREAM_PEER", Some("70000")), "400"),
+        (but("HTTP_X_ESTIMATE_MS", Some("NaN")), "400"),
+        (but("HTTP_X_NEED_KB", Some("2000")), "400"),
+        (but("HTTP_X_NEED_KB", Some("0")), "400"),
+        (but("HTTP_X_NEED_KB", None), "400"),
+        (but("HTTP_X_SUBJECT", Some("xyz")), "400"),
+    ];
+    for (i, (params, status)) in cases.iter().enumerate() {
+        node.send(i as u16, params, b"");
+        assert_eq!(node.statuses(), [(i as u16, status.to_string())], "{params:?}");
+    }
+    assert_eq!(node.kernel_lines().len(), 0);
+    // Without hints, and for a tenant that nobody knows, it is served.
+    let mut params = but("HTTP_X_ESTIMATE_MS", None);
+    params.retain(|(n, _)| *n != "HTTP_X_ORG");
+    params.push(("HTTP_X_ORG", "nobody"));
+    node.send(50, &params, b"body");
+    assert_eq!(node.kernel_lines(), [sched(A, "read")]);
+    // Its id may not be used beside it.
+    node.ask(51, "/call/read", A);
+    assert_eq!(node.statuses(), [(51, "409".into())]);
+}
+
+#[test]
+fn more_than_may_be_open_is_turned_away_unseen() {
+    let mut node = Node::with(&support::SETTINGS.replace("\"Cores\": 1", "\"Cores\": 12"));
+    for id in 0..=fastcgi::MAX_OPEN as u16 {
+        node.ask(id, "/call/read", &format!("{id:016x}"));
+    }
+    let answers = node.answers();
+    let unseen = |a: &Answer| a.protocol_status == ProtocolStatus::Overloaded as u8;
+    assert!(answers.iter().all(|a| unseen(a) == (a.id == fastcgi::MAX_OPEN as u16)), "{answers:?}");
+}
+
+#[test]
+fn a_caller_that_left_is_owed_nothing() {
+    let mut node = Node::new();
+    node.ask(1, "/call/read", A);
+    node.ask(2, "/call/read", B); // held: one core
+    node.kernel_lines();
+    node.event(Event::Front(ConnId(1), fastcgi::Event::Abort(2)));
+    node.event(Event::Front(ConnId(1), fastcgi::Event::Abort(1)));
+    assert_eq!(node.kernel_lines(), [format!(r#"{{"t":"PREEMPT","rid":"{A}"}}"#)]);
+    node.reap(A, End::Stopped, b"");
+    let ends = node.answers();
+    assert!(ends.len() == 2 && ends.iter().all(|a| a.status.is_empty()), "{ends:?}");
+    // Both ids may be used again, on the connection and at the kernel.
+    node.ask(1, "/call/read", B);
+    assert_eq!(node.kernel_lines(), [sched(B, "read")]);
+    node.event(Event::Disconnected(ConnId(1)));
+    assert_eq!(node.kernel_lines(), [format!(r#"{{"t":"PREEMPT","rid":"{B}"}}"#)]);
+}
+
+#[test]
+fn a_halt_that_crosses_an_end_leaves_nothing_behind() {
+    let mut node = Node::new();
+    node.ask(1, "/call/read", A);
+    node.event(Event::Front(ConnId(1), fastcgi::Event::Abort(1)));
+    node.reap(A, End::Ok, b"late");
+    assert!(node.answers().iter().all(|a| a.status.is_empty()));
+    node.kernel_lines();
+    node.ask(2, "/call/read", B);
+    assert_eq!(node.kernel_lines(), [sched(B, "read")]);
+}
+
+#[test]
+fn connections_close_when_idle_and_only_then() {
+    let mut node = Node::new();
+    node.event(Event::Connected(ConnId(2)));
+    node.ask(1, "/call/read", A);
+    node.core.desk.borrow_mut().close_idle(30 * MS);
+    node.wait(40);
+    assert_eq!(node.core.out(|out| out.closed.clone()), [ConnId(2)]);
+    node.reap(A, End::Ok, b"");
+    node.wait(20);
+    assert_eq!(node.core.out(|out| out.closed.len()), 1);
+    node.wait(20);
+    assert_eq!(node.core.out(|out| out.closed.clone()), [ConnId(2), ConnId(1)]);
+    // What crosses the close was never read.
+    let (keep_conn, params) = (true, support::pairs(&support::call("/call/read", B, "1000")));
+    let request = fastcgi::Request { id: 2, keep_conn, params, body: Vec::new(), oversize: false };
+    node.event(Event::Front(ConnId(1), fastcgi::Event::Request(request)));
+    assert_eq!((node.kernel_lines().len(), node.statuses().len()), (1, 1));
+}
+
+#[test]
+fn room_is_made_by_closing_what_is_idle_for_longest() {
+    let mut node = Node::new();
+    node.wait(10);
+    node.event(Event::Connected(ConnId(2)));
+    node.ask(1, "/call/read", A);
+    node.event(Event::Crowded);
+    node.event(Event::Crowded); // connection 1 has something open
+    assert_eq!(node.core.out(|out| out.closed.clone()), [ConnId(2)]);
+}
+
+// ---- Health and gauges ----
+
+#[test]
+fn checks_are_answered_from_store_or_by_work_and_never_wait_for_long() {
+    let deep = [("SCRIPT_NAME", "/ping"), ("QUERY_STRING", "x=2&e2e=1")];
+    let mut node = Node::waiting(support::SETTINGS);
+    node.send(1, &deep, b"");
+    assert_eq!(node.statuses(), [(1, "503".into())]);
+    node.boot();
+    node.send(2, &deep, b"");
+    assert_eq!(node.statuses(), [(2, "200".into())]);
+    Hands(Rc::clone(&node.core.desk)).health(true, false);
+    node.kernel_lines();
+    for (id, ok, status) in [(3, true, "200"), (4, false, "503")] {
+        node.send(id, &deep, b"");
+        let post = node.kernel_lines().pop().unwrap();
+        let mark = post.split('"').nth(7).unwrap().parse().unwrap();
+        node.event(Event::Kernel(Notice::Posted { mark, ok }));
+        assert_eq!(node.statuses(), [(id, status.into())]);
+    }
+    node.send(5, &deep, b"");
+    node.wait(2000);
+    assert_eq!(node.statuses(), [(5, "503".into())]);
+    node.break_link();
+    node.send(6, &deep, b"");
+    assert_eq!(node.statuses(), [(6, "503".into())]);
+}
+
+#[test]
+fn alarms_get_fresh_gauges_and_wait_for_none() {
+    let mut node = Node::new();
+    node.core.out(|out| out.asked = None);
+    node.wait(480); // shortly before the first alarm
+    node.info();
+    assert_eq!(node.core.desk.borrow().gauges().cpu_busy, Some(0.5));
+    node.wait(101);
+    assert_eq!(node.core.desk.borrow().gauges().cpu_busy, None);
+    let due = node.core.next_timer().unwrap();
+    node.wait(1000); // the kernel says nothing
+    assert!(node.core.next_timer().unwrap() > due + 500 * MS);
+}
+
+// ---- The kernel's link ----
+
+#[test]
+fn nothing_is_read_before_the_kernel_is_up() {
+    let mut node = Node::waiting(support::SETTINGS);
+    node.ask(1, "/call/read", A);
+    assert_eq!(node.statuses(), [(1, "503".into())]);
+    node.boot();
+    node.ask(1, "/call/read", A);
+    assert_eq!(node.kernel_lines()[1..], [sched(A, "read")]);
+}
+
+#[test]
+fn a_run_that_ended_without_a_link_is_answered_and_not_run_again() {
+    let mut node = Node::new();
+    node.ask(1, "/call/pay", A);
+    node.kernel_lines();
+    node.break_link();
+    node.relink(0);
+    node.reap(A, End::Ok, b"paid");
+    node.info();
+    assert_eq!(node.kernel_lines(), [""; 0]);
+    assert_eq!(node.statuses(), [(1, "200".into())]);
+}
+
+#[test]
+fn commands_wait_until_the_link_is_in_step() {
+    let mut node = Node::new();
+    node.break_link();
+    node.ask(1, "/call/pay", A);
+    assert_eq!(node.kernel_lines(), [""; 0]);
+    node.relink(4);
+    assert_eq!(node.kernel_lines(), [""; 0]);
+    node.break_link(); // once more, in the middle of the replay
+    node.relink(4);
+    node.info();
+    assert_eq!(node.kernel_lines(), [sched(A, "pay")]);
+}
+
+#[test]
+fn only_what_may_run_twice_is_sent_again() {
+    let mut node = Node::with(&support::SETTINGS.replace("\"Cores\": 1", "\"Cores\": 3"));
+    node.ask(1, "/call/read", A);
+    node.ask(2, "/call/pay", B);
+    assert_eq!(node.kernel_lines().len(), 2);
+    node.break_link();
+    node.relink(0);
+    node.info();
+    assert_eq!(node.kernel_lines(), [sched(A, "read")]);
+    assert_eq!(node.counted("runs in doubt after a broken link"), 1);
+    // Gauges that came back show that the commands before them arrived: then nothing is in doubt.
+    node.wait(480);
+    node.info();
+    node.break_link();
+    node.relink(0);
+    node.info();
+    assert_eq!(node.kernel_lines(), [""; 0]);
+    node.wait(3000);
+    assert_eq!(node.statuses().len(), 2);
+}
+
+#[test]
+fn a_reply_that_found_no_link_is_handed_over_later() {
+    let mut node = Node::new();
+    node.ask(1, "/call/read", A);
+    node.call_wanted(A, 1);
+    node.break_link();
+    node.reply(0, A, Outcome::Ok);
+    node.kernel_lines();
+    node.relink(1);
+    node.info();
+    let done = format!(r#"{{"t":"IODONE","rid":"{A}","b64":"cmVwbHk="}}"#);
+    assert_eq!(node.kernel_lines(), [done.clone()]);
+    node.break_link(); // it may not have arrived
+    node.relink(1);
+    node.info();
+    assert_eq!(node.kernel_lines(), [done]);
+    node.break_link();
+    node.relink(1);
+    node.call_wanted(A, 2); // it had: the run came to its next call
+    node.info();
+    assert_eq!((node.kernel_lines(), node.calls()), (vec![], 2));
+}
+
+#[test]
+fn a_run_stopped_before_the_kernel_heard_of_it_is_over() {
+    let mut node = Node::new();
+    node.break_link();
+    node.ask(1, "/call/pay", A);
+    node.event(Event::Front(ConnId(1), fastcgi::Event::Abort(1)));
+    node.relink(0);
+    node.info();
+    assert_eq!(node.kernel_lines(), [""; 0]);
+    node.ask(2, "/call/pay", B); // its place is free
+    assert_eq!(node.kernel_lines(), [sched(B, "pay")]);
+}
+
+#[test]
+fn a_run_that_the_kernel_does_not_take_errs() {
+    let mut node = Node::new();
+    node.ask(1, "/call/read", A);
+    node.event(Event::Kernel(Notice::EInval { command: "SCHED".into(), rid: A.into() }));
+    node.event(Event::Kernel(Notice::EInval { command: "NOIO".into(), rid: "zz".into() }));
+    assert_eq!(node.statuses(), [(1, "500".into())]);
+    assert_eq!(node.counted("kernel: commands not carried out"), 2);
+}
+
+// ---- Calls below ----
+
+#[test]
+fn a_call_goes_out_whole_and_its_reply_comes_back_unchanged() {
+    let mut node = Node::new();
+    node.ask(1, "/call/read", A);
+    node.call_wanted(A, 1);
+    let (_, _, _, bytes) = node.last_call();
+    assert!(bytes.starts_with(&format!("invoke {A} ")) && bytes.ends_with(" 4\r\ncall\r\n"), "{bytes}");
+    node.kernel_lines();
+    node.reply(0, A, Outcome::Ok);
+    assert_eq!(node.kernel_lines(), [format!(r#"{{"t":"IODONE","rid":"{A}","b64":"cmVwbHk="}}"#)]);
+}
+
+#[test]
+fn a_late_reply_is_not_taken_for_a_newer_calls() {
+    let mut node = Node::new();
+    node.ask(1, "/call/read", A);
+    node.call_wanted(A, 1);
+    node.wait(1);
+    node.reply(0, A, Outcome::Ok); // shows how long calls take
+    node.call_wanted(A, 2);
+    node.kernel_lines();
+    let (first, ..) = node.last_call();
+    node.wait(20); // far longer: it is given up and made again
+    assert_eq!(node.core.out(|out| out.cancelled.clone()), [(first, format!("cancel {A}\r\n"))]);
+    assert_eq!(node.calls(), 3);
+    let (second, ..) = node.last_call();
+    assert_ne!(first, second);
+    node.reply(first, A, Outcome::Ok);
+    assert_eq!(node.kernel_lines(), [""; 0]);
+    node.reply(second, A, Outcome::Ok);
+    assert_eq!(node.kernel_lines().len(), 1);
+}
+
+#[test]
+fn what_may_have_run_below_is_not_called_again() {
+    let link = |generation| BackendLink { place: 0, generation };
+    for (path, written, again) in [("/call/read", true, 2), ("/call/pay", true, 1), ("/call/pay", false, 2)] {
+        let mut node = Node::new();
+        node.ask(1, path, A);
+        node.call_wanted(A, 1);
+        let (_, no, id, _) = node.last_call();
+        if written {
+            node.event(Event::CallWritten(no, id, link(1)));
+            node.event(Event::BackendLost(link(1)));
+        } else {
+            node.event(Event::BackendLost(link(1))); // another call's connection
+            node.event(Event::CallUnsent(no, id));
+        }
+        assert_eq!(node.calls(), again, "{path} {written}");
+        assert_eq!(node.statuses().len(), 2 - again, "{path} {written}");
+    }
+}
+
+#[test]
+fn a_connection_that_ended_before_word_of_its_call_came_counts() {
+    let mut node = Node::new();
+    node.ask(1, "/call/pay", A);
+    node.call_wanted(A, 1);
+    let (_, no, id, _) = node.last_call();
+    let link = BackendLink { place: 0, generation: 1 };
+    node.event(Event::BackendLost(link));
+    assert_eq!(node.statuses(), []);
+    node.event(Event::CallWritten(no, id, link));
+    assert_eq!(node.statuses(), [(1, "500".into())]);
+}
+
+#[test]
+fn replies_judge_what_ran() {
+    for (outcome, again) in [
+        (Outcome::Overload, true),
+        (Outcome::Stale, true),
+        (Outcome::Internal, false),
+        (Outcome::Deadline, false),
+    ] {
+        let mut node = Node::new();
+        node.ask(1, "/call/pay", A);
+        node.call_wanted(A, 1);
+        node.reply(0, A, outcome);
+        assert_eq!((node.calls() == 2, node.statuses().is_empty()), (again, again), "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_call_that_finds_no_room_never_ran() {
+    let mut node = Node::new();
+    node.core.out(|out| out.no_room_below = true);
+    node.ask(1, "/call/pay", A);
+    node.call_wanted(A, 1);
+    assert_eq!((node.calls(), node.statuses()), (3, vec![(1, "500".into())]));
+}
+
+#[test]
+fn calls_that_cross_a_halt_are_given_up_with_the_run() {
+    let mut node = Node::new();
+    node.ask(1, "/call/read", A);
+    node.event(Event::Front(ConnId(1), fastcgi::Event::Abort(1)));
+    node.call_wanted(A, 1); // crossed the halt
+    assert_eq!(node.calls(), 0);
+    node.reap(A, End::Stopped, b"");
+    node.call_wanted(A, 2);
+    assert_eq!(node.counted("kernel: calls of what does not run"), 1);
+    node.ask(1, "/call/read", B);
+    node.call_wanted(B, 3);
+    node.reap(B, End::Stopped, b"");
+    assert_eq!(node.core.out(|out| out.cancelled.len()), 1);
+    node.reply(0, B, Outcome::Ok);
+    assert_eq!(node.counted("back end: replies to calls given up"), 1);
+}
+
+// ---- Joins ----
+
+#[test]
+fn like_reads_share_a_result_while_it_is_fresh() {
+    let mut node = Node::with(&support::SETTINGS.replace("\"Fresh\": 0.0", "\"Fresh\": 1.0"));
+    let ask = |node: &mut Node, id, rid| {
+        let arrived = (node.now / MS).to_string();
+        let mut params = support::call("/call/read", rid, &arrived);
+        params.push(("HTTP_X_SUBJECT", "7f3a9c21e0b4d655"));
+        node.send(id, &params, b"body");
+    };
+    ask(&mut node, 1, A);
+    ask(&mut node, 2, B);
+    assert_eq!(node.kernel_lines(), [sched(A, "read")]);
+    node.reap(A, End::Ok, b"shared");
+    ask(&mut node, 3, "00000000000000cc");
+    let answers = node.answers();
+    assert_eq!(
+        answers.iter().map(|a| (a.id, &a.body[..])).collect::<Vec<_>>(),
+        [(1, &b"shared"[..]), (2, b"shared"), (3, b"shared")]
+    );
+    node.wait(1001);
+    ask(&mut node, 4, A);
+    ask(&mut node, 5, B);
+    assert_eq!(node.kernel_lines(), [sched(A, "read")]);
+    node.reap(A, End::Error, b"");
+    assert_eq!(node.statuses(), [(4, "500".into()), (5, "500".into())]);
+}
+
+// ---- Leaving ----
+
+#[test]
+fn a_drain_answers_all_and_runs_nothing_past_the_grace() {
+    let mut node = Node::new();
+    node.ask(1, "/call/read", A);
+    node.event(Event::Drain);
+    node.wait(400);
+    node.ask(2, "/call/read", B); // within the grace
+    node.event(Event::Drain); // changes nothing
+    node.wait(101);
+    assert!(node.core.out(|out| out.stopped));
+    node.kernel_lines();
+    node.ask(3, "/call/read", "00000000000000cc");
+    assert_eq!((node.kernel_lines(), node.statuses()), (vec![], vec![(3, "429".into())]));
+    node.reap(A, End::Ok, b"");
+    assert_eq!(node.kernel_lines(), [sched(B, "read")]);
+    node.wait(2349); // the stop is in 150 ms
+    assert_eq!(node.statuses(), [(1, "200".into()), (2, "500".into())]);
+    assert_eq!(node.core.out(|out| out.closed.clone()), [ConnId(1)]);
+    assert!(!node.core.has_left());
+    node.event(Event::Disconnected(ConnId(1)));
+    assert!(node.core.has_left());
+}
+
+#[test]
+fn a_notice_before_the_kernel_is_up_holds_afterwards() {
+    let mut node = Node::waiting(support::SETTINGS);
+    node.event(Event::Drain);
+    node.wait(100);
+    node.boot();
+    node.kernel_lines();
+    node.ask(1, "/call/read", A);
+    assert_eq!((node.kernel_lines(), node.statuses()), (vec![], vec![(1, "503".into())]));
+}
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -62,7 +62,7 @@
     AskGauges,
     CallLimit(InvId, CallNo),
     CheckLimit(u64),
-    Idle(ConnId),
+    Idle(ConnId, Nanos),
     Leave,
     Count,
 }
@@ -78,8 +78,8 @@
 struct Conn {
     open: BTreeMap<u16, Asked>,
     idle_since: Nanos,
-    /// Whether a timer looks after it while it is idle.
-    armed: bool,
+    /// When a timer looks whether it is idle.
+    look: Option<Nanos>,
     /// Whether it is to be closed once nothing is open.
     last: bool,
     /// Whether closing was asked for: nothing that still comes was read.
@@ -174,8 +174,8 @@
     advert: Option<f64>,
     idle_after: Nanos,
     longest_idle: Nanos,
-    /// The notice to leave and the stop.
-    leaving: Option<(Nanos, Nanos)>,
+    /// When the notice to leave came.
+    leaving: Option<Nanos>,
     closing: bool,
     counts: BTreeMap<&'static str, u64>,
     counts_told: u64,
@@ -237,6 +237,11 @@
         *self.counts.entry(what).or_default() += times;
     }
 
+    #[cfg(test)]
+    pub fn counted(&self, what: &str) -> u64 {
+        self.counts.get(what).copied().unwrap_or(0)
+    }
+
     /// Logs the counts if any has moved.
     pub fn log_counts(&mut self) {
         self.set_timer(COUNT_PERIOD, Timer::Count);
@@ -360,16 +365,15 @@
         if self.leaving.is_some() {
             return false;
         }
-        self.leaving = Some((self.now, self.now + left));
+        self.leaving = Some(self.now);
         self.out.leaving();
         self.out.log(format_args!("notice to leave: stop in {} ms", left / MILLISECOND));
         self.set_timer(left.min(grace), Timer::Leave);
         true
     }
 
-    /// The time left until the stop, if the node is to leave.
-    pub fn time_left(&self) -> Option<Nanos> {
-        self.leaving.map(|(_, stop)| stop.saturating_sub(self.now))
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.is_some()
     }
 
     /// From here on nothing that comes would be run: connections end as they have nothing open.
--- a/crates/node/src/desk/front.rs
+++ b/crates/node/src/desk/front.rs
@@ -10,7 +10,7 @@
 impl<O: Outward> Desk<O> {
     pub fn connected(&mut self, conn: ConnId) {
         let new =
-            Conn { open: BTreeMap::new(), idle_since: self.now, armed: false, last: false, closing: false };
+            Conn { open: BTreeMap::new(), idle_since: self.now, look: None, last: false, closing: false };
         self.conns.insert(conn, new);
         self.went_idle(conn);
     }
@@ -95,37 +95,37 @@
         if self.closing {
             return self.close(conn);
         }
-        let (now, after) = (self.now, self.idle_after);
+        if let Some(state) = self.conns.get_mut(&conn) {
+            state.idle_since = self.now;
+            self.look_at(conn, self.now + self.idle_after);
+        }
+    }
+
+    /// Has one timer look at a connection, at this time or sooner.
+    fn look_at(&mut self, conn: ConnId, due: Nanos) {
         let Some(state) = self.conns.get_mut(&conn) else { return };
-        state.idle_since = now;
-        if !std::mem::replace(&mut state.armed, true) {
-            self.set_timer(after, Timer::Idle(conn));
+        if state.look.is_none_or(|look| look > due) {
+            state.look = Some(due);
+            self.set_timer(due.saturating_sub(self.now), Timer::Idle(conn, due));
         }
     }
 
     pub fn close_idle(&mut self, after: Nanos) {
-        let after = if after == 0 { self.longest_idle } else { after };
-        let sooner = after < self.idle_after;
-        self.idle_after = after;
-        if sooner {
-            let idle: Vec<_> =
-                self.conns.iter().filter(|(_, c)| c.open.is_empty()).map(|(&id, _)| id).collect();
-            idle.into_iter().for_each(|conn| self.set_timer(after, Timer::Idle(conn)));
-        }
+        self.idle_after = if after == 0 { self.longest_idle } else { after };
+        let idle = self.conns.iter().filter(|(_, c)| c.open.is_empty());
+        let idle: Vec<_> = idle.map(|(&id, c)| (id, c.idle_since + self.idle_after)).collect();
+        idle.into_iter().for_each(|(conn, due)| self.look_at(conn, due));
     }
 
-    pub fn close_if_idle(&mut self, conn: ConnId) {
-        let Some(state) = self.conns.get_mut(&conn) else { return };
-        state.armed = false;
-        if !state.open.is_empty() || state.closing {
+    /// Closes a connection if it was idle for long enough, unless an earlier look took this one's place.
+    pub fn close_if_idle(&mut self, conn: ConnId, due: Nanos) {
+        let Some(state) = self.conns.get_mut(&conn).filter(|c| c.look == Some(due)) else { return };
+        state.look = None;
+        if !state.open.is_empty() {
             return;
         }
-        let left = (state.idle_since + self.idle_after).saturating_sub(self.now);
-        if left == 0 {
-            return self.close(conn);
-        }
-        state.armed = true;
-        self.set_timer(left, Timer::Idle(conn));
+        let closes = state.idle_since + self.idle_after;
+        if closes <= self.now { self.close(conn) } else { self.look_at(conn, closes) }
     }
 
     pub fn close(&mut self, conn: ConnId) {
@@ -149,8 +149,9 @@
 
     pub fn check(&mut self, conn: ConnId, id: u16, deep: bool) {
         let (good, from_store) = self.health;
-        if !deep || from_store || !good || !self.kernel.synced {
-            return self.check_ends(Open { conn, id }, good);
+        let as_told = !deep || from_store || !good;
+        if as_told || !self.kernel.synced {
+            return self.check_ends(Open { conn, id }, good && as_told);
         }
         let mark = self.kernel.sent + 1;
         self.command(Command::Post(mark));
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -88,8 +88,7 @@
     pub fn run(&mut self, id: InvId) {
         let Some(inv) = self.invs.get(&id) else { return };
         let twice = inv.ran && self.effect(inv.op) != Effect::Idempotent;
-        let late =
-            self.leaving.is_some_and(|(notice, _)| inv.arrived > notice + self.start.premises.drain_grace);
+        let late = self.leaving.is_some_and(|notice| inv.arrived > notice + self.start.premises.drain_grace);
         let wanted = inv.front.is_some();
         invariant!(self, !twice, "what must not run twice runs once");
         invariant!(self, !late, "what arrives past the grace does not run");
