--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -444,7 +444,7 @@
     node.relink(1);
     node.info();
     let done = format!(r#"{{"t":"IODONE","rid":"{A}","b64":"cmVwbHk="}}"#);
-    assert_eq!(node.kernel_lines(), [done.clone()]);
+    assert_eq!(node.kernel_lines(), std::slice::from_ref(&done));
     node.break_link(); // it may not have arrived
     node.relink(1);
     node.info();
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -51,18 +51,29 @@
     thread::Builder::new().name(name.into()).stack_size(STACK).spawn(work).map(drop)
 }
 
-/// The node's clocks.
+/// The node's clocks. Its own time counts from the Unix epoch, so that what came long before the node started
+/// has its place too, but never jumps with the system's clock.
 #[derive(Clone, Copy)]
-struct Clock(Instant);
+struct Clock {
+    started: Instant,
+    unix: Duration,
+}
+
+fn unix() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
 
 impl Clock {
+    fn start() -> Clock {
+        Clock { started: Instant::now(), unix: unix() }
+    }
+
     fn read(self) -> Moment {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Moment { now: self.now(), unix_ms: unix.as_millis() as u64 }
+        Moment { now: self.now(), unix_ms: unix().as_millis() as u64 }
     }
 
     fn now(self) -> Nanos {
-        self.0.elapsed().as_nanos() as Nanos
+        (self.unix + self.started.elapsed()).as_nanos() as Nanos
     }
 }
 
@@ -118,7 +129,7 @@
 
 /// Runs the node until it has left.
 pub fn serve(who: Identity, drain: Receiver<()>) -> io::Result<()> {
-    let clock = Clock(Instant::now());
+    let clock = Clock::start();
     let (events, inbox) = bounded(EVENTS);
     let front = Front::open(who.listen, who.descriptors, events.clone())?;
     let leaving = Arc::new(AtomicBool::new(false));
--- a/crates/node/src/driver/dispatchers.rs
+++ b/crates/node/src/driver/dispatchers.rs
@@ -80,6 +80,7 @@
             unread: AtomicUsize::new(0),
             stopped: AtomicBool::new(false),
         });
+        log!("listening on {}", front.listen);
         let accepting = Arc::clone(&front);
         spawn("accept", move || accepting.accept(&listener))?;
         Ok(front)
--- a/crates/node/src/driver/reports.rs
+++ b/crates/node/src/driver/reports.rs
@@ -51,7 +51,10 @@
     let until = Instant::now() + STEP;
     let (mut answer, mut buffer) = (members::Answer::default(), [0; 512]);
     while Instant::now() < until {
-        let n = stream.read(&mut buffer)?;
+        let n = match stream.read(&mut buffer) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            read => read?,
+        };
         if n == 0 {
             return Err(ErrorKind::UnexpectedEof.into());
         }
