Runs whose end was missed or cannot be read give their place back; doc tests

Found by going through what a damaged notice leaves behind (kernel.rs, notice()): a REAP whose result could not be decoded was passed over with its number, so that the run kept its place in the running limit for good. It now ends the run as errored. An end that is gone altogether is asked after, 10 s past the client timeout, by SCHED: the request is over, so the kernel answers MOOT and starts nothing.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -35,6 +35,16 @@
 pub struct Broken(pub &'static str);
 
 /// Reads the replies on one connection.
+///
+/// ```
+/// use madderpoint_node::backend::{Outcome, Parser, invoke};
+///
+/// assert_eq!(invoke("9b1f", 250, b"call"), b"invoke 9b1f 250 4\r\ncall\r\n");
+/// let (mut parser, mut replies) = (Parser::default(), Vec::new());
+/// parser.feed(b"9b1f ok 5\r\nre", &mut |reply| replies.push(reply)).unwrap();
+/// parser.feed(b"ply\r\n", &mut |reply| replies.push(reply)).unwrap();
+/// assert_eq!((replies[0].outcome, &replies[0].body[..]), (Outcome::Ok, &b"reply"[..]));
+/// ```
 #[derive(Default)]
 pub struct Parser {
     line: Vec<u8>,
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -156,7 +156,7 @@
             Timer::CheckLimit(mark) => self.desk.borrow_mut().checked(mark, false),
             Timer::Idle(conn, due) => self.desk.borrow_mut().close_if_idle(conn, due),
             Timer::Leave => self.desk.borrow_mut().leave(),
-            Timer::Count => self.desk.borrow_mut().log_counts(),
+            Timer::Look => self.desk.borrow_mut().look(),
         }
     }
 
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -469,6 +469,19 @@
     assert_eq!(node.kernel_lines(), [sched(B, "pay")]);
 }
 
+#[test]
+fn a_run_whose_end_was_missed_gives_its_place_back() {
+    let mut node = Node::new();
+    node.ask(1, "/call/pay", A);
+    node.kernel_lines();
+    node.wait(21_000); // it erred at its client timeout, and nobody has heard of it since
+    assert_eq!(node.statuses(), [(1, "500".into())]);
+    assert!(node.kernel_lines().contains(&sched(A, "pay")));
+    node.reap(A, End::Moot, b"");
+    node.ask(2, "/call/pay", B);
+    assert_eq!(node.kernel_lines(), [sched(B, "pay")]);
+}
+
 #[test]
 fn a_run_that_the_kernel_does_not_take_errs() {
     let mut node = Node::new();
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -33,8 +33,9 @@
 const CHECK_LIMIT: Nanos = 2000 * MILLISECOND;
 /// Idle connections are closed after this where the settings name no time.
 const IDLE: Nanos = 60_000 * MILLISECOND;
-/// Between two looks at the counts.
-const COUNT_PERIOD: Nanos = 10_000 * MILLISECOND;
+/// Between two looks at the counts, and at runs that should be over; those are runs on which nobody has waited
+/// for so long after the client timeout.
+const LOOK_PERIOD: Nanos = 10_000 * MILLISECOND;
 /// Connections to the back end. A call goes round one on which a late reply to an earlier call of the
 /// same invocation may still come.
 pub const BACKEND_LINKS: usize = 4;
@@ -64,7 +65,7 @@
     CheckLimit(u64),
     Idle(ConnId, Nanos),
     Leave,
-    Count,
+    Look,
 }
 
 /// What is open on a connection.
@@ -210,7 +211,7 @@
             counts: BTreeMap::new(),
             counts_told: 0,
         };
-        desk.set_timer(COUNT_PERIOD, Timer::Count);
+        desk.set_timer(LOOK_PERIOD, Timer::Look);
         desk
     }
 }
@@ -242,9 +243,10 @@
         self.counts.get(what).copied().unwrap_or(0)
     }
 
-    /// Logs the counts if any has moved.
-    pub fn log_counts(&mut self) {
-        self.set_timer(COUNT_PERIOD, Timer::Count);
+    /// Looks after runs whose end was missed, and logs the counts if any has moved.
+    pub fn look(&mut self) {
+        self.set_timer(LOOK_PERIOD, Timer::Look);
+        self.ask_after_runs();
         let total = self.counts.values().sum();
         if total != self.counts_told {
             self.counts_told = total;
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -1,6 +1,6 @@
 //! The kernel's link and what runs there.
 
-use super::{Desk, GAUGES_LEAD, Run, Wait};
+use super::{Desk, GAUGES_LEAD, Invocation, LOOK_PERIOD, Run, Wait};
 use crate::core::Outward;
 use crate::kernel::{Command, End};
 use madderpoint::{Effect, InvId};
@@ -126,6 +126,20 @@
         }
     }
 
+    /// Asks again for runs that nobody has waited on for long: as their request is over, the kernel says MOOT
+    /// if there is no such run (its end was missed), and does nothing if there is.
+    pub fn ask_after_runs(&mut self) {
+        let timeout = |inv: &Invocation| self.start.premises.operations[inv.op.0].client_timeout;
+        let long_over = |inv: &Invocation| {
+            inv.front.is_none() && inv.run.is_some() && self.now > inv.arrived + timeout(inv) + LOOK_PERIOD
+        };
+        let over: Vec<_> = self.invs.iter().filter(|(_, inv)| long_over(inv)).map(|(&id, _)| id).collect();
+        for id in over {
+            self.count("runs long over that were asked after", 1);
+            self.start(id);
+        }
+    }
+
     /// A run has come to a call.
     pub fn call_asked(&mut self, rid: &str, no: u64, body: Vec<u8>) -> Option<InvId> {
         let id = self.ids.get(rid).copied();
--- a/crates/node/src/fastcgi.rs
+++ b/crates/node/src/fastcgi.rs
@@ -166,6 +166,18 @@
 }
 
 /// Reads one connection's records.
+///
+/// ```
+/// use madderpoint_node::fastcgi::{Event, Parser};
+///
+/// let mut parser = Parser::new(100);
+/// // ABORT_REQUEST of request 7, in two parts.
+/// let mut events = Vec::new();
+/// parser.feed(&[1, 2, 0], &mut |event| events.push(event)).unwrap();
+/// parser.feed(&[7, 0, 0, 0, 0], &mut |event| events.push(event)).unwrap();
+/// assert_eq!(events, [Event::Abort(7)]);
+/// assert!(parser.feed(&[9; 8], &mut |_| ()).is_err()); // no version of FastCGI
+/// ```
 pub struct Parser {
     max_conns: usize,
     header: [u8; HEADER],
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -63,6 +63,20 @@
 }
 
 /// Reads notices over all links of a node's life.
+///
+/// ```
+/// use madderpoint_node::kernel::{Command, End, Notice, Reader};
+///
+/// let mut reader = Reader::default();
+/// assert_eq!(Command::Open(reader.open()).line(), "{\"t\":\"OPEN\",\"no\":0}\n");
+/// let mut notices = Vec::new();
+/// for part in ["{\"t\":\"REAP\",\"no\":1,\"rid\":\"9b1f\",", "\"status\":\"MOOT\",\"time_ms\":2}\n"] {
+///     reader.feed(part.as_bytes(), &mut |notice| notices.push(notice)).unwrap();
+/// }
+/// let rid = "9b1f".to_owned();
+/// assert_eq!(notices, [Notice::Reap { rid, end: End::Moot, time_ms: 2.0, body: vec![] }]);
+/// assert_eq!(reader.open(), 1); // a new link asks for what came after it
+/// ```
 #[derive(Default)]
 pub struct Reader {
     line: Vec<u8>,
@@ -135,14 +149,13 @@
     Some(Some(match &*line.t {
         "BOOTED" => Notice::Booted { cold: line.status? == "COLD", up_ms: line.time_ms?.max(0.0) },
         "REAP" => {
-            let end = match &*line.status? {
-                "OK" => End::Ok,
-                "ERROR" => End::Error,
-                "STOPPED" => End::Stopped,
-                "MOOT" => End::Moot,
-                _ => return None,
+            // Whatever it says of the end, the run is over: without a result that can be read it failed.
+            let (end, body) = match (&*line.status?, body(line.b64)) {
+                ("OK", Some(body)) => (End::Ok, body),
+                ("STOPPED", _) => (End::Stopped, Vec::new()),
+                ("MOOT", _) => (End::Moot, Vec::new()),
+                _ => (End::Error, Vec::new()),
             };
-            let body = if end == End::Ok { body(line.b64)? } else { Vec::new() };
             Notice::Reap { rid: rid?, end, time_ms: line.time_ms.unwrap_or(0.0).max(0.0), body }
         }
         "IOREQ" => Notice::IoReq { no: line.no?, rid: rid?, body: body(line.b64)? },
--- a/crates/node/src/kernel/tests.rs
+++ b/crates/node/src/kernel/tests.rs
@@ -73,8 +73,6 @@
 #[test]
 fn what_makes_no_sense_is_told_and_passed_over() {
     for line in [
-        "{\"t\":\"REAP\",\"no\":1,\"rid\":\"aa\",\"status\":\"OK\",\"b64\":\"%%%\"}\n",
-        "{\"t\":\"REAP\",\"no\":1,\"rid\":\"aa\",\"status\":\"LATER\"}\n",
         "{\"t\":\"IOREQ\",\"no\":1,\"b64\":\"\"}\n",
         "{\"t\":\"SONG\"}\n",
         "{broken\n",
@@ -122,3 +120,12 @@
         assert_eq!(command.line(), format!("{line}\n"));
     }
 }
+
+#[test]
+fn a_run_whose_end_cannot_be_read_has_failed() {
+    for rest in ["\"OK\",\"b64\":\"%%%\"", "\"OK\"", "\"LATER\",\"b64\":\"b2s=\""] {
+        let line = format!("{{\"t\":\"REAP\",\"no\":1,\"rid\":\"aa\",\"status\":{rest}}}\n");
+        let expected = Notice::Reap { rid: "aa".into(), end: End::Error, time_ms: 0.0, body: vec![] };
+        assert_eq!(read(&[line.as_bytes()]), (vec![expected], Ok(())), "{line}");
+    }
+}
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -26,6 +26,15 @@
 }
 
 /// Reads the status of the answer to one report.
+///
+/// ```
+/// use madderpoint_node::members::Answer;
+///
+/// let mut answer = Answer::default();
+/// assert_eq!(answer.feed(b"HTTP/1.1 204 No Con"), Ok(None));
+/// assert_eq!(answer.feed(b"tent\r\n\r\n"), Ok(Some(204)));
+/// assert!(Answer::default().feed(b"220 mail.example\r\n").is_err());
+/// ```
 #[derive(Default)]
 pub struct Answer {
     head: Vec<u8>,
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -448,6 +448,20 @@
     assert!(descriptors <= 64, "{descriptors}");
 }
 
+#[test]
+fn several_hundred_connections_fit() {
+    let node = Node::start(nobody(), nobody(), nobody(), 1024);
+    let mut all: Vec<_> = (0..400).map(|_| node.connect()).collect();
+    assert!(all.iter_mut().all(|dispatcher| dispatcher.ping() == "503"));
+    let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).unwrap();
+    let figure = |name: &str| -> usize {
+        let line = status.lines().find(|line| line.starts_with(name)).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    };
+    assert!(figure("VmHWM:") < 96 * 1024, "{status}");
+    assert!(figure("Threads:") < 850, "{status}");
+}
+
 #[test]
 fn a_bad_configuration_is_named_and_nothing_starts() {
     let whole = format!(
