--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,5 +1,5 @@
 //! The node without its I/O: takes what happened and the time, lets [`Choice`] decide, and acts through
-//! [`Outward`]. What it keeps of invocations is at the [`Desk`].
+//! [`Outward`]. What it keeps of invocations is at the desk.
 
 use crate::backend;
 use crate::desk::{Deferred, Desk, Hands, Open, Timer};
@@ -45,6 +45,8 @@
     fn call(&mut self, place: usize, call: CallNo, id: InvId, bytes: Vec<u8>) -> bool;
     /// Give a call up over the link that it was sent on.
     fn cancel(&mut self, place: usize, bytes: Vec<u8>);
+    /// Close the link at this place: no call is in hand on it.
+    fn rest(&mut self, place: usize);
     /// Tell dispatchers that the node is leaving.
     fn leaving(&mut self);
     /// Take no more connections.
@@ -78,6 +80,8 @@
     Reply(usize, backend::Reply),
     /// A connection to the back end ended.
     BackendLost(BackendLink),
+    /// Nothing was sent on the link at this place for a while.
+    BackendQuiet(usize),
     /// The notice to leave.
     Drain,
 }
@@ -197,6 +201,7 @@
                 let broke = self.desk.borrow_mut().backend_lost(link);
                 broke.into_iter().for_each(|id| self.call_over(now, id, CallEnding::MayHaveRun));
             }
+            Event::BackendQuiet(place) => self.desk.borrow_mut().backend_quiet(place),
             Event::Drain => self.drain(now),
         }
         self.settle(now);
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -21,6 +21,7 @@
     cancelled: Vec<(usize, String)>,
     no_room_below: bool,
     stopped: bool,
+    resting: Vec<usize>,
 }
 
 impl Outward for Recorder {
@@ -43,6 +44,9 @@
     fn cancel(&mut self, place: usize, bytes: Vec<u8>) {
         self.cancelled.push((place, String::from_utf8(bytes).unwrap()));
     }
+    fn rest(&mut self, place: usize) {
+        self.resting.push(place);
+    }
     fn leaving(&mut self) {}
     fn stop_listening(&mut self) {
         self.stopped = true;
@@ -474,7 +478,12 @@
     let mut node = Node::new();
     node.ask(1, "/call/pay", A);
     node.kernel_lines();
-    node.wait(21_000); // it erred at its client timeout, and nobody has heard of it since
+    node.break_link();
+    node.wait(20_000); // nobody is asked without a link
+    node.relink(0);
+    node.info();
+    node.kernel_lines();
+    node.wait(11_000); // it erred at its client timeout, and nobody has heard of it since
     assert_eq!(node.statuses(), [(1, "500".into())]);
     assert!(node.kernel_lines().contains(&sched(A, "pay")));
     node.reap(A, End::Moot, b"");
@@ -560,6 +569,19 @@
     assert_eq!(node.statuses(), [(1, "500".into())]);
 }
 
+#[test]
+fn a_quiet_link_rests_only_when_no_reply_is_awaited_on_it() {
+    let mut node = Node::new();
+    node.ask(1, "/call/pay", A);
+    node.call_wanted(A, 1);
+    node.event(Event::BackendQuiet(0));
+    node.event(Event::BackendQuiet(1));
+    assert_eq!(node.core.out(|out| out.resting.clone()), [1]);
+    node.reply(0, A, Outcome::Ok);
+    node.event(Event::BackendQuiet(0));
+    assert_eq!(node.core.out(|out| out.resting.clone()), [1, 0]);
+}
+
 #[test]
 fn replies_judge_what_ran() {
     for (outcome, again) in [
--- a/crates/node/src/desk/calls.rs
+++ b/crates/node/src/desk/calls.rs
@@ -72,6 +72,14 @@
         broke
     }
 
+    /// Nothing was sent on a link for a while: it is closed before the back end does so, which a call could
+    /// meet, unless a reply is awaited on it.
+    pub fn backend_quiet(&mut self, place: usize) {
+        if !self.invs.values().any(|inv| inv.call.as_ref().is_some_and(|call| call.place == place)) {
+            self.out.rest(place);
+        }
+    }
+
     /// A reply came: gives the invocation whose call it ends.
     pub fn replied(&mut self, place: usize, reply: &backend::Reply) -> Option<InvId> {
         let id = self.ids.get(&reply.id).copied();
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -129,6 +129,9 @@
     /// Asks again for runs that nobody has waited on for long: as their request is over, the kernel says MOOT
     /// if there is no such run (its end was missed), and does nothing if there is.
     pub fn ask_after_runs(&mut self) {
+        if !self.kernel.synced {
+            return; // what happened without a link is told first
+        }
         let timeout = |inv: &Invocation| self.start.premises.operations[inv.op.0].client_timeout;
         let long_over = |inv: &Invocation| {
             inv.front.is_none() && inv.run.is_some() && self.now > inv.arrived + timeout(inv) + LOOK_PERIOD
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -114,6 +114,12 @@
         }
     }
 
+    fn rest(&mut self, place: usize) {
+        if let Some(queue) = self.backend.get(place) {
+            let _ = queue.try_send(Below::Rest);
+        }
+    }
+
     fn leaving(&mut self) {
         self.leaving.store(true, SeqCst);
     }
--- a/crates/node/src/driver/backend_link.rs
+++ b/crates/node/src/driver/backend_link.rs
@@ -13,13 +13,15 @@
 
 /// Calls that may wait for one connection.
 const CALLS: usize = 1024;
-/// An idle connection to the back end is closed before the back end would.
+/// The core is told of a connection on which nothing was sent for so long; the back end closes idle ones
+/// after 10 s.
 const IDLE: Duration = Duration::from_secs(8);
 
 /// What a connection is asked for.
 pub enum Below {
     Call(CallNo, InvId, Vec<u8>),
     Cancel(Vec<u8>),
+    Rest,
 }
 
 /// Starts the thread for the link at this place.
@@ -55,7 +57,11 @@
                         let _ = stream.write_all(&bytes);
                     }
                 }
-                Err(RecvTimeoutError::Timeout) => self.close(),
+                Ok(Below::Rest) => self.close(),
+                Err(RecvTimeoutError::Timeout) if self.stream.is_some() => {
+                    let _ = self.events.send(Message::Event(Event::BackendQuiet(self.place)));
+                }
+                Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
         }
