--- a/crates/node/src/kept.rs
+++ b/crates/node/src/kept.rs
@@ -81,3 +81,34 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn entries_end_with_their_lifetimes_and_are_bounded() {
+        let mut kept = Kept::default();
+        for n in 0..KEYS_MAX as u64 + 10 {
+            kept.remember(0, InvId(n), (0, n), 100);
+        }
+        assert_eq!((kept.entries.len(), kept.expiry.len()), (KEYS_MAX, KEYS_MAX));
+        let result = vec![7; 4096];
+        (0..KEYS_MAX as u64).for_each(|n| kept.keep(InvId(n), &result, 50));
+        assert_eq!((kept.bytes, kept.entries.len()), (BYTES_MAX, BYTES_MAX / 4096));
+        assert_eq!(kept.original(50, (0, 1)), Some(InvId(1)));
+        assert_eq!(kept.original(51, (0, 1)), None);
+        assert_eq!(kept.result(InvId(1)), Some(&result[..]));
+        assert_eq!(kept.original(101, (0, 1)), None);
+        assert_eq!((kept.bytes, kept.entries.len(), kept.keys.len()), (0, 0, 0));
+    }
+
+    #[test]
+    fn a_newer_read_takes_the_entry_over() {
+        let mut kept = Kept::default();
+        kept.remember(0, InvId(1), (0, 9), 100);
+        kept.remember(0, InvId(2), (0, 9), 100);
+        kept.forget(InvId(1));
+        assert_eq!(kept.original(0, (0, 9)), Some(InvId(2)));
+    }
+}
