--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -303,6 +303,30 @@
     assert_eq!(node.kernel_lines(), [sched(B, "read")]);
 }
 
+#[test]
+fn a_connection_that_is_not_to_be_kept_closes_after_its_last_answer() {
+    let mut node = Node::new();
+    node.ask(1, "/call/read", A);
+    let params = support::pairs(&[("SCRIPT_NAME", "/ping")]);
+    let check = fastcgi::Request { id: 2, keep_conn: false, params, body: Vec::new(), oversize: false };
+    node.event(Event::Front(ConnId(1), fastcgi::Event::Request(check)));
+    assert_eq!((node.statuses(), node.core.out(|out| out.closed.len())), (vec![(2, "200".into())], 0));
+    node.reap(A, End::Ok, b"");
+    assert_eq!(node.core.out(|out| out.closed.clone()), [ConnId(1)]);
+}
+
+#[test]
+fn an_id_begun_twice_ends_its_connection_and_runs_nothing_more() {
+    let mut node = Node::new();
+    node.ask(1, "/call/read", A);
+    node.ask(1, "/call/read", B);
+    assert_eq!(node.kernel_lines(), [sched(A, "read")]);
+    assert_eq!(node.core.out(|out| out.closed.clone()), [ConnId(1)]);
+    node.event(Event::Disconnected(ConnId(1)));
+    node.reap(A, End::Stopped, b"");
+    assert_eq!(node.statuses(), []);
+}
+
 #[test]
 fn connections_close_when_idle_and_only_then() {
     let mut node = Node::new();
