Fewer descriptors kept back, so that dispatchers find half the limit also when it is small

Read, not seen: of 64 descriptors 48 were kept back (dispatchers.rs, RESERVED), and dispatchers may open 32. What else is open comes to 16 at the most: standard streams, listener, signals, kernel, back end and a report, each peer's twice for a moment.

--- a/crates/node/src/driver/dispatchers.rs
+++ b/crates/node/src/driver/dispatchers.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// Descriptors left for all that is no dispatcher's connection.
-const RESERVED: usize = 48;
+const RESERVED: usize = 24;
 /// Answers that may wait for one connection's writer, and answers written with one call.
 const REPLIES: usize = 2 * fastcgi::MAX_OPEN;
 const GATHERED: usize = 16;
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -437,13 +437,13 @@
     let kernel = listen();
     let node = Node::start(kernel.local_addr().unwrap(), nobody(), nobody(), 64);
     let _link = Talk::boot(&kernel, 0, "");
-    let mut all: Vec<_> = (0..40).map(|_| node.connect()).collect();
+    let mut all: Vec<_> = (0..60).map(|_| node.connect()).collect();
     for dispatcher in &mut all {
         dispatcher.stream.write_all(&ping(1)).unwrap();
     }
     // Each was either answered or closed unread to make room; the last ones find room.
     let answered = all.iter_mut().filter_map(|d| (d.read() > 0).then(|| d.answer())).count();
-    assert!(answered >= 16, "{answered}");
+    assert!(answered >= 20, "{answered}");
     let descriptors = std::fs::read_dir(format!("/proc/{}/fd", node.child.id())).unwrap().count();
     assert!(descriptors <= 64, "{descriptors}");
 }
