SIGHUP moves the links to the peers' new addresses; a bad file changes nothing

Checked: 129 is SIGHUP's default action. crates/node/src/main.rs registered SIGTERM only, and the addresses were copied into each link's thread at the start. Ruled out: memory (1 MB) and descriptors (15).

The signals thread reads and checks the file as at the start. Addresses stand in one cell that is read before each connect. The kernel's link is closed only once a question's answer shows that all commands on it arrived, so that no run that must not run twice comes into doubt by the move; a call in hand keeps the connection that it was written on.

--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -106,6 +106,7 @@
 }
 
 /// What a node is told at its start.
+#[derive(Clone)]
 pub struct Start {
     /// What the decisions go by.
     pub premises: Premises,
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -11,18 +11,34 @@
 struct File {
     name: String,
     listen: SocketAddr,
-    kernel: SocketAddr,
-    members: SocketAddr,
-    backend: Option<SocketAddr>,
+    #[serde(flatten)]
+    peers: Peers,
     seed: String,
     stop_ms: f64,
     limits: Limits,
     settings: Box<RawValue>,
 }
 
-#[derive(Deserialize)]
-struct Limits {
-    sockets: usize,
+/// Addresses of those that the node speaks to; they may move while it runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub struct Peers {
+    /// The kernel on the same machine.
+    pub kernel: SocketAddr,
+    /// The membership service.
+    pub members: SocketAddr,
+    /// What calls go to; absent in the last tier.
+    pub backend: Option<SocketAddr>,
+}
+
+/// What the process may use.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+pub struct Limits {
+    /// Share of a core.
+    pub cores: f64,
+    /// Memory in MB; over it the node is killed.
+    pub memory_mb: f64,
+    /// Descriptors.
+    pub sockets: usize,
 }
 
 /// All that a node is told at its start.
@@ -31,24 +47,22 @@
     pub name: String,
     /// Where dispatchers connect.
     pub listen: SocketAddr,
-    /// The kernel on the same machine.
-    pub kernel: SocketAddr,
-    /// The membership service.
-    pub members: SocketAddr,
-    /// What calls go to; absent in the last tier.
-    pub backend: Option<SocketAddr>,
+    /// Whom it speaks to.
+    pub peers: Peers,
     /// For random numbers.
     pub seed: u64,
     /// From the notice to leave to the stop.
     pub stop_after: Duration,
-    /// Descriptors that the process may hold.
-    pub descriptors: usize,
-    /// The settings.
+    /// What the process may use.
+    pub limits: Limits,
+    /// The settings, decoded and as they stood.
     pub start: Start,
+    settings: serde_json::Value,
 }
 
-/// Descriptors below which no node can serve.
+/// Descriptors and memory below which no node can serve.
 const LEAST_DESCRIPTORS: usize = 64;
+const LEAST_MEMORY_MB: f64 = 16.0;
 /// The longest time from the notice to leave to the stop that makes sense.
 const LONGEST_STOP_MS: f64 = 3_600_000.0;
 
@@ -71,16 +85,48 @@
     if file.limits.sockets < LEAST_DESCRIPTORS {
         return Err(wrong(format!("limits.sockets is {}", file.limits.sockets)));
     }
+    if !file.limits.memory_mb.is_finite() || file.limits.memory_mb < LEAST_MEMORY_MB {
+        return Err(wrong(format!("limits.memory_mb is {}", file.limits.memory_mb)));
+    }
+    if !file.limits.cores.is_finite() || file.limits.cores <= 0.0 {
+        return Err(wrong(format!("limits.cores is {}", file.limits.cores)));
+    }
     let start = facts::decode(file.settings.get().as_bytes()).map_err(|e| wrong(format!("settings: {e}")))?;
     Ok(Identity {
         name: file.name,
         listen: file.listen,
-        kernel: file.kernel,
-        members: file.members,
-        backend: file.backend,
+        peers: file.peers,
         seed,
         stop_after: Duration::from_secs_f64(file.stop_ms / 1e3),
-        descriptors: file.limits.sockets,
+        limits: file.limits,
         start,
+        settings: serde_json::from_str(file.settings.get()).map_err(|e| wrong(format!("settings: {e}")))?,
     })
 }
+
+/// Reads a file that took the place of the one `now` in force; gives the new addresses, and the fields that
+/// differ but hold until a restart. The seed is new in every file and means nothing here.
+pub fn reread(path: &Path, told: impl Fn(&str) -> Option<String>, now: &Identity) -> Result<Moved, String> {
+    let new = read(path, told)?;
+    let fields = [
+        ("name", new.name == now.name),
+        ("listen", new.listen == now.listen),
+        ("stop_ms", new.stop_after == now.stop_after),
+        ("limits", new.limits == now.limits),
+        ("settings", new.settings == now.settings),
+        ("backend", new.peers.backend.is_some() == now.peers.backend.is_some()),
+    ];
+    let kept = fields.into_iter().filter(|(_, same)| !same).map(|(field, _)| field).collect();
+    // Whether there is a back end is a fact like the settings; only its address may change.
+    let backend = now.peers.backend.and(new.peers.backend.or(now.peers.backend));
+    Ok(Moved { peers: Peers { backend, ..new.peers }, kept })
+}
+
+/// What a new file changes.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Moved {
+    /// Where the peers are now.
+    pub peers: Peers,
+    /// Fields that differ and hold until a restart.
+    pub kept: Vec<&'static str>,
+}
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -2,6 +2,7 @@
 //! [`Outward`]. What it keeps of invocations is at the desk.
 
 use crate::backend;
+use crate::config::{Moved, Peers};
 use crate::desk::{Deferred, Desk, Hands, Open, Timer};
 use crate::fastcgi::{self, ProtocolStatus, Reply};
 use crate::kernel::{End, Notice};
@@ -47,6 +48,10 @@
     fn cancel(&mut self, place: usize, bytes: Vec<u8>);
     /// Close the link at this place: no call is in hand on it.
     fn rest(&mut self, place: usize);
+    /// From now on peers are reached at these addresses; gives whether the kernel is at another one.
+    fn moved(&mut self, peers: Peers) -> bool;
+    /// Close the link to the kernel; another one takes its place.
+    fn renew_kernel(&mut self);
     /// Tell dispatchers that the node is leaving.
     fn leaving(&mut self);
     /// Take no more connections.
@@ -84,6 +89,8 @@
     BackendQuiet(usize),
     /// The notice to leave.
     Drain,
+    /// A new configuration.
+    Moved(Moved),
 }
 
 /// A reading of the clocks.
@@ -159,6 +166,7 @@
             Timer::AskGauges => self.desk.borrow_mut().ask_gauges(),
             Timer::CheckLimit(mark) => self.desk.borrow_mut().checked(mark, false),
             Timer::Idle(conn, due) => self.desk.borrow_mut().close_if_idle(conn, due),
+            Timer::RenewKernel(mark) => self.desk.borrow_mut().settled(mark),
             Timer::Leave => self.desk.borrow_mut().leave(),
             Timer::Look => self.desk.borrow_mut().look(),
         }
@@ -203,6 +211,7 @@
             }
             Event::BackendQuiet(place) => self.desk.borrow_mut().backend_quiet(place),
             Event::Drain => self.drain(now),
+            Event::Moved(moved) => self.desk.borrow_mut().moved(&moved),
         }
         self.settle(now);
     }
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -22,6 +22,7 @@
     no_room_below: bool,
     stopped: bool,
     resting: Vec<usize>,
+    renewed: usize,
 }
 
 impl Outward for Recorder {
@@ -47,6 +48,12 @@
     fn rest(&mut self, place: usize) {
         self.resting.push(place);
     }
+    fn moved(&mut self, _: Peers) -> bool {
+        true
+    }
+    fn renew_kernel(&mut self) {
+        self.renewed += 1;
+    }
     fn leaving(&mut self) {}
     fn stop_listening(&mut self) {
         self.stopped = true;
@@ -461,6 +468,32 @@
     assert_eq!(node.statuses().len(), 2);
 }
 
+#[test]
+fn a_new_configuration_moves_the_kernels_link_without_doubt() {
+    let mut node = Node::new();
+    let address = ([127, 0, 0, 1], 1).into();
+    let peers = Peers { kernel: address, members: address, backend: Some(address) };
+    node.ask(1, "/call/pay", A);
+    assert_eq!(node.kernel_lines(), [sched(A, "pay")]);
+    node.event(Event::Moved(Moved { peers, kept: vec![] }));
+    node.ask(2, "/call/read", B);
+    assert_eq!((node.kernel_lines(), node.core.out(|out| out.renewed)), (vec![], 0)); // on its way, and waiting
+    node.info();
+    assert_eq!(node.core.out(|out| out.renewed), 1);
+    node.info(); // the old link says nothing that counts any more
+    node.break_link();
+    node.relink(0);
+    node.info();
+    assert_eq!(node.counted("runs in doubt after a broken link"), 0);
+    node.reap(A, End::Ok, b"result");
+    assert_eq!(node.kernel_lines(), [sched(B, "read")]);
+    node.event(Event::Moved(Moved { peers, kept: vec![] }));
+    node.wait(150); // a kernel that says nothing is not waited for
+    assert_eq!(node.core.out(|out| out.renewed), 2);
+    node.event(Event::Moved(Moved { peers, kept: vec![] })); // nor is a link that is going already
+    assert_eq!(node.core.out(|out| out.renewed), 3);
+}
+
 #[test]
 fn a_reply_that_found_no_link_is_handed_over_later() {
     let mut node = Node::new();
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -64,6 +64,7 @@
     CallLimit(InvId, CallNo),
     CheckLimit(u64),
     Idle(ConnId, Nanos),
+    RenewKernel(u64),
     Leave,
     Look,
 }
@@ -149,6 +150,8 @@
     arrived: u64,
     /// The mark whose return shows that all missed notices were read.
     sync: u64,
+    /// Whether this link is to be closed once what was written on it is known to have arrived.
+    renewing: bool,
     asked: Nanos,
     gauges: Option<(Nanos, Gauges)>,
 }
--- a/crates/node/src/desk/calls.rs
+++ b/crates/node/src/desk/calls.rs
@@ -62,7 +62,8 @@
 
     /// A connection ended; gives the invocations whose calls were written on it and had no reply.
     pub fn backend_lost(&mut self, link: BackendLink) -> Vec<InvId> {
-        self.lost[link.place] = link.generation + 1;
+        // One that was retired may end after a newer one.
+        self.lost[link.place] = self.lost[link.place].max(link.generation + 1);
         let lost = |call: &Call| call.written == Some(link);
         let broke = self.invs.iter().filter(|(_, inv)| inv.call.as_ref().is_some_and(lost));
         let broke: Vec<_> = broke.map(|(&id, _)| id).collect();
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -1,9 +1,13 @@
 //! The kernel's link and what runs there.
 
-use super::{Desk, GAUGES_LEAD, Invocation, LOOK_PERIOD, Run, Wait};
+use super::{Desk, GAUGES_LEAD, Invocation, LOOK_PERIOD, MILLISECOND, Run, Timer, Wait};
+use crate::config::Moved;
 use crate::core::Outward;
 use crate::kernel::{Command, End};
-use madderpoint::{Effect, InvId};
+use madderpoint::{Effect, InvId, Nanos};
+
+/// How long a link that is to be renewed has to show that all commands arrived.
+const SETTLE: Nanos = 100 * MILLISECOND;
 
 impl<O: Outward> Desk<O> {
     // ---- The link ----
@@ -19,15 +23,44 @@
     }
 
     pub fn kernel_linked(&mut self, last: u64) {
-        (self.kernel.up, self.kernel.synced) = (true, false);
+        (self.kernel.up, self.kernel.synced, self.kernel.renewing) = (true, false, false);
         self.out.kernel(Command::Open(last).line());
     }
 
     pub fn kernel_lost(&mut self) {
-        (self.kernel.up, self.kernel.synced) = (false, false);
+        (self.kernel.up, self.kernel.synced, self.kernel.renewing) = (false, false, false);
         self.out.log(format_args!("kernel: link lost, {} in hand", self.invs.len()));
     }
 
+    /// A new configuration. The kernel's link moves once the answer to one more question shows that what was
+    /// written on the old one has arrived; commands wait meanwhile. A link that was cut off at once would put
+    /// in doubt what was on its way, and what must not run twice would err for it.
+    pub fn moved(&mut self, moved: &Moved) {
+        let Moved { peers, kept } = moved;
+        self.out.log(format_args!(
+            "new configuration: kernel {}, members {}, back end {:?}; until a restart the old {kept:?} hold",
+            peers.kernel, peers.members, peers.backend
+        ));
+        if !self.out.moved(*peers) {
+            return;
+        }
+        if !self.kernel.synced {
+            return self.out.renew_kernel(); // no commands are on their way
+        }
+        (self.kernel.synced, self.kernel.renewing) = (false, true);
+        self.kernel.sync = self.kernel.sent + 1;
+        self.set_timer(SETTLE, Timer::RenewKernel(self.kernel.sync));
+        self.ask();
+    }
+
+    /// What was written on a link that is to be renewed has arrived, or has had its time.
+    pub fn settled(&mut self, mark: u64) {
+        if self.kernel.renewing && mark >= self.kernel.sync {
+            (self.kernel.up, self.kernel.renewing) = (false, false);
+            self.out.renew_kernel();
+        }
+    }
+
     /// All that was missed follows; the answer to a question asked now comes after it.
     pub fn booted(&mut self, cold: bool, up_ms: f64) {
         let state = if cold { "cold" } else { "warm" };
@@ -52,7 +85,9 @@
         self.kernel.gauges = Some((self.now, self.start.gauges(values.into_iter())));
         let arrived = self.kernel.arrived;
         self.kernel.arrived = arrived.max(mark);
-        if self.kernel.up && !self.kernel.synced && mark >= self.kernel.sync {
+        if self.kernel.renewing {
+            self.settled(mark);
+        } else if self.kernel.up && !self.kernel.synced && mark >= self.kernel.sync {
             self.kernel.synced = true;
             self.catch_up(arrived);
         }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -5,13 +5,14 @@
 mod kernel_link;
 mod reports;
 
-use crate::config::Identity;
+use crate::config::{Identity, Moved, Peers};
 use crate::core::{CallNo, ConnId, Core, Event, Moment, Outward};
 use crate::desk::BACKEND_LINKS;
 use crate::fastcgi::Reply;
 use crate::log::log;
 use backend_link::Below;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use crossbeam_utils::atomic::AtomicCell;
 use dispatchers::{Connection, Front};
 use kernel_link::KernelLink;
 use madderpoint::{InvId, Nanos};
@@ -38,6 +39,18 @@
 const LET_IN: Duration = Duration::from_millis(3);
 const LET_IN_MOST: Nanos = 50_000_000;
 
+/// Where peers are reached now; looked at before each connect.
+type Addresses = Arc<AtomicCell<Peers>>;
+
+/// What the process is told from outside.
+#[derive(Debug)]
+pub enum Notice {
+    /// To leave.
+    Leave,
+    /// That its configuration was replaced.
+    Moved(Moved),
+}
+
 /// What reaches the core's thread.
 enum Message {
     Event(Event),
@@ -82,6 +95,7 @@
     conns: HashMap<ConnId, Connection>,
     kernel: Option<KernelLink>,
     backend: Vec<Sender<Below>>,
+    addresses: Addresses,
     front: Arc<Front>,
     leaving: Arc<AtomicBool>,
 }
@@ -120,6 +134,16 @@
         }
     }
 
+    fn moved(&mut self, peers: Peers) -> bool {
+        self.addresses.swap(peers).kernel != peers.kernel
+    }
+
+    fn renew_kernel(&mut self) {
+        if let Some(link) = self.kernel.take() {
+            link.close();
+        }
+    }
+
     fn leaving(&mut self) {
         self.leaving.store(true, SeqCst);
     }
@@ -134,28 +158,33 @@
 }
 
 /// Runs the node until it has left.
-pub fn serve(who: Identity, drain: Receiver<()>) -> io::Result<()> {
+pub fn serve(who: &Identity, notices: Receiver<Notice>) -> io::Result<()> {
     let clock = Clock::start();
     let (events, inbox) = bounded(EVENTS);
-    let front = Front::open(who.listen, who.descriptors, events.clone())?;
+    let front = Front::open(who.listen, who.limits.sockets, events.clone())?;
     let leaving = Arc::new(AtomicBool::new(false));
+    let addresses = Arc::new(AtomicCell::new(who.peers));
     let mut backend = Vec::new();
-    if let Some(address) = who.backend {
+    if who.peers.backend.is_some() {
         for place in 0..BACKEND_LINKS {
-            backend.push(backend_link::start(address, place, events.clone())?);
+            backend.push(backend_link::start(Arc::clone(&addresses), place, events.clone())?);
         }
     }
-    kernel_link::start(who.kernel, events.clone())?;
-    reports::start(who.members, who.name, Arc::clone(&leaving))?;
-    spawn("drain", move || {
-        while drain.recv().is_ok() {
-            let _ = events.send(Message::Event(Event::Drain));
+    kernel_link::start(Arc::clone(&addresses), events.clone())?;
+    reports::start(Arc::clone(&addresses), who.name.clone(), Arc::clone(&leaving))?;
+    spawn("notices", move || {
+        while let Ok(notice) = notices.recv() {
+            let event = match notice {
+                Notice::Leave => Event::Drain,
+                Notice::Moved(moved) => Event::Moved(moved),
+            };
+            let _ = events.send(Message::Event(event));
         }
     })?;
     let has_backend = !backend.is_empty();
-    let sockets = Sockets { conns: HashMap::new(), kernel: None, backend, front, leaving };
+    let sockets = Sockets { conns: HashMap::new(), kernel: None, backend, addresses, front, leaving };
     let stop_after = who.stop_after.as_nanos() as Nanos;
-    run(&mut Core::new(sockets, who.start, who.seed, stop_after, has_backend), clock, &inbox);
+    run(&mut Core::new(sockets, who.start.clone(), who.seed, stop_after, has_backend), clock, &inbox);
     Ok(())
 }
 
--- a/crates/node/src/driver/backend_link.rs
+++ b/crates/node/src/driver/backend_link.rs
@@ -1,12 +1,12 @@
 //! Connections to the back end: each has a thread that connects when a call needs it and writes, and a reader.
 
-use super::{CONNECT, Message, read_all, spawn};
+use super::{Addresses, CONNECT, Message, read_all, spawn};
 use crate::backend;
 use crate::core::{BackendLink, CallNo, Event};
 use crate::log::log;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use madderpoint::InvId;
-use std::io::{self, Write};
+use std::io::{self, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +17,9 @@
 /// after 10 s.
 const IDLE: Duration = Duration::from_secs(8);
 
+/// Connections to earlier addresses that a link keeps for their replies.
+const RETIRED: usize = 2;
+
 /// What a connection is asked for.
 pub enum Below {
     Call(CallNo, InvId, Vec<u8>),
@@ -25,20 +28,23 @@
 }
 
 /// Starts the thread for the link at this place.
-pub fn start(address: SocketAddr, place: usize, events: Sender<Message>) -> io::Result<Sender<Below>> {
+pub fn start(addresses: Addresses, place: usize, events: Sender<Message>) -> io::Result<Sender<Below>> {
     let (queue, calls) = bounded(CALLS);
-    let link = Link { address, place, events, made: 0, stream: None };
+    let link = Link { addresses, place, events, made: 0, stream: None, retired: Vec::new() };
     spawn("back end", move || link.serve(&calls))?;
     Ok(queue)
 }
 
 /// One connection to the back end, made when a call needs it.
 struct Link {
-    address: SocketAddr,
+    addresses: Addresses,
     place: usize,
     events: Sender<Message>,
     made: u64,
-    stream: Option<Arc<TcpStream>>,
+    /// The connection, and where it leads.
+    stream: Option<(SocketAddr, Arc<TcpStream>)>,
+    /// Connections to where the back end was before. Their calls get their replies while it gives any.
+    retired: Vec<Arc<TcpStream>>,
 }
 
 impl Link {
@@ -53,11 +59,15 @@
                     let _ = self.events.send(Message::Event(event));
                 }
                 Ok(Below::Cancel(bytes)) => {
-                    if let Some(mut stream) = self.stream.as_deref() {
-                        let _ = stream.write_all(&bytes);
+                    let current = self.stream.iter().map(|(_, stream)| stream);
+                    for mut stream in current.chain(&self.retired).map(Arc::as_ref) {
+                        let _ = stream.write_all(&bytes); // where no such call is, it means nothing
                     }
                 }
-                Ok(Below::Rest) => self.close(),
+                Ok(Below::Rest) => {
+                    self.end_retired(0);
+                    self.close();
+                }
                 Err(RecvTimeoutError::Timeout) if self.stream.is_some() => {
                     let _ = self.events.send(Message::Event(Event::BackendQuiet(self.place)));
                 }
@@ -67,8 +77,14 @@
         }
     }
 
+    /// Ends the oldest connections to where the back end was before.
+    fn end_retired(&mut self, but: usize) {
+        let most = self.retired.len().saturating_sub(but);
+        self.retired.drain(..most).for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+    }
+
     fn close(&mut self) {
-        if let Some(stream) = self.stream.take() {
+        if let Some((_, stream)) = self.stream.take() {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -88,17 +104,26 @@
     }
 
     fn connected(&mut self) -> io::Result<Arc<TcpStream>> {
-        if let Some(stream) = &self.stream {
-            return Ok(Arc::clone(stream));
+        let address = self.addresses.load().backend.ok_or(ErrorKind::AddrNotAvailable)?;
+        match self.stream.take() {
+            Some((to, stream)) if to == address => {
+                self.stream = Some((to, Arc::clone(&stream)));
+                return Ok(stream);
+            }
+            Some((_, old)) => {
+                self.retired.push(old);
+                self.end_retired(RETIRED);
+            }
+            None => {}
         }
-        let stream = TcpStream::connect_timeout(&self.address, CONNECT)?;
+        let stream = TcpStream::connect_timeout(&address, CONNECT)?;
         stream.set_nodelay(true)?;
         let stream = Arc::new(stream);
         self.made += 1;
         let (reader, events) = (Arc::clone(&stream), self.events.clone());
         let link = BackendLink { place: self.place, generation: self.made };
         spawn("back end read", move || read_replies(&reader, link, &events))?;
-        self.stream = Some(Arc::clone(&stream));
+        self.stream = Some((address, Arc::clone(&stream)));
         Ok(stream)
     }
 }
--- a/crates/node/src/driver/kernel_link.rs
+++ b/crates/node/src/driver/kernel_link.rs
@@ -1,12 +1,12 @@
 //! The link to the kernel: one thread that connects and reads, and a writer for each link.
 
-use super::{CONNECT, Message, read_all, spawn, write_gathered};
+use super::{Addresses, CONNECT, Message, read_all, spawn, write_gathered};
 use crate::core::Event;
 use crate::kernel;
 use crate::log::log;
 use crossbeam_channel::{Sender, bounded};
 use std::io::{self, IoSlice};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -29,21 +29,27 @@
         let taken = self.queue.try_send(line).is_ok();
         if !taken {
             log!("kernel: link ended, the kernel does not read");
-            let _ = self.stream.shutdown(Shutdown::Both);
+            self.close();
         }
         taken
     }
+
+    /// Ends the link; what was handed over may be lost.
+    pub fn close(&self) {
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
 }
 
 /// Keeps a link to the kernel from here on.
-pub fn start(address: SocketAddr, events: Sender<Message>) -> io::Result<()> {
-    spawn("kernel", move || keep(address, &events))
+pub fn start(addresses: Addresses, events: Sender<Message>) -> io::Result<()> {
+    spawn("kernel", move || keep(&addresses, &events))
 }
 
-fn keep(address: SocketAddr, events: &Sender<Message>) {
+fn keep(addresses: &Addresses, events: &Sender<Message>) {
     let mut reader = kernel::Reader::default();
     let mut told = false;
     loop {
+        let address = addresses.load().kernel;
         match TcpStream::connect_timeout(&address, CONNECT) {
             Ok(stream) => {
                 told = false;
@@ -58,7 +64,9 @@
             }
             Err(_) => {}
         }
-        thread::sleep(RETRY);
+        if addresses.load().kernel == address {
+            thread::sleep(RETRY);
+        }
     }
 }
 
--- a/crates/node/src/driver/reports.rs
+++ b/crates/node/src/driver/reports.rs
@@ -1,6 +1,6 @@
 //! Reports to the membership service, on a thread of their own.
 
-use super::spawn;
+use super::{Addresses, spawn};
 use crate::log::log;
 use crate::members::{self, Phase};
 use std::io::{self, ErrorKind, Read, Write};
@@ -16,13 +16,14 @@
 const STEP: Duration = Duration::from_millis(400);
 
 /// Reports from here on that the node is up, or that it is leaving.
-pub fn start(address: SocketAddr, node: String, leaving: Arc<AtomicBool>) -> io::Result<()> {
-    spawn("reports", move || report(address, &node, &leaving))
+pub fn start(addresses: Addresses, node: String, leaving: Arc<AtomicBool>) -> io::Result<()> {
+    spawn("reports", move || report(&addresses, &node, &leaving))
 }
 
-fn report(address: SocketAddr, node: &str, leaving: &AtomicBool) {
+fn report(addresses: &Addresses, node: &str, leaving: &AtomicBool) {
     let mut failing = false;
     loop {
+        let address = addresses.load().members;
         let out = leaving.load(SeqCst);
         let phase = if out { Phase::Out } else { Phase::Up };
         let done = report_once(address, &members::report(&address.to_string(), node, phase));
@@ -37,7 +38,7 @@
         failing = done.is_err();
         let rest = if failing { RETRY } else { PERIOD };
         let until = Instant::now() + rest;
-        while Instant::now() < until && leaving.load(SeqCst) == out {
+        while Instant::now() < until && leaving.load(SeqCst) == out && addresses.load().members == address {
             thread::sleep(Duration::from_millis(50).min(rest));
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod fastcgi;
 mod kept;
 pub mod kernel;
-mod log;
+pub mod log;
 pub mod members;
 pub mod request;
 
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -28,6 +28,7 @@
 }
 
 /// Writes a line to the log, unless too many were written this second.
+#[macro_export]
 macro_rules! log {
     ($($text:tt)*) => {
         if let Some(left_out) = $crate::log::permit() {
@@ -38,7 +39,7 @@
         }
     };
 }
-pub(crate) use log;
+pub use log;
 
 #[cfg(test)]
 mod tests {
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -194,6 +194,7 @@
     child: Child,
     log: BufReader<std::process::ChildStderr>,
     listen: SocketAddr,
+    path: PathBuf,
 }
 
 fn config(text: &str) -> PathBuf {
@@ -210,17 +211,22 @@
     command
 }
 
+/// A configuration file's text.
+fn told(kernel: SocketAddr, backend: SocketAddr, members: SocketAddr, descriptors: usize) -> String {
+    let settings = support::SETTINGS;
+    format!(
+        r#"{{"name": "n3", "listen": "127.0.0.1:0", "kernel": "{kernel}", "members": "{members}",
+        "backend": "{backend}", "seed": "8c1f30d27a5be964", "stop_ms": 2000,
+        "limits": {{"cores": 1.0, "memory_mb": 192, "sockets": {descriptors}}}, "settings": {settings}}}"#
+    )
+}
+
 impl Node {
     fn start(kernel: SocketAddr, backend: SocketAddr, members: SocketAddr, descriptors: usize) -> Node {
-        let settings = support::SETTINGS;
-        let path = config(&format!(
-            r#"{{"name": "n3", "listen": "127.0.0.1:0", "kernel": "{kernel}", "members": "{members}",
-            "backend": "{backend}", "seed": "8c1f30d27a5be964", "stop_ms": 2000,
-            "limits": {{"cores": 1.0, "memory_mb": 192, "sockets": {descriptors}}}, "settings": {settings}}}"#
-        ));
+        let path = config(&told(kernel, backend, members, descriptors));
         let mut child = start(&path).spawn().unwrap();
         let log = BufReader::new(child.stderr.take().unwrap());
-        let mut node = Node { child, log, listen: nobody() };
+        let mut node = Node { child, log, listen: nobody(), path };
         node.listen = node.logged("listening on ").parse().unwrap();
         node
     }
@@ -250,9 +256,19 @@
         Dispatcher::connect(self.listen)
     }
 
-    fn terminate(&self) {
+    fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Has the node read another configuration.
+    fn reload(&self, text: &str) {
+        std::fs::write(&self.path, text).unwrap();
+        self.signal("-HUP");
     }
 
     fn wait(&mut self) -> ExitStatus {
@@ -377,6 +393,48 @@
     assert_eq!(node.wait().code(), Some(0));
 }
 
+/// SIGHUP once ended the process. A run and a call that are under way when all peers move lose nothing, and what
+/// can't be read changes nothing.
+#[test]
+fn a_new_configuration_moves_all_links_and_a_bad_one_changes_nothing() {
+    let (kernel, backend, members) = (listen(), listen(), listen());
+    let at = |l: &TcpListener| l.local_addr().unwrap();
+    let mut node = Node::start(at(&kernel), at(&backend), at(&members), 1024);
+    let good = told(at(&kernel), at(&backend), at(&members), 1024);
+    for (text, named) in [
+        (&good[..200], "EOF"),
+        (&good.replace("\"memory_mb\": 192", "\"memory_mb\": 2"), "limits.memory_mb"),
+        (&good.replace("\"Cores\": 1", "\"Cores\": 0"), "Extra.Cores"),
+    ] {
+        node.reload(text);
+        assert!(node.logged("new configuration not taken").contains(named));
+    }
+    let mut link = Talk::boot(&kernel, 0, "");
+    let mut dispatcher = node.connect();
+    while dispatcher.ping() != "200" {}
+    dispatcher.run(&mut link, 1, A);
+    link.say(&wants_call(1, A));
+    let mut below = Talk::accept(&backend);
+    below.line();
+    below.exactly(4);
+    let (kernel2, backend2, members2) = (listen(), listen(), listen());
+    let moved = told(at(&kernel2), at(&backend2), at(&members2), 1024);
+    node.reload(&moved.replace("\"sockets\": 1024", "\"sockets\": 999"));
+    assert!(node.logged("until a restart the old ").contains("limits"));
+    let settled: Value = serde_json::from_str(&link.line()).unwrap(); // what was sent before it has arrived
+    link.say(&format!("{{\"t\":\"INFO\",\"mark\":{},\"v\":[0.1,0.1]}}\n", settled["mark"]));
+    let mut link = Talk::boot(&kernel2, 1, "");
+    below.say(&format!("{A} ok 1\r\na\r\n")); // the old back end still replies
+    let command = link.command();
+    assert_eq!((&command["t"], &command["b64"]), (&"IODONE".into(), &"YQ==".into()));
+    link.say(&reap(2, A, "OK"));
+    assert_eq!(dispatcher.answer().status, "200");
+    dispatcher.run(&mut link, 2, B);
+    link.say(&wants_call(3, B));
+    assert!(Talk::accept(&backend2).line().starts_with(&format!("invoke {B} ")));
+    assert!(Talk::accept(&members2).line().starts_with("PUT /members/n3 "));
+}
+
 #[test]
 fn odd_answers_of_the_members_do_not_matter() {
     let (kernel, members) = (listen(), listen());
@@ -466,7 +524,7 @@
 fn a_bad_configuration_is_named_and_nothing_starts() {
     let whole = format!(
         r#"{{"name": "n3", "listen": "127.0.0.1:0", "kernel": "127.0.0.1:1", "members": "127.0.0.1:1",
-        "seed": "8c1f", "stop_ms": 2000, "limits": {{"sockets": 1024}}, "settings": {}}}"#,
+        "seed": "8c1f", "stop_ms": 2000, "limits": {{"cores": 0.2, "memory_mb": 32, "sockets": 1024}}, "settings": {}}}"#,
         support::SETTINGS
     );
     for (from, to, named) in [
@@ -475,6 +533,8 @@
         ("\"8c1f\"", "\"zz\"", "seed"),
         ("2000", "-1", "stop_ms"),
         ("1024", "3", "limits.sockets"),
+        ("32", "3", "limits.memory_mb"),
+        ("0.2", "0", "limits.cores"),
         ("\"Cores\": 1", "\"Cores\": 0", "Extra.Cores"),
         ("\"n3\"", "\"n4\"", "PROXY_NAME"),
         ("{", "", "expected"),
