One thread reads for all dispatchers; a thread for each connection is gone

Ruled out: the kernel (busy below 1 while work was refused), calls (1 or 2 lost with each spoilt connection).

A reader thread for each connection can't keep the limit of cores; the nearest thing is one small-stack thread that waits with epoll on std::net sockets and reads what is ready, 4 KiB of each in turn (driver/front.rs). A stranger's pause now means that its socket is not looked at. The queue to the core, the parsers and the writers for peers that do not read stay as they were.

--- a/crates/node/src/desk/front.rs
+++ b/crates/node/src/desk/front.rs
@@ -8,8 +8,7 @@
 use std::collections::BTreeMap;
 
 /// The first whole request is to come within this, and a second one within that: who connects and says nothing, or
-/// asks once and stays, takes others' room. Each connection has a thread, and threads that only wait cost time
-/// too where the system stops and continues the process to keep it to its share of a core.
+/// asks once and stays, takes others' room.
 const FIRST_REQUEST: Nanos = 1500 * MILLISECOND;
 const SECOND_REQUEST: Nanos = 1000 * MILLISECOND;
 /// A connection this young is not closed to make room: its first request may be on its way.
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -2,6 +2,7 @@
 
 mod backend_link;
 mod dispatchers;
+mod front;
 mod kernel_link;
 mod reports;
 
@@ -14,7 +15,8 @@
 use backend_link::Below;
 use crossbeam_channel::{Receiver, Sender, bounded, select};
 use crossbeam_utils::atomic::AtomicCell;
-use dispatchers::{Connection, Front};
+use dispatchers::Connection;
+use front::Front;
 use kernel_link::KernelLink;
 use madderpoint::{InvId, Nanos};
 use std::collections::HashMap;
--- a/crates/node/src/driver/backend_link.rs
+++ b/crates/node/src/driver/backend_link.rs
@@ -16,7 +16,7 @@
 const IDLE: Duration = Duration::from_secs(1);
 
 /// Connections to earlier addresses that a link keeps for their replies.
-const RETIRED: usize = 2;
+const RETIRED: usize = 1;
 
 /// What a connection is asked for.
 pub enum Below {
--- a/crates/node/src/driver/dispatchers.rs
+++ b/crates/node/src/driver/dispatchers.rs
@@ -1,18 +1,16 @@
-//! Dispatchers' connections: a thread that accepts, and a reader for each connection. The core writes as much as
-//! a socket takes at once; a writer is started for one that does not take all.
+//! The core's end of dispatchers' connections: it writes as much as a socket takes at once, and a writer is started
+//! for one that does not take all.
 
-use super::{CONNECT, Message, read_all, spawn, write_gathered};
-use crate::core::{ConnId, Event};
+use super::front::Socket;
+use super::{spawn, write_gathered};
 use crate::fastcgi::{self, Reply};
 use crate::log::log;
-use crate::room::Room;
 use crossbeam_channel::{Receiver, Sender, bounded};
 use rustix::net::{SendAncillaryBuffer, SendFlags, sendmsg};
 use std::io::{self, ErrorKind, IoSlice};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst};
-use std::thread;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst};
 use std::time::Duration;
 
 /// Answers that may wait for one connection's writer, and answers written with one call.
@@ -20,27 +18,12 @@
 const GATHERED: usize = 16;
 /// Who takes no byte of an answer for so long is gone.
 const UNREAD: Duration = Duration::from_secs(3);
-/// Between two tries to take a connection when there is no room for one.
-const CROWDED: Duration = Duration::from_millis(20);
 
 enum Outgoing {
     Reply(Reply),
     Close,
 }
 
-/// A connection's socket, shared by its reader, its writer and the core. Its place is free again only when all
-/// three have let go of it: until then it takes a descriptor.
-struct Socket {
-    stream: TcpStream,
-    front: Arc<Front>,
-}
-
-impl Drop for Socket {
-    fn drop(&mut self) {
-        self.front.open.fetch_sub(1, SeqCst);
-    }
-}
-
 /// The core's end of a connection.
 pub struct Connection {
     socket: Arc<Socket>,
@@ -53,6 +36,11 @@
 }
 
 impl Connection {
+    /// For a connection that was accepted; its reader waits for `pause` before each reading.
+    pub fn new(socket: Arc<Socket>, pause: Arc<AtomicU64>) -> Connection {
+        Connection { socket, replies: Vec::new(), closes: false, writer: None, pause }
+    }
+
     /// Takes an answer, to be written with the others of this turn.
     pub fn reply(&mut self, reply: Reply) {
         self.replies.push(reply);
@@ -142,108 +130,6 @@
     }
 }
 
-/// The listening side.
-pub struct Front {
-    listen: SocketAddr,
-    events: Sender<Message>,
-    room: Room,
-    /// Connections that are open.
-    open: AtomicUsize,
-    /// Bytes of answers that wait to be written.
-    unread: AtomicUsize,
-    stopped: AtomicBool,
-}
-
-impl Front {
-    /// Listens, and hands on what comes.
-    pub fn open(listen: SocketAddr, room: Room, events: Sender<Message>) -> io::Result<Arc<Front>> {
-        let listener = TcpListener::bind(listen)?;
-        let front = Arc::new(Front {
-            listen: listener.local_addr()?,
-            events,
-            room,
-            open: AtomicUsize::new(0),
-            unread: AtomicUsize::new(0),
-            stopped: AtomicBool::new(false),
-        });
-        log!("listening on {}", front.listen);
-        let accepting = Arc::clone(&front);
-        spawn("accept", move || accepting.accept(&listener))?;
-        Ok(front)
-    }
-
-    fn accept(self: &Arc<Self>, listener: &TcpListener) {
-        let mut next = 0;
-        loop {
-            let room = self.open.load(SeqCst) < self.room.connections;
-            let accepted = if room { listener.accept() } else { Err(ErrorKind::QuotaExceeded.into()) };
-            if self.stopped.load(SeqCst) {
-                return;
-            }
-            next += 1;
-            let taken = accepted.and_then(|(stream, _)| self.connect(ConnId(next), stream));
-            if let Err(e) = taken {
-                if room {
-                    log!("dispatcher: no connection taken: {e}");
-                }
-                let _ = self.events.send(Message::Event(Event::Crowded));
-                thread::sleep(CROWDED);
-            }
-        }
-    }
-
-    fn connect(self: &Arc<Self>, conn: ConnId, stream: TcpStream) -> io::Result<()> {
-        stream.set_nodelay(true)?;
-        self.open.fetch_add(1, SeqCst);
-        let socket = Arc::new(Socket { stream, front: Arc::clone(self) });
-        let pause = Arc::new(AtomicU64::new(0));
-        let connection = Connection {
-            socket: Arc::clone(&socket),
-            replies: Vec::new(),
-            closes: false,
-            writer: None,
-            pause: Arc::clone(&pause),
-        };
-        let _ = self.events.send(Message::Accepted(conn, connection));
-        let reading = spawn("read", move || {
-            socket.front.read(&socket.stream, conn, &pause);
-            let _ = socket.stream.shutdown(Shutdown::Both);
-            socket.front.disconnected(conn);
-        });
-        if reading.is_err() {
-            self.disconnected(conn);
-        }
-        reading
-    }
-
-    fn read(&self, stream: &TcpStream, conn: ConnId, pause: &AtomicU64) {
-        let mut parser = fastcgi::Parser::new(self.room.connections, self.room.unfinished);
-        let feed = |bytes: &[u8]| {
-            let read = parser.feed(bytes, &mut |event| {
-                let _ = self.events.send(Message::Event(Event::Front(conn, event)));
-            });
-            let nanos = pause.load(SeqCst);
-            if nanos > 0 {
-                thread::sleep(Duration::from_nanos(nanos));
-            }
-            read
-        };
-        if let Err(fastcgi::Broken(what)) = read_all(stream, feed) {
-            log!("dispatcher: connection ended: {what}");
-        }
-    }
-
-    fn disconnected(&self, conn: ConnId) {
-        let _ = self.events.send(Message::Event(Event::Disconnected(conn)));
-    }
-
-    /// Takes no more connections; one of its own ends the wait for another.
-    pub fn stop(&self) {
-        self.stopped.store(true, SeqCst);
-        let _ = TcpStream::connect_timeout(&self.listen, CONNECT);
-    }
-}
-
 fn write(stream: &TcpStream, replies: &Receiver<Outgoing>, unread: &AtomicUsize) {
     while let Ok(first) = replies.recv() {
         let mut batch = Vec::with_capacity(GATHERED);
--- a/crates/node/src/room.rs
+++ b/crates/node/src/room.rs
@@ -4,10 +4,10 @@
 
 /// Descriptors left for all that is no dispatcher's connection: standard streams, signals, the listener, the
 /// kernel's link (two while it moves), the back end's links and those that they left behind, a report, a file.
-const RESERVED: usize = 28;
-/// Memory of a node that serves nobody, and of a connection with its thread, both measured and rounded up.
+const RESERVED: usize = 32;
+/// Memory of a node that serves nobody, and of a connection, both measured and rounded up.
 const BARE: usize = 6 << 20;
-const CONNECTION: usize = 20 << 10;
+const CONNECTION: usize = 4 << 10;
 /// What the largest request, the largest notice or reply, and the longest command take.
 const REQUEST: usize = 7 << 10;
 const NOTICE: usize = 16 << 10;
