A run in doubt errs after a second, and a mark follows what must not run twice

Seen: a tokened or non-idempotent run whose command was on its way when the kernel's link broke held its caller until the client timeout if the kernel never got it (desk/runs.rs, catch_up: counted, nothing else done), and its place for 10 s more.

A question follows each such command within 10 ms, so that its answer settles most of them before a link breaks. What is still in doubt has 1 s to be heard of; then the caller is told and the kernel asked, which frees the place. Log lines for each command that the kernel does not know are gone (the count stays): strangers caused hundreds.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -170,6 +170,7 @@
             Timer::CheckLimit(mark) => self.desk.borrow_mut().checked(mark, false),
             Timer::Idle(conn, due) => self.desk.borrow_mut().close_if_idle(conn, due),
             Timer::RenewKernel(mark) => self.desk.borrow_mut().settled(mark),
+            Timer::Doubt(id) => self.desk.borrow_mut().doubt_over(id),
             Timer::Leave => self.desk.borrow_mut().leave(),
             Timer::Look => self.desk.borrow_mut().look(),
         }
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -537,6 +537,26 @@
     assert_eq!(node.statuses().len(), 2);
 }
 
+/// A run in doubt once held its caller until the client timeout.
+#[test]
+fn a_run_in_doubt_errs_soon_and_gives_its_place_back() {
+    let mut node = Node::new();
+    node.ask(1, "/call/pay", A);
+    let asked = node.core.out(|out| out.asked);
+    node.wait(10);
+    assert!(node.core.out(|out| out.asked) > asked); // a mark follows soon: it would have settled this
+    node.break_link();
+    node.relink(0);
+    node.info();
+    node.kernel_lines();
+    node.wait(1000);
+    assert_eq!(node.statuses(), [(1, "500".into())]);
+    assert_eq!(node.kernel_lines(), [sched(A, "pay")]); // its request is over: this only asks
+    node.reap(A, End::Moot, b"");
+    node.ask(2, "/call/pay", B);
+    assert_eq!(node.kernel_lines(), [sched(B, "pay")]);
+}
+
 #[test]
 fn a_new_configuration_moves_the_kernels_link_without_doubt() {
     let mut node = Node::new();
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -66,6 +66,7 @@
     CheckLimit(u64),
     Idle(ConnId, Nanos),
     RenewKernel(u64),
+    Doubt(InvId),
     Leave,
     Look,
 }
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -8,6 +8,11 @@
 
 /// How long a link that is to be renewed has to show that all commands arrived.
 const SETTLE: Nanos = 100 * MILLISECOND;
+/// At most so long after the command to run what must not run twice, a question follows whose answer shows that it
+/// arrived: only what lies between is in doubt when a link breaks.
+const MARK: Nanos = 10 * MILLISECOND;
+/// What is in doubt has so long to be heard of.
+const DOUBT: Nanos = 1000 * MILLISECOND;
 
 impl<O: Outward> Desk<O> {
     // ---- The link ----
@@ -108,7 +113,8 @@
                 if sent == 0 || again {
                     self.start(id)
                 } else {
-                    self.count("runs in doubt after a broken link", 1)
+                    self.count("runs in doubt after a broken link", 1);
+                    self.set_timer(DOUBT, Timer::Doubt(id));
                 }
             }
             self.resume_again(id, lacks);
@@ -118,6 +124,16 @@
         }
     }
 
+    /// The kernel has not spoken of a run since the link broke on which it was asked for: its caller is told at once
+    /// and not at its client timeout. Asked for again when that is over, the kernel only says whether there is one.
+    pub fn doubt_over(&mut self, id: InvId) {
+        let silent = |inv: &Invocation| inv.run.as_ref().is_some_and(|run| !run.seen);
+        if self.kernel.synced && self.invs.get(&id).is_some_and(silent) {
+            self.answer(id, 500, "", Vec::new());
+            self.start(id);
+        }
+    }
+
     // ---- Runs ----
 
     pub fn run(&mut self, id: InvId) {
@@ -134,7 +150,8 @@
     fn start(&mut self, id: InvId) {
         let Some(inv) = self.invs.get(&id) else { return };
         let (rid, body) = (inv.rid.clone(), inv.body.clone());
-        let route = self.start.operations[inv.op.0].clone();
+        let op = inv.op;
+        let route = self.start.operations[op.0].clone();
         let sent = self.command(Command::Sched { rid: &rid, route: &route, body: &body });
         if let Some(inv) = self.invs.get_mut(&id) {
             let run = inv.run.get_or_insert_with(|| Run {
@@ -145,6 +162,9 @@
                 call_body: Vec::new(),
             });
             run.sent = sent;
+            if self.effect(op) != Effect::Idempotent {
+                self.set_timer(MARK, Timer::AskGauges);
+            }
         }
     }
 
@@ -220,7 +240,6 @@
     /// The kernel did not carry a command out.
     pub fn einval(&mut self, command: &str, rid: &str) -> Option<InvId> {
         self.count("kernel: commands not carried out", 1);
-        self.out.log(format_args!("kernel: {command:.20} not carried out for {rid:.20}"));
         let id = self.ids.get(rid).copied().filter(|_| command == "SCHED")?;
         let inv = self.invs.get_mut(&id)?;
         inv.run.take_if(|run| !run.seen)?;
