--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -545,6 +545,7 @@
     let asked = node.core.out(|out| out.asked);
     node.wait(10);
     assert!(node.core.out(|out| out.asked) > asked); // a mark follows soon: it would have settled this
+    assert_eq!(node.kernel_lines(), [sched(A, "pay")]);
     node.break_link();
     node.relink(0);
     node.info();
