One of few nodes serves on after the notice to leave, until its grace ends

Checked: the log of the leaving node (Draining, held 0, at 6.96 s; listed as leaving at 12.09 s; the new node at 13.02 s). choice.rs said weight 0 and the longest pause from the notice on, though what arrives in the grace of 2.5 s may run.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -346,12 +346,10 @@
     pub fn drain(&mut self, now: Nanos, left: Nanos) {
         self.stop = Some((now, now + left));
         let last = (now + left).saturating_sub(MOMENT);
-        for (_, inv) in &mut self.in_hand {
-            inv.due = inv.due.min(last);
-        }
+        self.in_hand.iter_mut().for_each(|(_, inv)| inv.due = inv.due.min(last));
         self.arm(now, last);
         self.host.health(false, true);
-        self.advertise();
+        self.advertise(now);
         self.enter(Mode::Draining);
     }
 
@@ -365,7 +363,7 @@
             self.steer_running(&gauges);
             self.measure_capacity();
             self.walk();
-            self.steer_traffic();
+            self.steer_traffic(now);
             let mode = match self.mode {
                 Mode::Draining => Mode::Draining,
                 _ if self.hold.len() as f64 >= self.red.buffer => Mode::Full,
@@ -437,9 +435,7 @@
         let held = !self.hold.is_empty();
         self.busy = gauges.cpu_busy.unwrap_or(f64::from(u8::from(held)));
         self.red.feed += 2.0 * LEARN * (self.tally.arrivals / seconds(T_UPDATE) - self.red.feed);
-        if held {
-            self.limit += (1.0 - self.busy).max(0.0) * cores / 2.0;
-        }
+        self.limit += if held { (1.0 - self.busy).max(0.0) * cores / 2.0 } else { 0.0 };
         // Judged once as many runs have ended as may go at once: single runs of small nodes tell nothing.
         if self.stretch.0 >= self.limit {
             let long = self.busy >= FULL && self.stretch.1 > LONG * self.stretch.0;
@@ -460,8 +456,8 @@
             let rate = self.tenants[t].1 * self.site.nodes as f64;
             (self.site.tenants[t].quota_per_s / rate).min(1.0)
         });
-        let share = within + (1.0 - within) * self.site.over_share_value;
-        self.rows[inv.op].agreed.billed_value / length * share
+        self.rows[inv.op].agreed.billed_value / length
+            * (within + (1.0 - within) * self.site.over_share_value)
     }
 
     fn length(&self, place: usize) -> f64 {
@@ -521,9 +517,8 @@
     /// node is taken to warm as slowly as it may.
     fn crowd_limit(&self, now: Nanos) -> usize {
         let since = (now - self.born) as f64 / self.site.warm_after.max(1) as f64;
-        let warmth = if self.site.cold { since.min(1.0) } else { 1.0 };
-        let speed = self.site.cold_speed + (1.0 - self.site.cold_speed) * warmth;
-        let crowd = self.site.cores as f64 * (1.0 + (self.site.crowd_per_core - 1.0) * speed);
+        let lack = if self.site.cold { (1.0 - self.site.cold_speed) * (1.0 - since.min(1.0)) } else { 0.0 };
+        let crowd = self.site.cores as f64 * (1.0 + (self.site.crowd_per_core - 1.0) * (1.0 - lack));
         ((crowd * SAFE) as usize).max(1)
     }
 
@@ -536,8 +531,8 @@
         } else {
             // Neither lateness nor an overload that the advert speaks of is cured by asking the next node.
             let last = now >= inv.objective || self.shed > SHED_GOAL && self.fleet_full();
-            let away = if self.stop.is_some() { 1.0 } else { self.shed };
-            self.host.throttle(inv.id, (self.site.longest_pause as f64 * away) as Nanos, last);
+            let pause = self.site.longest_pause as f64 * self.held_back(now);
+            self.host.throttle(inv.id, pause as Nanos, last);
             self.host.forget(inv.id);
         }
         self.remove(place);
@@ -644,8 +639,7 @@
     }
 
     /// Makes the call that a run waits for, lets it wait for room below, or skips it when it has `waited` or
-    /// too many do. What is shared holds no more of this node's calls than its share, or one, and the mean of
-    /// any span keeps to the share: half of it flows back all the time, half can be used at once.
+    /// too many do. Calls in hand and the mean of a span keep to the share: half of it flows back.
     fn make_call(&mut self, now: Nanos, place: usize, waited: bool) {
         let Some(inv) = self.in_hand.get(place).filter(|inv| !inv.over) else { return };
         let row = &self.rows[inv.op];
@@ -689,7 +683,7 @@
 
     /// Walks the share of traffic that the advert holds back: up while more than the goal is turned away,
     /// down while cores show room. Advert and refusal thus follow the same mechanism.
-    fn steer_traffic(&mut self) {
+    fn steer_traffic(&mut self, now: Nanos) {
         if self.busy < FULL {
             self.shed *= 1.0 - LEARN;
         } else {
@@ -700,9 +694,8 @@
             *rate += LEARN * (*count / seconds(T_UPDATE) - *rate);
             *count = 0.0;
         }
-        self.advertise();
-        // Guards the table and the capacity that idle connections take: they are kept only if dispatchers,
-        // on average, come back before they would close them. Costs handshakes where that is a near thing.
+        self.advertise(now);
+        // Idle connections take places and capacity: they are kept if dispatchers mostly come back to them.
         let come_back = self.red.feed * seconds(self.site.longest_idle) / self.site.dispatchers.max(1) as f64;
         if self.keeps_idle && come_back < 0.7 || !self.keeps_idle && come_back > 1.4 {
             self.keeps_idle = !self.keeps_idle;
@@ -710,13 +703,21 @@
         }
     }
 
-    fn advertise(&mut self) {
-        let shed = if self.stop.is_some() { 1.0 } else { self.shed };
+    /// The share to hold back: all once told to leave. But where few would get its share, a node serves on for
+    /// as much of the grace as they are fewer; the last update of it tells callers in time.
+    fn held_back(&self, now: Nanos) -> f64 {
+        let told = now + T_UPDATE * self.site.nodes.saturating_sub(1).max(1) as Nanos;
+        let shuts = self.stop.is_some_and(|(notice, _)| told >= notice + self.site.drain_grace);
+        if shuts { 1.0 } else { self.shed }
+    }
+
+    fn advertise(&mut self, now: Nanos) {
+        let shed = self.held_back(now);
         let value = match self.site.advert {
             Advert::No => return,
             Advert::Level => shed,
             Advert::Weight => 1.0 - shed,
-            Advert::Credit if self.stop.is_some() => 0.0,
+            Advert::Credit if shed == 1.0 => 0.0,
             Advert::Credit => (self.limit + self.red.q_target).powf(1.0 - shed),
         };
         self.host.advertise(value);
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -494,6 +494,13 @@
     choice.drain(S, 4 * S);
     assert_eq!(choice.in_hand[0].due, 5 * S - MOMENT);
     assert_eq!(choice.host.0, [Did::Wake(2, 4 * S - MOMENT), Did::Health(false), Did::Advert(0.0)]);
+    // One of few nodes serves on while it may: sent away at once, its callers would leave the others no room.
+    choice.host.0.clear();
+    for (nodes, now) in [(2, 2 * S), (2, 3 * S - T_UPDATE), (4, S), (4, 2 * S), (5, S)] {
+        choice.site.nodes = nodes;
+        choice.advertise(now);
+    }
+    assert_eq!(choice.host.0, [1.0, 0.0, 1.0, 0.0, 0.0].map(Did::Advert));
 }
 
 #[test]
@@ -509,10 +516,10 @@
 fn advert_follows_what_is_turned_away_and_falls_with_room() {
     let mut choice = choice(site());
     (choice.busy, choice.tally.read, choice.tally.turned) = (1.0, 10.0, 5.0);
-    choice.steer_traffic();
+    choice.steer_traffic(S);
     assert!((choice.shed - SHED_GAIN * 0.47).abs() < 1e-9);
     (choice.busy, choice.shed) = (0.5, 0.5);
-    choice.steer_traffic();
+    choice.steer_traffic(S);
     assert!((choice.shed - 0.45).abs() < 1e-9);
 }
 
@@ -521,7 +528,7 @@
     for (advert, value) in [(Advert::Level, 0.5), (Advert::Weight, 0.5), (Advert::Credit, 4.0)] {
         let mut choice = choice(Premises { advert, ..site() });
         (choice.shed, choice.limit, choice.red.q_target) = (0.5, 10.0, 6.0);
-        choice.advertise();
+        choice.advertise(S);
         assert_eq!(choice.host.0, [Did::Advert(value)]);
     }
 }
@@ -537,10 +544,10 @@
 fn connections_of_dispatchers_that_seldom_return_are_closed_at_once() {
     let mut choice = choice(Premises { dispatchers: 300, ..site() });
     choice.red.feed = 5.0; // back after a minute, against 30 s
-    choice.steer_traffic();
+    choice.steer_traffic(S);
     assert!(choice.host.0.contains(&Did::CloseIdle(MOMENT)));
     (choice.red.feed, choice.host.0) = (20.0, Vec::new());
-    choice.steer_traffic();
+    choice.steer_traffic(S);
     assert!(choice.host.0.contains(&Did::CloseIdle(30 * S)));
 }
 
