--- a/src/choice.rs
+++ b/src/choice.rs
@@ -703,8 +703,8 @@
         }
     }
 
-    /// The share to hold back: all once told to leave. But where few would get its share, a node serves on for
-    /// as much of the grace as they are fewer; the last update of it tells callers in time.
+    /// The share to hold back: all once told to leave. But where few would get its share, a node serves on
+    /// for as much of the grace as they are fewer; the last update of it tells callers in time.
     fn held_back(&self, now: Nanos) -> f64 {
         let told = now + T_UPDATE * self.site.nodes.saturating_sub(1).max(1) as Nanos;
         let shuts = self.stop.is_some_and(|(notice, _)| told >= notice + self.site.drain_grace);
