One arrival counts for no more than B in q_cur

Checked: choice.rs counts the unread as arrivals a second times the arrival's age, without bound, and strangers name any time within a minute of the client timeout (request.rs).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -385,7 +385,7 @@
     /// q_avg with the arrival. What came after it and is unread counts as held (feed times its age), or slow
     /// reading would hide the queue.
     fn average(&mut self, age: Nanos) {
-        self.red.q_cur = self.hold.len() as f64 + self.red.feed * seconds(age);
+        self.red.q_cur = (self.hold.len() as f64 + self.red.feed * seconds(age)).min(self.red.buffer);
         self.red.q_avg += W * (self.red.q_cur - self.red.q_avg);
     }
 
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -487,6 +487,16 @@
     assert_eq!(choice.running, 1, "until the host says so");
 }
 
+/// An arrival that says it is old once counted as a queue of that length: a stranger's word for hours shut the node to
+/// everybody for a dozen arrivals.
+#[test]
+fn one_arrival_cannot_pass_for_a_queue_without_end() {
+    let mut choice = choice(site());
+    choice.red.feed = 100.0;
+    choice.arrive(100 * S, Arrival { age: 50 * S, ..arrival(1) });
+    assert_eq!(choice.red.q_avg, W * choice.red.buffer);
+}
+
 #[test]
 fn a_drain_answers_all_before_the_stop() {
     let mut choice = choice(site());
