--- /dev/null
+++ b/crates/node/src/cli.rs
@@ -0,0 +1,364 @@
+//! The command line.
+
+use crate::serve;
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use hdrhistogram::Histogram;
+use madderpoint_facts::Start;
+use madderpoint_rules::ruleset::Why;
+use madderpoint_rules::{Path as Search, RuleSet, Scratch, Verdict};
+use madderpoint_settings::asked::Asked;
+use madderpoint_settings::{Known, Rulebook, Translator};
+use serde_json::{Value, json};
+use std::hint::black_box;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Instant;
+
+/// Decides, inside a server, which invocations it takes, runs and throttles.
+#[derive(Parser)]
+#[command(
+    name = "madderpoint",
+    after_help = "Example: PROXY_CONFIG=config.json madderpoint serve --settings translator.xml"
+)]
+pub struct Line {
+    /// The file of our settings, where serving is to use one.
+    #[arg(long, value_name = "FILE")]
+    settings: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve, as without a sub-command.
+    Serve {
+        /// The file of our settings.
+        #[arg(long, value_name = "FILE")]
+        settings: Option<PathBuf>,
+    },
+    /// Check a file of our settings, and show all that is wrong.
+    #[command(after_help = "Example: madderpoint check deploy/translator.xml --config config.json")]
+    Check {
+        #[command(flatten)]
+        file: File,
+        /// How the result is shown.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Try rules.
+    Rules {
+        #[command(subcommand)]
+        command: Rules,
+    },
+}
+
+#[derive(Args)]
+struct File {
+    /// The file.
+    file: PathBuf,
+    /// A node's configuration, whose operations and tenants are the ones that are known. Without one any name goes.
+    #[arg(long, value_name = "CONFIG")]
+    config: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+enum Rules {
+    /// Show which rule a request matches, why those above it do not, and what that costs.
+    #[command(after_help = "Example: madderpoint rules explain translator.xml --request r.json\n\
+        where r.json is {\"script\": \"/call/gun-yaz\", \"tenant\": \"ege\", \"params\": {\"HTTP_X_SITE\": \"7\"}}")]
+    Explain {
+        #[command(flatten)]
+        file: File,
+        /// The request as JSON: facts by name, `params` and `body`.
+        #[arg(long, value_name = "FILE")]
+        request: PathBuf,
+        /// How the result is shown.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Run the cases that are written beside the rules.
+    #[command(after_help = "Example: madderpoint rules test deploy/translator.xml")]
+    Test {
+        #[command(flatten)]
+        file: File,
+    },
+    /// Measure the rules over the requests of the cases, by index and by scan.
+    #[command(after_help = "Example: madderpoint rules bench deploy/translator.xml --rounds 100000")]
+    Bench {
+        #[command(flatten)]
+        file: File,
+        /// How often each request is decided.
+        #[arg(long, default_value_t = 20_000)]
+        rounds: u32,
+    },
+}
+
+#[derive(Clone, Copy, PartialEq, ValueEnum)]
+enum Format {
+    Text,
+    Json,
+}
+
+/// How a command ended that was called rightly: well, or the thing checked is bad.
+type Ended = Result<bool, String>;
+
+impl Line {
+    /// Carries the call out.
+    pub fn run(self) -> ExitCode {
+        let ended = match self.command {
+            None => return Self::serves(self.settings),
+            Some(Command::Serve { settings }) => return Self::serves(settings.or(self.settings)),
+            Some(Command::Check { file, format }) => check(&file, format),
+            Some(Command::Rules { command: Rules::Explain { file, request, format } }) => {
+                explain(&file, &request, format)
+            }
+            Some(Command::Rules { command: Rules::Test { file } }) => test(&file),
+            Some(Command::Rules { command: Rules::Bench { file, rounds } }) => bench(&file, rounds),
+        };
+        match ended {
+            Ok(true) => ExitCode::SUCCESS,
+            Ok(false) => ExitCode::FAILURE,
+            Err(what) => {
+                eprintln!("madderpoint: {what}");
+                ExitCode::from(2)
+            }
+        }
+    }
+
+    fn serves(settings: Option<PathBuf>) -> ExitCode {
+        match serve::serve(settings) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(what) => {
+                eprintln!("madderpoint: {what}");
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
+
+/// The settings in a node's configuration; all else in that file is of no matter here.
+fn start(path: &Path) -> Result<Start, String> {
+    let wrong = |what: String| format!("{}: {what}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|e| wrong(e.to_string()))?;
+    let whole: Value = serde_json::from_str(&text).map_err(|e| wrong(e.to_string()))?;
+    let settings = whole.get("settings").unwrap_or(&whole);
+    madderpoint_facts::decode(settings.to_string().as_bytes()).map_err(|e| wrong(format!("settings: {e}")))
+}
+
+/// Reads a file; what is wrong with it has been shown if there is nothing.
+fn read(file: &File) -> Result<Option<Translator>, String> {
+    let known = match &file.config {
+        Some(config) => Known { ..serve::known(&start(config)?) },
+        None => Known::anything(),
+    };
+    if !file.file.is_file() {
+        return Err(format!("{}: no such file", file.file.display()));
+    }
+    match serve::read(&file.file, &known) {
+        Ok(translator) => Ok(Some(translator)),
+        Err(complaints) => {
+            eprint!("{complaints}");
+            Ok(None)
+        }
+    }
+}
+
+fn rulebook(file: &File) -> Result<Option<Rulebook>, String> {
+    let Some(translator) = read(file)? else { return Ok(None) };
+    translator.rules.map(Some).ok_or_else(|| format!("{}: no <rules>", file.file.display()))
+}
+
+fn check(file: &File, format: Format) -> Ended {
+    let Some(translator) = read(file)? else {
+        if format == Format::Json {
+            println!("{}", json!({"file": file.file.display().to_string(), "good": false}));
+        }
+        return Ok(false);
+    };
+    let rules = translator.rules.as_ref();
+    let (count, buckets, cases) =
+        rules.map_or((0, 0, 0), |b| (b.rules.rules().len(), b.buckets.len(), b.cases.len()));
+    let (bytes, worst, most) =
+        rules.map_or((0, 0, 0), |b| (b.rules.bytes(), b.rules.worst(), dearest(&b.rules)));
+    match format {
+        Format::Text => println!(
+            "{}: good; {count} rules, {buckets} buckets, {cases} cases; {} KiB; dearest rule {most} units, a request \
+             at most {worst}",
+            file.file.display(),
+            bytes >> 10
+        ),
+        Format::Json => println!(
+            "{}",
+            json!({"file": file.file.display().to_string(), "good": true, "rules": count, "buckets": buckets,
+                "cases": cases, "bytes": bytes, "dearest_rule_units": most, "request_units": worst})
+        ),
+    }
+    Ok(true)
+}
+
+fn dearest(rules: &RuleSet) -> u64 {
+    rules.rules().iter().map(|rule| rule.worst()).max().unwrap_or(0)
+}
+
+/// A request as JSON.
+fn request(path: &Path) -> Result<Asked, String> {
+    let wrong = |what: String| format!("{}: {what}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|e| wrong(e.to_string()))?;
+    let whole: Value = serde_json::from_str(&text).map_err(|e| wrong(e.to_string()))?;
+    let fields = whole.as_object().ok_or_else(|| wrong("not an object".into()))?;
+    let plain = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+    let mut asked = Asked::default();
+    for (name, value) in fields {
+        match name.as_str() {
+            "params" => {
+                let params = value.as_object().ok_or_else(|| wrong("params is not an object".into()))?;
+                asked.params = params.iter().map(|(n, v)| (n.clone(), plain(v))).collect();
+            }
+            "body" => asked.body = plain(value).into_bytes(),
+            name => {
+                asked
+                    .set(name, &plain(value))
+                    .map_err(|expected| wrong(format!("{name}: expected {expected}")))?;
+            }
+        }
+    }
+    Ok(asked)
+}
+
+fn explain(file: &File, path: &Path, format: Format) -> Ended {
+    let asked = request(path)?;
+    let Some(book) = rulebook(file)? else { return Ok(false) };
+    let mut scratch = Scratch::new(0);
+    scratch.shows_keys = true;
+    let facts = asked.facts(&book.rules);
+    let why = book.rules.explain(&facts, &mut scratch);
+    let decision = book.rules.decide(&facts, &mut scratch, Search::Index);
+    let rules = book.rules.rules();
+    let given = decision.given.as_ref().map(|g| {
+        let verdict = match &g.rule.verdict {
+            Some(Verdict::Throttle { pause, reason }) => {
+                json!({"throttle": reason, "pause_ms": *pause as f64 / 1e6})
+            }
+            Some(Verdict::Error { status, reason }) => json!({"error": reason, "status": status}),
+            None => Value::Null,
+        };
+        let buckets: Vec<_> = g.buckets.iter().zip(&g.bucket_texts).collect();
+        let buckets = buckets.into_iter().map(|((b, _), key)| json!({"bucket": book.buckets[usize::from(*b)].name, "key": key}));
+        json!({
+            "rule": g.rule.name, "operation": g.rule.operation.and_then(|o| book.operations.get(o)),
+            "class": g.rule.class.map(|c| &book.rules.classes()[usize::from(c)]), "key": g.key_text, "rank": g.rank,
+            "facts": g.facts.iter().map(|(n, v)| (n.to_string(), v.clone())).collect::<std::collections::BTreeMap<_, _>>(),
+            "limits": buckets.collect::<Vec<_>>(), "verdict": verdict, "worst_units": g.rule.worst(),
+        })
+    });
+    if format == Format::Json {
+        let above: Vec<_> = why.iter().map(|w| line_of(&rules[w.place].name, w)).collect();
+        let whole = json!({"given": given, "units": decision.cost, "limit": book.rules.request_limit(),
+            "evaluated": decision.asked, "rules": above});
+        println!("{whole:#}");
+        return Ok(true);
+    }
+    for w in &why {
+        let rule = &rules[w.place];
+        let path = if w.evaluated { "evaluated" } else { "left out" };
+        let outcome = match (&w.result, &w.failed) {
+            (Ok(true), _) => "matches".to_owned(),
+            (_, Some((part, what))) => format!("no match: {part} {what}"),
+            _ => "no match".to_owned(),
+        };
+        println!(
+            "{}: {outcome} ({path} by the index, filed under {}; {} units, worst {})",
+            rule.name,
+            w.filed,
+            w.cost,
+            rule.worst()
+        );
+    }
+    match &given {
+        Some(given) => println!("given: {given}"),
+        None => println!("given: nothing, no rule matches"),
+    }
+    println!(
+        "{} rules evaluated, {} units of {} used",
+        decision.asked,
+        decision.cost,
+        book.rules.request_limit()
+    );
+    Ok(true)
+}
+
+fn line_of(name: &str, why: &Why) -> Value {
+    let failed = why.failed.as_ref().map(|(part, what)| json!({"part": part, "what": what}));
+    json!({"rule": name, "matches": why.result == Ok(true), "evaluated": why.evaluated, "filed_under": why.filed,
+        "units": why.cost, "failed": failed})
+}
+
+fn test(file: &File) -> Ended {
+    let Some(book) = rulebook(file)? else { return Ok(false) };
+    let mut failed = 0;
+    for case in &book.cases {
+        match case.run(&book) {
+            Ok(()) => println!("ok: {}", case.name),
+            Err(what) => {
+                failed += 1;
+                println!("FAILED: {}: {what}", case.name);
+            }
+        }
+    }
+    println!("{} passed, {failed} failed", book.cases.len() - failed);
+    Ok(failed == 0)
+}
+
+/// Memory of the process, in KiB, where the system tells it.
+fn resident() -> Option<u64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
+fn bench(file: &File, rounds: u32) -> Ended {
+    let before = resident();
+    let loading = Instant::now();
+    let Some(book) = rulebook(file)? else { return Ok(false) };
+    let loaded = loading.elapsed();
+    let after = resident();
+    if book.cases.is_empty() {
+        return Err(format!("{}: no <case>: their requests are what is measured", file.file.display()));
+    }
+    println!(
+        "{} rules loaded in {:.1} ms, about {} KiB by own count",
+        book.rules.rules().len(),
+        loaded.as_secs_f64() * 1e3,
+        book.rules.bytes() >> 10
+    );
+    if let (Some(before), Some(after)) = (before, after) {
+        println!("memory of the process: {before} KiB before, {after} KiB after loading");
+    }
+    println!(
+        "{:<8} {:>10} {:>10} {:>10} {:>12} {:>12}",
+        "by", "p50 ns", "p99 ns", "max ns", "units most", "evaluated"
+    );
+    for (name, search) in [("index", Search::Index), ("scan", Search::Scan)] {
+        let mut times = Histogram::<u64>::new(3).map_err(|e| e.to_string())?;
+        let (mut most, mut evaluated) = (0, 0);
+        let mut scratch = Scratch::new(0);
+        for case in &book.cases {
+            let facts = case.asked.facts(&book.rules);
+            for _ in 0..rounds.max(1) {
+                let began = Instant::now();
+                let decision = black_box(book.rules.decide(black_box(&facts), &mut scratch, search));
+                let took = began.elapsed().as_nanos() as u64;
+                times.saturating_record(took);
+                most = most.max(decision.cost);
+                evaluated = evaluated.max(decision.asked);
+            }
+        }
+        println!(
+            "{name:<8} {:>10} {:>10} {:>10} {most:>12} {evaluated:>12}",
+            times.value_at_quantile(0.5),
+            times.value_at_quantile(0.99),
+            times.max()
+        );
+    }
+    Ok(true)
+}
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -2,17 +2,20 @@
 //! [`Outward`]. What it keeps of invocations is at the desk.
 
 use crate::backend;
+use crate::classify::{Classifier, Ruled, Sheet};
 use crate::config::{Moved, Peers};
-use crate::desk::{Deferred, Desk, Hands, Open, Timer};
+use crate::desk::{Deferred, Desk, Given, Hands, Open, Timer};
 use crate::fastcgi::{self, Reply};
 use crate::kernel::{End, Notice};
-use crate::request::{self, Head, Rejected, Wanted};
+use crate::request::{Fields, Head, Rejected, Wanted};
 use crate::room::Room;
 use madderpoint::choice::Choice;
 use madderpoint::{Arrival, CallEnding, Ending, InvId, Nanos};
 use madderpoint_facts::Start;
+use madderpoint_rules::Verdict;
 use std::cell::RefCell;
 use std::fmt;
+use std::net::IpAddr;
 use std::rc::Rc;
 
 /// Kept back from the time between the notice to leave and the stop, for answers to be written out.
@@ -66,8 +69,8 @@
 /// What happened.
 #[derive(Debug)]
 pub enum Event {
-    /// A dispatcher connected.
-    Connected(ConnId),
+    /// A dispatcher connected, from there.
+    Connected(ConnId, Option<IpAddr>),
     /// A connection is gone.
     Disconnected(ConnId),
     /// Something came on a connection.
@@ -94,6 +97,8 @@
     Drain,
     /// A new configuration.
     Moved(Moved),
+    /// Rules that are in force from now on.
+    Ruled(Box<Sheet>),
 }
 
 /// A reading of the clocks.
@@ -111,6 +116,8 @@
     start: Rc<Start>,
     seed: u64,
     stop_after: Nanos,
+    /// Bytes for what limits by key hold.
+    limit_bytes: usize,
     /// There are none before the kernel is up: it says whether the node starts cold.
     choice: Option<Choice<Hands<O>>>,
 }
@@ -120,7 +127,7 @@
     pub fn new(out: O, start: Start, seed: u64, stop_after: Nanos, has_backend: bool, room: &Room) -> Self {
         let start = Rc::new(start);
         let desk = Rc::new(RefCell::new(Desk::new(out, Rc::clone(&start), has_backend, room)));
-        Core { desk, start, seed, stop_after, choice: None }
+        Core { desk, start, seed, stop_after, limit_bytes: room.buckets, choice: None }
     }
 
     /// Lets the driver or a test reach what it handed over.
@@ -181,7 +188,7 @@
         let now = moment.now;
         self.desk.borrow_mut().now = now;
         match event {
-            Event::Connected(conn) => self.desk.borrow_mut().connected(conn),
+            Event::Connected(conn, address) => self.desk.borrow_mut().connected(conn, address),
             Event::Disconnected(conn) => {
                 let left = self.desk.borrow_mut().disconnected(conn);
                 left.into_iter().for_each(|id| self.caller_left(now, id));
@@ -220,6 +227,7 @@
             Event::BackendQuiet(place) => self.desk.borrow_mut().backend_quiet(place),
             Event::Drain => self.drain(now),
             Event::Moved(moved) => self.desk.borrow_mut().moved(&moved),
+            Event::Ruled(sheet) => self.ruled(now, *sheet),
         }
         self.settle(now);
     }
@@ -252,7 +260,18 @@
         if desk.crowded(conn) {
             return desk.overload(conn, id);
         }
-        match request::read(&self.start, moment.unix_ms, &request) {
+        let fields = match Fields::of(&request) {
+            Err(Rejected(status, cause)) => return desk.reject(conn, id, status, cause),
+            Ok(fields) => fields,
+        };
+        let ruled = match self.choice {
+            Some(_) if desk.rules.is_some() => Self::rule(&mut desk, &self.start, conn, &fields, &request),
+            _ => None,
+        };
+        if let Some(verdict) = ruled.as_ref().and_then(|ruled| ruled.verdict.as_ref()) {
+            return Self::verdict(&mut desk, conn, id, verdict);
+        }
+        match fields.wanted(&self.start, moment.unix_ms, ruled.as_ref().and_then(|r| r.operation)) {
             Err(Rejected(status, cause)) => desk.reject(conn, id, status, cause),
             Ok(Wanted::Check { deep }) => desk.check(conn, id, deep),
             Ok(Wanted::Invocation(_)) if self.choice.is_none() => {
@@ -262,21 +281,122 @@
                 desk.reject(conn, id, 409, "correlation id in use");
             }
             Ok(Wanted::Invocation(head)) => {
+                let front = Open { conn, id };
+                let given = Self::given(&mut desk, front, &head, ruled, &request.body);
                 drop(desk);
-                self.arrive(moment, Open { conn, id }, head, request.body);
+                if let Some(given) = given {
+                    self.arrive(moment, front, head, request.body, given);
+                }
+            }
+        }
+    }
+
+    // ---- Rules ----
+
+    /// Rules were read and checked: they hold for what comes from now on.
+    fn ruled(&mut self, now: Nanos, sheet: Sheet) {
+        let mut desk = self.desk.borrow_mut();
+        let (rules, buckets) = (sheet.rules.rules().len(), sheet.buckets.len());
+        let (bytes, worst) = (sheet.rules.bytes() >> 10, sheet.rules.worst());
+        match &mut desk.rules {
+            Some(classifier) => classifier.replace(now, sheet),
+            None => desk.rules = Some(Box::new(Classifier::new(now, sheet, self.limit_bytes, self.seed))),
+        }
+        desk.out.log(format_args!(
+            "rules: {rules} in force with {buckets} buckets, {bytes} KiB, at most {worst} units for a request"
+        ));
+    }
+
+    /// What rules give to a request, and what they have to say.
+    fn rule(
+        desk: &mut Desk<O>,
+        start: &Start,
+        conn: ConnId,
+        fields: &Fields<'_>,
+        request: &fastcgi::Request,
+    ) -> Option<Ruled> {
+        if !fields.is_ruled() {
+            return None;
+        }
+        let (now, address) = (desk.now, desk.address(conn));
+        let rules = desk.rules.as_mut()?;
+        let params = rules.rules().pick(fastcgi::pairs(&request.params).filter_map(Result::ok));
+        let facts = madderpoint_rules::Facts { address, body: &request.body, params, ..fields.facts(start) };
+        let ruled = rules.rule(now, &facts);
+        for line in rules.lines() {
+            desk.out.log(format_args!("{line}"));
+        }
+        if let Some(line) = ruled.as_ref().and_then(|ruled| ruled.told.as_ref()) {
+            desk.out.log(format_args!("{line}"));
+        }
+        ruled
+    }
+
+    fn verdict(desk: &mut Desk<O>, conn: ConnId, id: u16, verdict: &Verdict) {
+        match verdict {
+            Verdict::Throttle { pause, reason } => {
+                desk.count("throttled by a rule", 1);
+                desk.verdict(conn, id, 429, *pause, reason);
+            }
+            Verdict::Error { status, reason } => {
+                desk.count("errored by a rule", 1);
+                desk.verdict(conn, id, *status, 0, reason);
+            }
+        }
+    }
+
+    /// What an invocation is given by its rule and its buckets; nothing if that answers it.
+    fn given(
+        desk: &mut Desk<O>,
+        front: Open,
+        head: &Head,
+        ruled: Option<Ruled>,
+        body: &[u8],
+    ) -> Option<Given> {
+        let Open { conn, id } = front;
+        let ruled = ruled.unwrap_or_default();
+        let key = desk.key(head, ruled.key, body);
+        if ruled.key.is_some() && key.is_none() {
+            desk.count("keys of rules for operations that have no use for them", 1);
+        }
+        if let Some((status, cause)) = key.as_ref().and_then(|key| desk.key_refused(key)) {
+            desk.count(cause, 1);
+            let pause = desk.longest_pause();
+            desk.verdict(conn, id, status, pause, cause);
+            return None;
+        }
+        let now = desk.now;
+        let Some(rules) = desk.rules.as_mut() else { return Some(Given { key, ..Given::default() }) };
+        let asked =
+            if ruled.buckets.is_empty() { Ok(None) } else { rules.ask(now, &ruled.buckets).map(Some) };
+        if let Some(class) = &ruled.class {
+            rules.arrived(class);
+        }
+        match asked {
+            Ok(ticket) => {
+                Some(Given { key, class: ruled.class, ticket: ticket.filter(|ticket| !ticket.is_empty()) })
+            }
+            Err(over) => {
+                if let Some(class) = &ruled.class {
+                    rules.answered(class, 429);
+                }
+                desk.count("throttled by a limit", 1);
+                desk.verdict(conn, id, 429, over.pause, "over a limit");
+                None
             }
         }
     }
 
-    fn arrive(&mut self, moment: Moment, front: Open, head: Head, body: Vec<u8>) {
+    fn arrive(&mut self, moment: Moment, front: Open, head: Head, body: Vec<u8>, given: Given) {
         let age = moment.unix_ms.saturating_sub(head.arrived_ms).saturating_mul(1_000_000);
-        let (id, repeats) = self.desk.borrow_mut().take(front, &head, body, age);
+        let has_subject = head.subject.is_some() || given.key.is_some();
+        let (id, repeats) = self.desk.borrow_mut().take(front, &head, body, age, given);
         let arrival = Arrival {
             id,
             op: head.op,
             tenant: head.tenant,
             dispatcher: head.dispatcher,
-            has_subject: head.subject.is_some(),
+            has_subject,
             time_left: None,
             work_hint: head.work_hint,
             held_kb: head.held_kb,
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -79,10 +79,10 @@
     /// A node whose kernel is not up.
     fn waiting(settings: &str) -> Node {
         let start = madderpoint_facts::decode(settings.as_bytes()).unwrap();
-        let room = Room::of(&Limits { cores: 1.0, memory_mb: 32.0, sockets: 64 }, 4);
+        let room = Room::of(&Limits { cores: 1.0, memory_mb: 32.0, sockets: 64 }, 4, true);
         let core = Core::new(Recorder::default(), start, 7, 3000 * MS, true, &room);
         let mut node = Node { core, conn: ConnId(1), now: 1000 * MS };
-        node.event(Event::Connected(ConnId(1)));
+        node.event(Event::Connected(ConnId(1), None));
         node.event(Event::KernelLinked(0));
         node
     }
@@ -128,7 +128,7 @@
         let conn = self.conn;
         if self.core.out(|out| out.closed.contains(&conn)) {
             self.conn.0 += 100;
-            self.event(Event::Connected(self.conn));
+            self.event(Event::Connected(self.conn, None));
         }
         let (params, body) = (support::pairs(params), body.to_vec());
         let request = fastcgi::Request { id, keep_conn: true, params, body, oversize: false };
@@ -357,7 +357,7 @@
 #[test]
 fn connections_close_when_idle_and_only_then() {
     let mut node = Node::new();
-    node.event(Event::Connected(ConnId(2)));
+    node.event(Event::Connected(ConnId(2), None));
     node.ask(1, "/call/read", A);
     node.core.desk.borrow_mut().close_idle(30 * MS);
     node.wait(1490);
@@ -381,7 +381,7 @@
     let mut node = Node::new();
     let served = |node: &mut Node, conn: u64, times: u16| {
         node.conn = ConnId(conn);
-        node.event(Event::Connected(node.conn));
+        node.event(Event::Connected(node.conn, None));
         for id in 1..=times {
             node.ask(id, "/call/read", A);
             node.reap(A, End::Ok, b"");
@@ -400,10 +400,10 @@
     (0..4).for_each(|_| node.event(Event::Crowded));
     assert_eq!(node.core.out(|out| out.closed.clone()), [ConnId(4), ConnId(1), ConnId(5), ConnId(2)]);
     // Above the mark each new connection makes room before it is needed.
-    (100..136).for_each(|conn| node.event(Event::Connected(ConnId(conn))));
+    (100..136).for_each(|conn| node.event(Event::Connected(ConnId(conn), None)));
     node.wait(200);
     assert_eq!(node.core.out(|out| out.closed.len()), 4);
-    node.event(Event::Connected(ConnId(200)));
+    node.event(Event::Connected(ConnId(200), None));
     assert_eq!(node.core.out(|out| out.closed.len()), 5);
 }
 
@@ -429,7 +429,7 @@
     (0..1000).for_each(|id| node.send(id, &support::call("/call/read", A, &old), b""));
     assert_eq!(paced(&mut node).len(), 8); // a dispatcher may be turned away at any rate
     node.conn = ConnId(9);
-    node.event(Event::Connected(ConnId(9)));
+    node.event(Event::Connected(ConnId(9), None));
     (0..128).for_each(|id| node.send(id, &support::call("/call/read", A, &old), b""));
     assert_eq!(paced(&mut node)[8..], [50]);
 }
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -1,5 +1,6 @@
 //! What the node keeps of connections, invocations, runs, calls and timers; the [`Host`] of the decisions.
 
+use crate::classify::Classifier;
 use crate::core::{BackendLink, CallNo, ConnId, Outward};
 use crate::fastcgi::Reply;
 use crate::kept::{Kept, Key};
@@ -7,9 +8,13 @@
 use crate::room::Room;
 use madderpoint::{AlarmId, CallEnding, Effect, Ending, Gauges, Host, InvId, Nanos, OpId};
 use madderpoint_facts::Start;
+use madderpoint_limits::Ticket;
 use std::cell::RefCell;
+use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fmt;
+use std::hash::Hasher;
+use std::net::IpAddr;
 use std::rc::Rc;
 
 /// Counts what must hold and does not, and stops a debug build there.
@@ -41,6 +46,24 @@
 /// round one on which a late reply to an earlier call of the same invocation may still come.
 pub const BACKEND_LINKS: usize = 8;
 
+/// What an invocation was given before it is taken in hand.
+#[derive(Debug, Default)]
+pub struct Given {
+    /// What it is known again by.
+    pub key: Option<Key>,
+    /// The class that a rule gave.
+    pub class: Option<Rc<str>>,
+    /// Places that it holds in buckets.
+    pub ticket: Option<Ticket>,
+}
+
+/// Tells bodies apart; not secret, for who makes two that share one only gets the first one's answer for both.
+fn fingerprint(body: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    hasher.write(body);
+    hasher.finish()
+}
+
 /// Where an answer is owed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Open {
@@ -81,6 +104,8 @@
 
 struct Conn {
     open: BTreeMap<u16, Asked>,
+    /// Where it comes from, as far as the driver knows.
+    address: Option<IpAddr>,
     idle_since: Nanos,
     /// Whole requests that came, as far as it matters: none, one or more.
     asked: u8,
@@ -150,6 +175,8 @@
     front: Option<Open>,
     run: Option<Run>,
     ran: bool,
+    /// Whether the kernel was ever told to run it.
+    asked: bool,
     call: Option<Call>,
     /// Links on which a late reply may come.
     tainted: [bool; BACKEND_LINKS],
@@ -158,6 +185,9 @@
     repeats: Option<InvId>,
     joined: Option<Nanos>,
     joiners: Vec<InvId>,
+    /// What rules gave: its class, and the places that it holds in buckets.
+    class: Option<Rc<str>>,
+    ticket: Option<Ticket>,
 }
 
 /// The link to the kernel. Commands are counted; a gauge's mark tells which have arrived.
@@ -193,6 +223,8 @@
     /// The links to the back end, by place.
     below: [Below; BACKEND_LINKS],
     kept: Kept,
+    /// None where no rules are set: nothing is asked then.
+    pub rules: Option<Box<Classifier>>,
     checks: HashMap<u64, Open>,
     health: (bool, bool),
     advert: Option<f64>,
@@ -226,6 +258,7 @@
             kernel: KernelLink::default(),
             below: Default::default(),
             kept: Kept::new(room.results),
+            rules: None,
             checks: HashMap::new(),
             health: (false, true),
             advert: None,
@@ -279,6 +312,9 @@
             let counts: Vec<_> = self.counts.iter().map(|(what, n)| format!("{what} {n}")).collect();
             self.out.log(format_args!("counts: {}", counts.join(", ")));
         }
+        if let Some(line) = self.rules.as_mut().and_then(|rules| rules.tallies()) {
+            self.out.log(format_args!("{line}"));
+        }
     }
 
     pub fn gauges(&self) -> Gauges {
@@ -292,12 +328,47 @@
         self.ids.contains_key(rid)
     }
 
+    /// What an invocation is known again by: the key that a rule gave, where its operation has a use for one, else
+    /// what a read is about.
+    pub fn key(&self, head: &Head, ruled: Option<u64>, body: &[u8]) -> Option<Key> {
+        let effect = self.effect(head.op);
+        let shares = self.start.premises.answer_fresh > 0 && effect == Effect::Idempotent;
+        let once = effect == Effect::Tokened;
+        match ruled {
+            Some(subject) if shares || once => {
+                Some(Key { op: head.op.0, subject, body: Some(fingerprint(body)), once })
+            }
+            _ => head.subject.filter(|_| shares).map(|subject| Key {
+                op: head.op.0,
+                subject,
+                body: None,
+                once: false,
+            }),
+        }
+    }
+
+    /// Why an invocation with this key may not be taken, if so: a status and the cause.
+    pub fn key_refused(&mut self, key: &Key) -> Option<(u16, &'static str)> {
+        if self.kept.conflicts(self.now, key) {
+            return Some((409, "key in use with another body"));
+        }
+        let is_new = key.once && self.kept.original(self.now, *key).is_none();
+        // What must run once is not run where nothing would remember that it did.
+        (is_new && !self.kept.has_room(self.now)).then_some((429, "no room for another key"))
+    }
+
     /// Takes an invocation in hand; gives its id and what it repeats.
-    pub fn take(&mut self, front: Open, head: &Head, body: Vec<u8>, age: Nanos) -> (InvId, Option<InvId>) {
+    pub fn take(
+        &mut self,
+        front: Open,
+        head: &Head,
+        body: Vec<u8>,
+        age: Nanos,
+        given: Given,
+    ) -> (InvId, Option<InvId>) {
         self.next_id += 1;
         let id = InvId(self.next_id);
-        let shares = self.start.premises.answer_fresh > 0 && self.effect(head.op) == Effect::Idempotent;
-        let key = head.subject.filter(|_| shares).map(|subject| (head.op.0, subject));
+        let Given { key, class, ticket } = given;
         let repeats = key.and_then(|key| self.kept.original(self.now, key));
         let invocation = Invocation {
             rid: head.rid.clone(),
@@ -307,12 +378,15 @@
             front: Some(front),
             run: None,
             ran: false,
+            asked: false,
             call: None,
             tainted: [false; BACKEND_LINKS],
             key,
             repeats,
             joined: None,
             joiners: Vec::new(),
+            class,
+            ticket,
         };
         self.ids.insert(head.rid.clone(), id);
         self.invs.insert(id, invocation);
@@ -330,14 +404,18 @@
     fn answer(&mut self, id: InvId, status: u16, more: &str, body: Vec<u8>) {
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(front) = inv.front.take() else { return };
+        let (class, arrived) = (inv.class.clone(), inv.arrived);
         let timeout = self.start.premises.operations[inv.op.0].client_timeout;
-        if self.now > inv.arrived + timeout {
+        if self.now > arrived + timeout {
             self.count("answers after the client timeout", 1);
         }
         match status {
             200 => self.succeeded(front.conn),
             _ => self.turned_away(front.conn),
         }
+        if let (Some(class), Some(rules)) = (&class, &mut self.rules) {
+            rules.answered(class, status);
+        }
         let fields = self.fields() + more;
         self.end(front.conn, front.id, Reply::answer(front.id, status, &fields, body));
         self.settle(id);
@@ -369,9 +447,12 @@
     fn remove(&mut self, id: InvId) {
         let Some(inv) = self.invs.remove(&id) else { return };
         self.ids.remove(&inv.rid);
+        if let (Some(ticket), Some(rules)) = (inv.ticket, &mut self.rules) {
+            rules.done(self.now, ticket);
+        }
         let result = self.kept.result(id).map(<[u8]>::to_vec);
         if result.is_none() {
-            self.kept.forget(id);
+            self.kept.over(id, inv.asked);
         }
         for joiner in inv.joiners {
             self.deferred.push_back(Deferred::JoinEnded(joiner, result.clone()));
--- a/crates/node/src/desk/front.rs
+++ b/crates/node/src/desk/front.rs
@@ -6,6 +6,7 @@
 use crate::kernel::Command;
 use madderpoint::{Advert, InvId, Nanos};
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 
 /// The first whole request is to come within this, and a second one within that: who connects and says nothing, or
 /// asks once and stays, takes others' room.
@@ -21,9 +22,10 @@
 const PACE: Nanos = 25 * MILLISECOND;
 
 impl<O: Outward> Desk<O> {
-    pub fn connected(&mut self, conn: ConnId) {
+    pub fn connected(&mut self, conn: ConnId, address: Option<IpAddr>) {
         let new = Conn {
             open: BTreeMap::new(),
+            address,
             idle_since: self.now,
             asked: 0,
             proven: false,
@@ -148,6 +150,28 @@
         self.out.pace(conn, pause);
     }
 
+    /// Where a connection comes from.
+    pub fn address(&self, conn: ConnId) -> Option<IpAddr> {
+        self.conns.get(&conn)?.address
+    }
+
+    /// The longest pause that dispatchers heed; 0 = they heed none.
+    pub fn longest_pause(&self) -> Nanos {
+        self.start.premises.longest_pause
+    }
+
+    /// Answers what a rule or a limit decided before the decisions saw it. It never ran. The pause is told where the
+    /// settings have dispatchers heed one.
+    pub fn verdict(&mut self, conn: ConnId, id: u16, status: u16, pause: Nanos, reason: &str) {
+        self.turned_away(conn);
+        let pause = pause.min(self.start.premises.longest_pause);
+        let mut fields = self.fields() + "Content-Type: text/plain\r\n";
+        if pause > 0 && status == 429 {
+            fields += &format!("X-Pushback-Ms: {}\r\n", pause.div_ceil(MILLISECOND));
+        }
+        self.end(conn, id, Reply::answer(id, status, &fields, reason.as_bytes().to_vec()));
+    }
+
     fn refuse(&mut self, conn: ConnId, id: u16, status: u16, cause: &'static str) {
         self.count(cause, 1);
         let fields = self.fields() + "Content-Type: text/plain\r\n";
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -162,6 +162,7 @@
                 call_body: Vec::new(),
             });
             run.sent = sent;
+            inv.asked |= sent > 0;
             if self.effect(op) != Effect::Idempotent {
                 self.set_timer(MARK, Timer::AskGauges);
             }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -6,6 +6,7 @@
 mod kernel_link;
 mod reports;
 
+use crate::classify::Sheet;
 use crate::config::{Identity, Moved, Peers};
 use crate::core::{CallNo, ConnId, Core, Event, Moment, Outward};
 use crate::desk::BACKEND_LINKS;
@@ -22,7 +23,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
-use std::net::TcpStream;
+use std::net::{IpAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::thread;
@@ -52,13 +53,15 @@
     Leave,
     /// That its configuration was replaced.
     Moved(Moved),
+    /// That its rules were replaced.
+    Ruled(Box<Sheet>),
 }
 
 /// What reaches the core's thread.
 enum Message {
     Event(Event),
-    /// A connection was accepted.
-    Accepted(ConnId, Connection),
+    /// A connection was accepted, from there.
+    Accepted(ConnId, IpAddr, Connection),
     /// A link to the kernel stands; the last notice that was read before it.
     Linked(u64, KernelLink),
 }
@@ -187,10 +190,15 @@
     peers: Receiver<Message>,
 }
 
+/// How much of each thing a node may keep, with settings of ours or without.
+pub fn room(who: &Identity, with_settings: bool) -> Room {
+    Room::of(&who.limits, BACKEND_LINKS, with_settings)
+}
+
 /// Runs the node until it has left.
-pub fn serve(who: &Identity, notices: Receiver<Notice>) -> io::Result<()> {
+pub fn serve(who: &Identity, rules: Option<Box<Sheet>>, notices: Receiver<Notice>) -> io::Result<()> {
     let clock = Clock::start();
-    let room = Room::of(&who.limits, BACKEND_LINKS);
+    let room = room(who, rules.is_some());
     let (front_events, front_inbox) = bounded(room.front_events);
     let (events, peers_inbox) = bounded(room.peer_events);
     let inbox = Inbox { front: front_inbox, peers: peers_inbox };
@@ -210,6 +218,7 @@
             let event = match notice {
                 Notice::Leave => Event::Drain,
                 Notice::Moved(moved) => Event::Moved(moved),
+                Notice::Ruled(sheet) => Event::Ruled(sheet),
             };
             let _ = events.send(Message::Event(event));
         }
@@ -219,6 +228,9 @@
     let sockets = Sockets { conns, dirty, kernel: None, backend, addresses, front, leaving };
     let stop_after = who.stop_after.as_nanos() as Nanos;
     let mut core = Core::new(sockets, who.start.clone(), who.seed, stop_after, has_backend, &room);
+    if let Some(sheet) = rules {
+        core.handle(clock.read(), Event::Ruled(sheet));
+    }
     run(&mut core, clock, &inbox);
     Ok(())
 }
@@ -255,9 +267,9 @@
 fn take(core: &mut Core<Sockets>, clock: Clock, message: Message) {
     let event = match message {
         Message::Event(event) => event,
-        Message::Accepted(conn, connection) => {
+        Message::Accepted(conn, from, connection) => {
             core.out(|out| out.conns.insert(conn, connection));
-            Event::Connected(conn)
+            Event::Connected(conn, Some(from))
         }
         Message::Linked(last, link) => {
             core.out(|out| out.kernel = Some(link));
--- a/crates/node/src/driver/front.rs
+++ b/crates/node/src/driver/front.rs
@@ -18,7 +18,7 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::io::{self, ErrorKind};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst};
 use std::time::{Duration, Instant};
@@ -168,7 +168,7 @@
             let Some(listener) = &self.listener else { return };
             let room = self.front.open.load(SeqCst) < self.front.room.connections;
             let accepted = if room { listener.accept() } else { Err(ErrorKind::QuotaExceeded.into()) };
-            match accepted.and_then(|(stream, _)| self.connect(stream)) {
+            match accepted.and_then(|(stream, from)| self.connect(stream, from.ip())) {
                 Ok(()) => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) => {
@@ -182,7 +182,7 @@
         }
     }
 
-    fn connect(&mut self, stream: TcpStream) -> io::Result<()> {
+    fn connect(&mut self, stream: TcpStream, from: IpAddr) -> io::Result<()> {
         stream.set_nodelay(true)?;
         self.accepted += 1;
         self.front.open.fetch_add(1, SeqCst);
@@ -192,7 +192,7 @@
         let reading = Reading { socket: Arc::clone(&socket), parser, pause: Arc::clone(&pause) };
         self.reading.insert(self.accepted, reading);
         let connection = Connection::new(socket, pause);
-        let _ = self.events.send(Message::Accepted(ConnId(self.accepted), connection));
+        let _ = self.events.send(Message::Accepted(ConnId(self.accepted), from, connection));
         self.look_at(self.accepted).inspect_err(|_| self.ended(self.accepted))
     }
 
--- a/crates/node/src/kept.rs
+++ b/crates/node/src/kept.rs
@@ -1,4 +1,5 @@
-//! Keys of reads and their results, kept so that like reads can share an answer.
+//! Keys and results, kept so that like reads can share an answer, and so that what must run once is known again by its
+//! key.
 
 use madderpoint::{InvId, Nanos};
 use std::collections::{BTreeMap, HashMap};
@@ -6,11 +7,32 @@
 /// Keys kept at most.
 const KEYS_MAX: usize = 8192;
 
-/// What a read is about: its operation and its subject.
-pub type Key = (usize, u64);
+/// What an invocation is known again by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Key {
+    /// Its operation.
+    pub op: usize,
+    /// What a read is about, or the key that a rule gave.
+    pub subject: u64,
+    /// The body's fingerprint, where a rule gave the key. It takes no part in what is alike: one key with two bodies
+    /// is a mistake of the callers, which is told.
+    pub body: Option<u64>,
+    /// Whether it is that of what must run once: then it is only forgotten if nothing can have run, or when its window
+    /// is over, whatever becomes of the result.
+    pub once: bool,
+}
+
+impl Key {
+    fn alike(&self) -> (usize, u64, bool) {
+        (self.op, self.subject, self.body.is_some())
+    }
+}
+
+type Alike = (usize, u64, bool);
 
 struct Entry {
     id: InvId,
+    key: Key,
     until: Nanos,
     /// The result, and until when it may serve others.
     result: Option<(Vec<u8>, Nanos)>,
@@ -18,9 +40,9 @@
 
 /// Keys of what is open or done, each with the latest invocation that holds it.
 pub struct Kept {
-    entries: HashMap<Key, Entry>,
-    keys: HashMap<InvId, Key>,
-    expiry: BTreeMap<(Nanos, InvId), Key>,
+    entries: HashMap<Alike, Entry>,
+    keys: HashMap<InvId, Alike>,
+    expiry: BTreeMap<(Nanos, InvId), Alike>,
     bytes: usize,
     most_bytes: usize,
 }
@@ -35,13 +57,35 @@
     /// Remembers a key for an invocation; an older one's entry moves to it.
     pub fn remember(&mut self, now: Nanos, id: InvId, key: Key, until: Nanos) {
         self.sweep(now);
-        if let Some(old) = self.entries.get(&key).map(|e| e.id) {
+        let alike = key.alike();
+        if let Some(old) = self.entries.get(&alike).map(|e| e.id) {
             self.forget(old);
         }
         if self.entries.len() < KEYS_MAX {
-            self.entries.insert(key, Entry { id, until, result: None });
-            self.keys.insert(id, key);
-            self.expiry.insert((until, id), key);
+            self.entries.insert(alike, Entry { id, key, until, result: None });
+            self.keys.insert(id, alike);
+            self.expiry.insert((until, id), alike);
+        }
+    }
+
+    /// Whether there is room for one more key.
+    pub fn has_room(&mut self, now: Nanos) -> bool {
+        self.sweep(now);
+        self.entries.len() < KEYS_MAX
+    }
+
+    /// Whether a key is taken by an invocation with another body.
+    pub fn conflicts(&mut self, now: Nanos, key: &Key) -> bool {
+        self.sweep(now);
+        self.entries.get(&key.alike()).is_some_and(|entry| entry.key.body != key.body)
+    }
+
+    /// An invocation is over and left no result. What must run once and may have run stays known; a repeat is told of
+    /// an error, for nothing says how it went.
+    pub fn over(&mut self, id: InvId, may_have_run: bool) {
+        let entry = self.keys.get(&id).and_then(|key| self.entries.get(key));
+        if !entry.is_some_and(|entry| entry.key.once && may_have_run) {
+            self.forget(id);
         }
     }
 
@@ -57,17 +101,23 @@
     /// The invocation that a new read of this key repeats: one still open, or done and fresh.
     pub fn original(&mut self, now: Nanos, key: Key) -> Option<InvId> {
         self.sweep(now);
-        let entry = self.entries.get(&key)?;
+        let entry = self.entries.get(&key.alike())?;
         entry.result.as_ref().is_none_or(|&(_, fresh_until)| now <= fresh_until).then_some(entry.id)
     }
 
     /// Keeps the result of a run whose key is remembered.
     pub fn keep(&mut self, id: InvId, result: &[u8], fresh_until: Nanos) {
         let Some(entry) = self.keys.get(&id).and_then(|key| self.entries.get_mut(key)) else { return };
+        let once = entry.key.once;
         if self.bytes + result.len() > self.most_bytes {
-            return self.forget(id);
+            // Without its result it is still known to have run.
+            if !once {
+                self.forget(id);
+            }
+            return;
         }
         self.bytes += result.len();
+        let fresh_until = if once { entry.until } else { fresh_until };
         entry.result = Some((result.to_vec(), fresh_until));
     }
 
@@ -93,29 +143,60 @@
 
     const BYTES_MAX: usize = 1 << 20;
 
+    fn read(subject: u64) -> Key {
+        Key { op: 0, subject, body: None, once: false }
+    }
+
+    fn once(subject: u64, body: u64) -> Key {
+        Key { op: 0, subject, body: Some(body), once: true }
+    }
+
+    #[test]
+    fn what_must_run_once_stays_known_whatever_becomes_of_its_result() {
+        let mut kept = Kept::new(8);
+        kept.remember(0, InvId(1), once(5, 77), 100);
+        assert!(!kept.conflicts(0, &once(5, 77)) && kept.conflicts(0, &once(5, 78)));
+        assert_eq!((kept.original(0, read(5)), kept.original(0, once(5, 77))), (None, Some(InvId(1))));
+        // The result is too large to be kept, and then the invocation is let go of.
+        kept.keep(InvId(1), &[0; 9], 1);
+        kept.over(InvId(1), true);
+        assert_eq!((kept.original(99, once(5, 77)), kept.result(InvId(1))), (Some(InvId(1)), None));
+        assert_eq!(kept.original(101, once(5, 77)), None, "its window is over");
+        // One that can't have run may come again; a result that fits serves for the whole window.
+        kept.remember(200, InvId(2), once(6, 1), 300);
+        kept.over(InvId(2), false);
+        assert_eq!(kept.original(200, once(6, 1)), None);
+        kept.remember(200, InvId(3), once(6, 1), 300);
+        kept.keep(InvId(3), &[1; 8], 201);
+        assert_eq!(
+            (kept.original(300, once(6, 1)), kept.result(InvId(3))),
+            (Some(InvId(3)), Some(&[1; 8][..]))
+        );
+    }
+
     #[test]
     fn entries_end_with_their_lifetimes_and_are_bounded() {
         let mut kept = Kept::new(BYTES_MAX);
         for n in 0..KEYS_MAX as u64 + 10 {
-            kept.remember(0, InvId(n), (0, n), 100);
+            kept.remember(0, InvId(n), read(n), 100);
         }
         assert_eq!((kept.entries.len(), kept.expiry.len()), (KEYS_MAX, KEYS_MAX));
         let result = vec![7; 4096];
         (0..KEYS_MAX as u64).for_each(|n| kept.keep(InvId(n), &result, 50));
         assert_eq!((kept.bytes, kept.entries.len()), (BYTES_MAX, BYTES_MAX / 4096));
-        assert_eq!(kept.original(50, (0, 1)), Some(InvId(1)));
-        assert_eq!(kept.original(51, (0, 1)), None);
+        assert_eq!(kept.original(50, read(1)), Some(InvId(1)));
+        assert_eq!(kept.original(51, read(1)), None);
         assert_eq!(kept.result(InvId(1)), Some(&result[..]));
-        assert_eq!(kept.original(101, (0, 1)), None);
+        assert_eq!(kept.original(101, read(1)), None);
         assert_eq!((kept.bytes, kept.entries.len(), kept.keys.len()), (0, 0, 0));
     }
 
     #[test]
     fn a_newer_read_takes_the_entry_over() {
         let mut kept = Kept::new(BYTES_MAX);
-        kept.remember(0, InvId(1), (0, 9), 100);
-        kept.remember(0, InvId(2), (0, 9), 100);
+        kept.remember(0, InvId(1), read(9), 100);
+        kept.remember(0, InvId(2), read(9), 100);
         kept.forget(InvId(1));
-        assert_eq!(kept.original(0, (0, 9)), Some(InvId(2)));
+        assert_eq!(kept.original(0, read(9)), Some(InvId(2)));
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 pub mod backend;
+pub mod classify;
 pub mod config;
 pub mod core;
 mod desk;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -3,6 +3,7 @@
 use crate::fastcgi;
 use madderpoint::{DispatcherId, OpId, TenantId};
 use madderpoint_facts::Start;
+use madderpoint_rules::Facts;
 
 /// The memory that may be booked for one invocation, in KB.
 const NEED_KB_MAX: f64 = 2000.0;
@@ -51,76 +52,141 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rejected(pub u16, pub &'static str);
 
+/// A request's fields as they came, read in place.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Fields<'a> {
+    path: Option<&'a str>,
+    method: Option<&'a str>,
+    query: Option<&'a str>,
+    rid: Option<&'a str>,
+    arrived: Option<&'a str>,
+    peer: Option<&'a str>,
+    org: Option<&'a str>,
+    estimate: Option<&'a str>,
+    need: Option<&'a str>,
+    rank: Option<&'a str>,
+    subject: Option<&'a str>,
+    oversize: bool,
+}
+
+fn malformed(what: &'static str) -> Rejected {
+    Rejected(400, what)
+}
+
 /// Reads what a request asks for.
 pub fn read(start: &Start, unix_ms: u64, request: &fastcgi::Request) -> Result<Wanted, Rejected> {
-    let malformed = |what| Rejected(400, what);
-    let (mut path, mut method, mut query) = (None, None, None);
-    let (mut rid, mut arrived, mut peer, mut org) = (None, None, None, None);
-    let (mut estimate, mut need, mut rank, mut subject) = (None, None, None, None);
-    for pair in fastcgi::pairs(&request.params) {
-        let (name, value) = pair.map_err(|e| malformed(e.0))?;
-        let place = match name {
-            b"SCRIPT_NAME" => &mut path,
-            b"REQUEST_METHOD" => &mut method,
-            b"QUERY_STRING" => &mut query,
-            b"HTTP_X_CORRELATION_ID" => &mut rid,
-            b"HTTP_X_ARRIVED_MS" => &mut arrived,
-            b"HTTP_X_UPSTREAM_PEER" => &mut peer,
-            b"HTTP_X_ORG" => &mut org,
-            b"HTTP_X_ESTIMATE_MS" => &mut estimate,
-            b"HTTP_X_NEED_KB" => &mut need,
-            b"HTTP_X_CRITICALITY" => &mut rank,
-            b"HTTP_X_SUBJECT" => &mut subject,
-            _ => continue,
-        };
-        *place = Some(str::from_utf8(value).map_err(|_| malformed("a parameter is no text"))?);
-    }
-    let path = path.ok_or(malformed("no SCRIPT_NAME"))?;
-    if path == "/ping" {
-        let deep = query.is_some_and(|q| q.split('&').any(|part| part == "e2e=1"));
-        return Ok(Wanted::Check { deep });
-    }
-    let operation = path.strip_prefix("/call/").ok_or(Rejected(404, "unknown path"))?;
-    let op = start.operations.iter().position(|name| name == operation);
-    let op = OpId(op.ok_or(Rejected(404, "unknown operation"))?);
-    if method != Some("POST") {
-        return Err(Rejected(405, "method is not POST"));
+    Fields::of(request)?.wanted(start, unix_ms, None)
+}
+
+impl<'a> Fields<'a> {
+    /// The fields of a request; of those with one name the last counts.
+    pub fn of(request: &'a fastcgi::Request) -> Result<Fields<'a>, Rejected> {
+        let mut fields = Fields { oversize: request.oversize, ..Fields::default() };
+        for pair in fastcgi::pairs(&request.params) {
+            let (name, value) = pair.map_err(|e| malformed(e.0))?;
+            let place = match name {
+                b"SCRIPT_NAME" => &mut fields.path,
+                b"REQUEST_METHOD" => &mut fields.method,
+                b"QUERY_STRING" => &mut fields.query,
+                b"HTTP_X_CORRELATION_ID" => &mut fields.rid,
+                b"HTTP_X_ARRIVED_MS" => &mut fields.arrived,
+                b"HTTP_X_UPSTREAM_PEER" => &mut fields.peer,
+                b"HTTP_X_ORG" => &mut fields.org,
+                b"HTTP_X_ESTIMATE_MS" => &mut fields.estimate,
+                b"HTTP_X_NEED_KB" => &mut fields.need,
+                b"HTTP_X_CRITICALITY" => &mut fields.rank,
+                b"HTTP_X_SUBJECT" => &mut fields.subject,
+                _ => continue,
+            };
+            *place = Some(str::from_utf8(value).map_err(|_| malformed("a parameter is no text"))?);
+        }
+        Ok(fields)
     }
-    if request.oversize {
-        return Err(Rejected(413, "parameters or body too large"));
+
+    /// Whether rules are asked about it: it has come whole, has a path and is no health check.
+    pub fn is_ruled(&self) -> bool {
+        !self.oversize && self.path.is_some_and(|path| path != "/ping")
     }
-    let rid = rid.filter(|r| r.len() == 16 && r.bytes().all(|b| b.is_ascii_hexdigit()));
-    let arrived: Option<u64> = arrived.and_then(|t| t.parse().ok());
-    // New dispatchers have new numbers, without end.
-    let peer: Option<u64> = peer.and_then(|p| p.parse().ok());
-    let need: Option<f64> = need.and_then(|n| n.parse().ok());
-    let work_hint = match estimate.map(str::parse::<f64>) {
-        None => None,
-        Some(Ok(ms)) if (0.0..=ESTIMATE_MS_MAX).contains(&ms) => (ms > 0.0).then_some(ms / 1e3),
-        Some(_) => return Err(malformed("X-Estimate-Ms")),
-    };
-    if rank.is_some_and(|r| !r.parse().is_ok_and(|r: f64| (0.0..=1.0).contains(&r))) {
-        return Err(malformed("X-Criticality"));
+
+    /// It as rules see it, but for what only its connection and its parameters as a whole tell.
+    pub fn facts(&self, start: &'a Start) -> Facts<'a> {
+        let path = self.path.unwrap_or_default();
+        let operation = path.strip_prefix("/call/").and_then(|o| start.operations.iter().find(|n| *n == o));
+        let tenant = self.org.and_then(|org| start.tenants.iter().find(|t| *t == org));
+        let number = |text: Option<&str>| text.and_then(|t| t.parse::<f64>().ok()).filter(|n| n.is_finite());
+        let estimate = number(self.estimate).filter(|ms| (0.0..=ESTIMATE_MS_MAX).contains(ms));
+        let arrived =
+            self.arrived.and_then(|t| t.parse::<u64>().ok()).and_then(|ms| ms.checked_mul(1_000_000));
+        Facts {
+            operation: operation.map(String::as_str),
+            tenant: tenant.map(String::as_str),
+            script: path,
+            method: self.method.unwrap_or_default(),
+            front: "fastcgi",
+            estimate: estimate.map(|ms| (ms * 1e6) as i64),
+            need: number(self.need),
+            rank: number(self.rank),
+            peer: self.peer.and_then(|p| p.parse().ok()),
+            arrived: arrived.and_then(|a| i64::try_from(a).ok()).unwrap_or_default(),
+            ..Facts::default()
+        }
     }
-    let tenant = start.tenants.iter().position(|t| org == Some(t.as_str())).map(TenantId);
-    if tenant.is_none() && !start.tenants.is_empty() {
-        return Err(Rejected(404, "unknown tenant"));
+
+    /// What is asked for; a rule may have given another operation than the path names.
+    pub fn wanted(&self, start: &Start, unix_ms: u64, ruled: Option<OpId>) -> Result<Wanted, Rejected> {
+        let path = self.path.ok_or(malformed("no SCRIPT_NAME"))?;
+        if path == "/ping" {
+            let deep = self.query.is_some_and(|q| q.split('&').any(|part| part == "e2e=1"));
+            return Ok(Wanted::Check { deep });
+        }
+        let op = match ruled {
+            Some(op) => op,
+            None => {
+                let operation = path.strip_prefix("/call/").ok_or(Rejected(404, "unknown path"))?;
+                let op = start.operations.iter().position(|name| name == operation);
+                OpId(op.ok_or(Rejected(404, "unknown operation"))?)
+            }
+        };
+        if self.method != Some("POST") {
+            return Err(Rejected(405, "method is not POST"));
+        }
+        if self.oversize {
+            return Err(Rejected(413, "parameters or body too large"));
+        }
+        let rid = self.rid.filter(|r| r.len() == 16 && r.bytes().all(|b| b.is_ascii_hexdigit()));
+        let arrived: Option<u64> = self.arrived.and_then(|t| t.parse().ok());
+        // New dispatchers have new numbers, without end.
+        let peer: Option<u64> = self.peer.and_then(|p| p.parse().ok());
+        let need: Option<f64> = self.need.and_then(|n| n.parse().ok());
+        let work_hint = match self.estimate.map(str::parse::<f64>) {
+            None => None,
+            Some(Ok(ms)) if (0.0..=ESTIMATE_MS_MAX).contains(&ms) => (ms > 0.0).then_some(ms / 1e3),
+            Some(_) => return Err(malformed("X-Estimate-Ms")),
+        };
+        if self.rank.is_some_and(|r| !r.parse().is_ok_and(|r: f64| (0.0..=1.0).contains(&r))) {
+            return Err(malformed("X-Criticality"));
+        }
+        let tenant = start.tenants.iter().position(|t| self.org == Some(t.as_str())).map(TenantId);
+        if tenant.is_none() && !start.tenants.is_empty() {
+            return Err(Rejected(404, "unknown tenant"));
+        }
+        let timeout_ms = start.premises.operations[op.0].client_timeout / 1_000_000;
+        let in_time =
+            |&t: &u64| t <= unix_ms + AHEAD_MS && t.saturating_add(timeout_ms + OVERDUE_MS) >= unix_ms;
+        let subject = match self.subject.map(|s| u64::from_str_radix(s, 16)) {
+            None => None,
+            Some(Ok(subject)) => Some(subject),
+            Some(Err(_)) => return Err(malformed("X-Subject")),
+        };
+        Ok(Wanted::Invocation(Head {
+            rid: rid.ok_or(malformed("X-Correlation-Id"))?.to_owned(),
+            arrived_ms: arrived.filter(in_time).ok_or(malformed("X-Arrived-Ms"))?,
+            op,
+            tenant,
+            dispatcher: DispatcherId(peer.ok_or(malformed("X-Upstream-Peer"))?),
+            work_hint,
+            held_kb: need.filter(|&n| n > 0.0 && n < NEED_KB_MAX).ok_or(malformed("X-Need-Kb"))?,
+            subject,
+        }))
     }
-    let timeout_ms = start.premises.operations[op.0].client_timeout / 1_000_000;
-    let in_time = |&t: &u64| t <= unix_ms + AHEAD_MS && t.saturating_add(timeout_ms + OVERDUE_MS) >= unix_ms;
-    let subject = match subject.map(|s| u64::from_str_radix(s, 16)) {
-        None => None,
-        Some(Ok(subject)) => Some(subject),
-        Some(Err(_)) => return Err(malformed("X-Subject")),
-    };
-    Ok(Wanted::Invocation(Head {
-        rid: rid.ok_or(malformed("X-Correlation-Id"))?.to_owned(),
-        arrived_ms: arrived.filter(in_time).ok_or(malformed("X-Arrived-Ms"))?,
-        op,
-        tenant,
-        dispatcher: DispatcherId(peer.ok_or(malformed("X-Upstream-Peer"))?),
-        work_hint,
-        held_kb: need.filter(|&n| n > 0.0 && n < NEED_KB_MAX).ok_or(malformed("X-Need-Kb"))?,
-        subject,
-    }))
 }
--- a/crates/node/src/room.rs
+++ b/crates/node/src/room.rs
@@ -32,13 +32,26 @@
     pub calls: usize,
     /// Bytes of results kept for like reads.
     pub results: usize,
+    /// Bytes that a set of rules may take, and that limits by key take; 0 where there are no settings of ours.
+    pub rules: usize,
+    pub buckets: usize,
+    /// Bytes that the file of our settings may have.
+    pub settings_file: usize,
 }
 
+/// A quarter of what is free is set aside where our settings are given: two sets of rules, the one in force and the
+/// one that takes its place, a sixth each; a sixth for limits; the rest for reading a file, which takes about six times
+/// its size while it is a tree.
+const FOR_SETTINGS: usize = 4;
+const READING: usize = 6;
+
 impl Room {
-    /// What these limits leave room for, with so many links to the back end.
-    pub fn of(limits: &Limits, links: usize) -> Room {
+    /// What these limits leave room for, with so many links to the back end, and with settings of ours or without.
+    pub fn of(limits: &Limits, links: usize, with_settings: bool) -> Room {
         let memory = (limits.memory_mb * f64::from(1 << 20)) as usize;
         let free = memory.saturating_sub(BARE);
+        let aside = if with_settings { free / FOR_SETTINGS } else { 0 };
+        let free = free - aside;
         let connections = (free / 3 / CONNECTION).min(limits.sockets.saturating_sub(RESERVED)).max(1);
         let part = free / 12;
         Room {
@@ -51,6 +64,9 @@
             commands: (part / COMMAND).clamp(32, 4096),
             calls: (part / COMMAND / links.max(1)).clamp(8, 1024),
             results: part,
+            rules: aside / 6,
+            buckets: aside / 6,
+            settings_file: aside / 2 / READING,
         }
     }
 
@@ -59,7 +75,8 @@
     fn total(&self, links: usize) -> usize {
         let waiting = self.front_events * REQUEST + self.peer_events * NOTICE;
         let written = (self.commands + self.calls * links) * COMMAND + self.unread;
-        BARE + self.connections * (CONNECTION + self.unfinished) + waiting + written + self.results
+        let settings = 2 * self.rules + self.buckets + READING * self.settings_file;
+        BARE + self.connections * (CONNECTION + self.unfinished) + waiting + written + self.results + settings
     }
 }
 
@@ -70,9 +87,11 @@
     #[test]
     fn all_bounds_together_stay_below_the_memory_that_is_told() {
         for (memory_mb, sockets) in [(32.0, 384), (48.0, 512), (64.0, 384), (192.0, 512), (192.0, 1024)] {
-            let room = Room::of(&Limits { cores: 0.1, memory_mb, sockets }, 4);
-            assert!(room.total(4) < memory_mb as usize * (1 << 20), "{memory_mb} MB: {room:?}");
-            assert!(room.connections > sockets / 2, "dispatchers may open half of {sockets}: {room:?}");
+            for with_settings in [false, true] {
+                let room = Room::of(&Limits { cores: 0.1, memory_mb, sockets }, 4, with_settings);
+                assert!(room.total(4) < memory_mb as usize * (1 << 20), "{memory_mb} MB: {room:?}");
+                assert!(room.connections > sockets / 2, "dispatchers may open half of {sockets}: {room:?}");
+            }
         }
     }
 }
--- a/crates/rules/src/compile.rs
+++ b/crates/rules/src/compile.rs
@@ -24,6 +24,8 @@
 /// What expressions may name.
 #[derive(Clone, Debug, Default)]
 pub struct Vocabulary {
+    /// Whether operations and tenants may have any name, as when there are no settings to check them against.
+    pub open: bool,
     /// Operations of the settings, in their order.
     pub operations: Vec<String>,
     /// Tenants of the settings.
@@ -320,6 +322,7 @@
     fn fact(&mut self, name: Name) -> Checked {
         let longest = |names: &[String]| names.iter().map(String::len).max().unwrap_or(0);
         let most = match name {
+            name if self.vocabulary.open => name.most(),
             Name::Operation => longest(&self.vocabulary.operations),
             Name::Tenant => longest(&self.vocabulary.tenants),
             name => name.most(),
@@ -472,6 +475,9 @@
 
     /// Refuses an operation or tenant that the settings do not have.
     fn known(&mut self, of: &Node, literal: &Expr) {
+        if self.vocabulary.open {
+            return;
+        }
         let (known, what) = match of {
             Node::Fact(Name::Operation) => (&self.vocabulary.operations, "operation"),
             Node::Fact(Name::Tenant) => (&self.vocabulary.tenants, "tenant"),
--- a/crates/rules/src/ruleset.rs
+++ b/crates/rules/src/ruleset.rs
@@ -217,7 +217,7 @@
 }
 
 /// Rules that were checked and compiled.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct RuleSet {
     rules: Vec<Rule>,
     index: Index,
