Stand-ins as a package; rules tried at the core, on sockets and through reloads

A reload after the other under load, half of them broken, leaves every request with one answer and every key with one run.

--- /dev/null
+++ b/crates/limits/benches/limits.rs
@@ -0,0 +1,79 @@
+//! What asking a limit costs, against a plain map of the same states, and what both hold.
+//! Run: cargo bench -p madderpoint-limits
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use madderpoint_limits::{Bucket, Limits, Rate};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::HashMap;
+use std::hint::black_box;
+
+const SECOND: u64 = 1_000_000_000;
+
+/// What a node with 32 MB sets aside.
+const BYTES: usize = 1 << 20;
+
+/// GCRA in a map that never forgets: the plain structure.
+#[derive(Default)]
+struct Plain(HashMap<u64, u64>);
+
+impl Plain {
+    fn ask(&mut self, rate: Rate, now: u64, key: u64) -> bool {
+        let due = self.0.entry(key).or_default();
+        let passes = *due <= now + rate.interval() * 19;
+        if passes {
+            *due = (*due).max(now) + rate.interval();
+        }
+        passes
+    }
+}
+
+fn limits(c: &mut Criterion) {
+    let rate = Rate::new(50, SECOND, 20).unwrap();
+    let mut group = c.benchmark_group("limits");
+    for (name, keys) in [("a thousand keys", 1_000u64), ("a million keys", 1_000_000)] {
+        let mut rng = Pcg64Mcg::seed_from_u64(1);
+        let mut limits = Limits::new(BYTES, 7);
+        limits.define(0, &[Bucket { rate: Some(rate), ..Bucket::named("b") }]);
+        let mut now = 0;
+        group.bench_function(format!("rate, {name}"), |b| {
+            b.iter(|| {
+                now += 10_000;
+                black_box(limits.ask(now, &[(0, rng.random_range(0..keys))]).is_ok())
+            });
+        });
+        let mut plain = Plain::default();
+        group.bench_function(format!("plain map, {name}"), |b| {
+            b.iter(|| {
+                now += 10_000;
+                black_box(plain.ask(rate, now, rng.random_range(0..keys)))
+            });
+        });
+        // Memory after as many keys as there are, whatever the benchmark asked.
+        for key in 0..keys {
+            let _ = limits.ask(now, &[(0, key)]);
+            plain.ask(rate, now, key);
+        }
+        println!(
+            "{name}: {} KiB bounded, {} KiB in the plain map",
+            limits.bytes() >> 10,
+            (plain.0.capacity() * 17) >> 10
+        );
+    }
+    let mut limits = Limits::new(BYTES, 7);
+    limits.define(0, &[Bucket { in_hand: Some(64), total: Some(4096), ..Bucket::named("b") }]);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut now = 0;
+    group.bench_function("in hand and shared, asked and done", |b| {
+        b.iter(|| {
+            now += 10_000;
+            if let Ok(ticket) = limits.ask(now, &[(0, rng.random_range(0..1000))]) {
+                limits.done(now, ticket);
+            }
+        });
+    });
+    group.finish();
+}
+
+criterion_group!(benches, limits);
+criterion_main!(benches);
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -4,10 +4,12 @@
 use crate::backend::Outcome;
 use crate::config::Limits;
 use crate::fastcgi::ProtocolStatus;
-use crate::support::{self, Answer};
 use madderpoint::Host;
+use madderpoint_standins::wire::{self as support, Answer};
 use std::collections::BTreeMap;
 
+mod rules;
+
 const MS: Nanos = 1_000_000;
 const A: &str = "00000000000000aa";
 const B: &str = "00000000000000bb";
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,7 +19,3 @@
 pub mod members;
 pub mod request;
 pub mod room;
-
-#[cfg(test)]
-#[path = "../tests/support/mod.rs"]
-mod support;
--- /dev/null
+++ b/crates/node/tests/rules.rs
@@ -0,0 +1,220 @@
+//! The program with a file of rules, on sockets: what rules give is seen at the kernel's wire, throttles carry their
+//! pause, reloads under load lose nothing, and every request gets one final answer.
+
+use madderpoint_standins::checker::Checker;
+use madderpoint_standins::load::{self, Ask};
+use madderpoint_standins::peers::{nobody, unix_ms};
+use madderpoint_standins::program::{Node, Program, told};
+use madderpoint_standins::wire;
+use madderpoint_standins::worker::Worker;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::thread;
+use std::time::Duration;
+
+const PROGRAM: Program = Program { exe: env!("CARGO_BIN_EXE_madderpoint"), dir: env!("CARGO_TARGET_TMPDIR") };
+/// The client timeout of all operations here.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+fn file(rules: &str) -> PathBuf {
+    PROGRAM.file("xml", &whole(rules))
+}
+
+fn whole(rules: &str) -> String {
+    format!("<translator version=\"1\">\n<rules>\n{rules}\n</rules>\n</translator>\n")
+}
+
+/// A node with rules, and the kernel that works for it.
+fn node(rules: &Path) -> (Node, Worker) {
+    let worker = Worker::start();
+    let config = told(worker.address, nobody(), nobody(), 1024).replace(
+        "\"settings\": {",
+        "\"settings\": {\"Ceilings\": {\"RetryAfter\": true, \"MaxRetryAfter\": 2.0}, ",
+    );
+    let node = Node::started(PROGRAM, &config, &["--settings", rules.to_str().unwrap()]);
+    let mut dispatcher = node.connect();
+    while dispatcher.ping() != "200" {}
+    (node, worker)
+}
+
+const RULES: &str = r#"
+<bucket name="site" rate="5/s" burst="5"/>
+<rule name="denied"><when>params.HTTP_X_SITE == "closed"</when><error status="403" reason="site is closed"/></rule>
+<rule name="book"><when>script.startsWith("/old/book/")</when>
+  <give operation="book" class="writes"><key>script.part("/", 3)</key></give></rule>
+<rule name="limited"><when>has(params.HTTP_X_SITE)</when>
+  <give class="reads"><limit bucket="site">params.HTTP_X_SITE</limit></give></rule>
+<rule name="old"><when>script == "/old/read"</when><give operation="read"/></rule>
+"#;
+
+#[test]
+fn what_rules_give_is_seen_at_the_kernel_and_in_the_answers() {
+    let (node, worker) = node(&file(RULES));
+    let mut dispatcher = node.connect();
+    let mut ask = |path: &str, site: Option<&str>| {
+        let (rid, arrived) = (load::rid(), unix_ms());
+        let mut params = wire::call(path, &rid, &arrived);
+        params.extend(site.map(|site| ("HTTP_X_SITE", site)));
+        dispatcher.ask(&wire::request(1, &params, b"body"))
+    };
+    assert_eq!(ask("/old/read", None).status, "200");
+    assert_eq!(worker.wait_started(1)[0].route, "read");
+    let first = ask("/old/book/k1", None);
+    let again = ask("/old/book/k1", None);
+    assert_eq!(
+        (&first.status[..], first.body == again.body),
+        ("200", true),
+        "a repeat has the first one's result"
+    );
+    assert_eq!(worker.started().len(), 2);
+    assert_eq!(worker.started()[1].route, "book");
+    let answer = ask("/call/read", Some("closed"));
+    assert_eq!((&answer.status[..], &answer.body[..]), ("403", &b"site is closed"[..]));
+    // Five at once, and then the pause tells when there is room.
+    let answers: Vec<_> = (0..6).map(|_| ask("/call/read", Some("7"))).collect();
+    assert!(answers[..5].iter().all(|a| a.status == "200"), "{answers:?}");
+    let pause: u64 = answers[5].fields["X-Pushback-Ms"].parse().unwrap();
+    assert!(answers[5].status == "429" && (1..=200).contains(&pause), "{:?}", answers[5]);
+    thread::sleep(Duration::from_millis(pause)); // as a caller that heeds it
+    assert_eq!(ask("/call/read", Some("7")).status, "200");
+    assert_eq!(ask("/call/read", Some("8")).status, "200");
+    assert_eq!(ask("/nowhere", None).status, "404");
+}
+
+#[test]
+fn under_load_with_a_reload_after_the_other_every_request_gets_one_answer() {
+    let settings = file(RULES);
+    let (mut node, worker) = node(&settings);
+    let (checker, stop) = (Mutex::new(Checker::default()), AtomicBool::new(false));
+    let (mut reloads, listen) = (0, node.listen);
+    thread::scope(|scope| {
+        let loading = scope.spawn(|| {
+            load::run(listen, (6, 3, 1200), &checker, &stop, |conn, number| {
+                let mut ask = Ask::of(["/call/read", "/old/read", "/old/read", "/call/pay"][number % 4]);
+                if number % 5 == 0 {
+                    // Each key comes from three connections, and must run once.
+                    let key = format!("k{}-{number}", conn / 3);
+                    ask.path = format!("/old/book/{key}");
+                    ask.key = Some(key);
+                } else if number % 7 == 0 {
+                    ask.path = "/call/read".into();
+                    ask.params.push(("HTTP_X_SITE".into(), ["7", "8", "closed"][number % 3].into()));
+                }
+                ask
+            });
+        });
+        // Every other file is broken in another way; what follows the good ones is logged each time.
+        let broken = [
+            "<translator",
+            "<rules/>",
+            "<translator version=\"1\"><rules><rule name=\"x\"/></rules></translator>",
+        ];
+        // No more lines than the log takes in a second, so that none is left out.
+        while !loading.is_finished() && reloads < 16 {
+            std::fs::write(&settings, broken[reloads / 2 % 3]).unwrap();
+            node.signal("-HUP");
+            node.logged("new settings not taken, those before stay: ");
+            std::fs::write(&settings, whole(RULES)).unwrap();
+            node.signal("-HUP");
+            node.logged("rules: 4 in force");
+            reloads += 2;
+        }
+    });
+    assert!(reloads >= 4, "{reloads} reloads came in time");
+    node.terminate();
+    assert!(node.wait().success());
+    let statuses = checker
+        .into_inner()
+        .unwrap()
+        .verdict(&worker.started(), TIMEOUT)
+        .unwrap_or_else(|e| panic!("{e:#?}"));
+    let total: usize = statuses.values().sum();
+    assert_eq!(total, 6 * 1200, "{statuses:?}");
+    assert!(statuses["200"] > 100 && statuses["403"] > 100 && statuses["429"] > 100, "{statuses:?}");
+    assert!(!statuses.contains_key("404"), "no reload left a moment without rules: {statuses:?}");
+}
+
+#[test]
+fn a_drain_under_load_answers_all_that_was_read() {
+    let (mut node, worker) = node(&file(RULES));
+    let (checker, stop) = (Mutex::new(Checker::default()), AtomicBool::new(false));
+    worker.hold(true);
+    let listen = node.listen;
+    thread::scope(|scope| {
+        let loading =
+            scope.spawn(|| load::run(listen, (4, 4, 4), &checker, &stop, |_, _| Ask::of("/old/read")));
+        worker.wait_started(1);
+        node.terminate();
+        node.logged("notice to leave");
+        worker.hold(false);
+        loading.join().unwrap();
+    });
+    assert!(node.wait().success());
+    let statuses = checker
+        .into_inner()
+        .unwrap()
+        .verdict(&worker.started(), TIMEOUT)
+        .unwrap_or_else(|e| panic!("{e:#?}"));
+    assert_eq!(statuses.values().sum::<usize>(), 16, "{statuses:?}");
+}
+
+#[test]
+fn a_file_that_is_bad_at_the_start_is_told_whole_and_nothing_starts() {
+    let worker = Worker::start();
+    let config = PROGRAM.config(&told(worker.address, nobody(), nobody(), 1024));
+    let bad = file(
+        "<rule name=\"a\"><when>operation == \"gone\"</when></rule>\n<rule name=\"b\"><when>1 +</when></rule>",
+    );
+    let output =
+        PROGRAM.start(&config).args(["serve", "--settings", bad.to_str().unwrap()]).output().unwrap();
+    let log = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    assert!(
+        log.contains(":3:")
+            && log.contains("the settings have no operation 'gone'; expected one of read, book, pay"),
+        "{log}"
+    );
+    assert!(log.contains(":4:") && log.contains("unexpected the end"), "{log}");
+}
+
+fn call(arguments: &[&str]) -> (Option<i32>, String, String) {
+    let output = Command::new(PROGRAM.exe).args(arguments).output().unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    (output.status.code(), text(output.stdout), text(output.stderr))
+}
+
+#[test]
+fn the_sub_commands_check_explain_test_and_measure() {
+    let good = file(&format!(
+        "{RULES}<case name=\"booked\"><request script=\"/old/book/k9\"/><expect rule=\"book\" operation=\"book\" key=\"k9\"/></case>\
+        <case name=\"wrong\"><request script=\"/old/read\"/><expect rule=\"book\"/></case>"
+    ));
+    let config = PROGRAM.config(&told(nobody(), nobody(), nobody(), 1024));
+    let (good, config) = (good.to_str().unwrap(), config.to_str().unwrap());
+    let (code, out, _) = call(&["check", good, "--config", config]);
+    assert!(code == Some(0) && out.contains("good; 4 rules, 1 buckets, 2 cases"), "{out}");
+    let (code, out, _) = call(&["check", good, "--format", "json"]);
+    let told: serde_json::Value = serde_json::from_str(&out).unwrap();
+    assert_eq!((code, &told["rules"], &told["good"]), (Some(0), &4.into(), &true.into()));
+    let (code, out, _) = call(&["rules", "test", good]);
+    assert_eq!(code, Some(1));
+    assert!(out.contains("ok: booked") && out.contains("FAILED: wrong: rule is old, not book"), "{out}");
+    let request = PROGRAM.file("json", r#"{"script": "/old/book/k9", "params": {"HTTP_X_SITE": "open"}}"#);
+    let (code, out, _) =
+        call(&["rules", "explain", good, "--request", request.to_str().unwrap(), "--format", "json"]);
+    let told: serde_json::Value = serde_json::from_str(&out).unwrap();
+    assert_eq!(
+        (code, &told["given"]["rule"], &told["given"]["key"]),
+        (Some(0), &"book".into(), &"k9".into())
+    );
+    assert_eq!(told["rules"][0]["failed"]["part"], "params.HTTP_X_SITE == \"closed\"");
+    let (code, out, _) = call(&["rules", "bench", good, "--rounds", "50"]);
+    assert!(code == Some(0) && out.contains("index") && out.contains("scan"), "{out}");
+    for wrong in [&["rules", "explain", good][..], &["check"], &["check", "/nowhere.xml"], &["dance"]] {
+        assert_eq!(call(wrong).0, Some(2), "{wrong:?}");
+    }
+    let (_, help, _) = call(&["--help"]);
+    assert!(help.contains("Example"), "{help}");
+}
--- /dev/null
+++ b/crates/rules/benches/rules.rs
@@ -0,0 +1,272 @@
+//! How long rules take: by index and by scan, in three forms of compiled code, and against an interpreter of the
+//! registry. Run: cargo bench -p madderpoint-rules
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use madderpoint_rules::compile::{Compiler, Func, Node, Vocabulary};
+use madderpoint_rules::eval::Eval;
+use madderpoint_rules::facts::Name;
+use madderpoint_rules::syntax::{Binary, parse};
+use madderpoint_rules::{Bounds, Facts, Path, RuleSet, Scratch, Type, Value, Written};
+use std::hint::black_box;
+
+fn words() -> Vocabulary {
+    let mut words = Vocabulary {
+        operations: vec!["gun-yaz".into(), "gun-sorgu".into()],
+        tenants: vec!["ege".into(), "kuzey".into()],
+        ..Vocabulary::default()
+    };
+    ["SITE", "KIND", "USER"].iter().for_each(|p| drop(words.params.insert((*p).into(), 64)));
+    words
+}
+
+const PAIRS: [(&[u8], &[u8]); 8] = [
+    (b"REQUEST_METHOD", b"POST"),
+    (b"SCRIPT_NAME", b"/call/gun-yaz"),
+    (b"HTTP_X_CORRELATION_ID", b"9b1f03aa5c7e2d41"),
+    (b"HTTP_X_ARRIVED_MS", b"1764576000123"),
+    (b"HTTP_X_ORG", b"ege"),
+    (b"SITE", b"site-77"),
+    (b"KIND", b"shift"),
+    (b"USER", b"clerk-12"),
+];
+
+fn facts(rules: &RuleSet) -> Facts<'static> {
+    Facts {
+        operation: Some("gun-yaz"),
+        tenant: Some("ege"),
+        script: "/call/gun-yaz",
+        method: "POST",
+        front: "fastcgi",
+        peer: Some(4),
+        rank: Some(0.5),
+        address: Some("10.1.2.3".parse().unwrap()),
+        params: rules.pick(PAIRS.into_iter()),
+        ..Facts::default()
+    }
+}
+
+/// Rules of which the last matches, filed under equalities, prefixes and networks in turn.
+fn many(count: usize) -> RuleSet {
+    let rules: Vec<Written> = (0..count)
+        .map(|i| {
+            let when = match i % 3 {
+                _ if i + 1 == count => "params.SITE == \"site-77\" && params.KIND == \"shift\"".into(),
+                0 => format!("params.SITE == \"s{i}\" && params.KIND == \"shift\""),
+                1 => format!("script.startsWith(\"/old/{i}/\") && peer > 2"),
+                _ => {
+                    format!("caller.address in net(\"11.{}.{}.0/24\") && rank > 0.1", i / 256 % 256, i % 256)
+                }
+            };
+            Written { name: format!("r{i}"), when, ..Written::default() }
+        })
+        .collect();
+    RuleSet::load(&rules, &words(), &[], Bounds::default()).unwrap()
+}
+
+fn index_and_scan(c: &mut Criterion) {
+    let mut group = c.benchmark_group("rules");
+    for count in [10, 1_000, 10_000] {
+        let rules = many(count);
+        let facts = facts(&rules);
+        let mut scratch = Scratch::new(1);
+        for (name, path) in [("index", Path::Index), ("scan", Path::Scan)] {
+            group.bench_with_input(BenchmarkId::new(name, count), &count, |b, _| {
+                b.iter(|| black_box(rules.decide(black_box(&facts), &mut scratch, path).given.is_some()));
+            });
+        }
+        println!("{count} rules: {} KiB", rules.bytes() >> 10);
+    }
+    let rules = many(1_000);
+    group.bench_function("pick parameters", |b| {
+        b.iter(|| black_box(rules.pick(black_box(PAIRS).into_iter())))
+    });
+    group.finish();
+}
+
+// ---- The same expressions as closures and as bytecode, for the part of the language that they use ----
+
+type Closure = Box<dyn for<'a> Fn(&'a Facts<'static>) -> Option<bool>>;
+type TextOf = Box<dyn for<'a> Fn(&'a Facts<'static>) -> Option<&'a str>>;
+
+fn text_closure(node: &Node) -> TextOf {
+    match node {
+        Node::Text(text) => {
+            let text: &'static str = Box::leak(text.clone());
+            Box::new(move |_| Some(text))
+        }
+        Node::Slot(slot) => {
+            let slot = *slot;
+            Box::new(move |facts| facts.params.slot(slot).ok())
+        }
+        Node::Fact(name) => {
+            let name = *name;
+            Box::new(move |facts| match facts.get(name)? {
+                Value::Text(text) => Some(text),
+                _ => None,
+            })
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+fn closure(node: &Node) -> Closure {
+    match node {
+        Node::And(all) => {
+            let all: Vec<Closure> = all.iter().map(closure).collect();
+            Box::new(move |facts| {
+                let mut erred = false;
+                for one in &all {
+                    match one(facts) {
+                        Some(false) => return Some(false),
+                        Some(true) => {}
+                        None => erred = true,
+                    }
+                }
+                if erred { None } else { Some(true) }
+            })
+        }
+        Node::Binary(Binary::Equal, sides) => {
+            let (a, b) = (text_closure(&sides.0), text_closure(&sides.1));
+            Box::new(move |facts| Some(a(facts)? == b(facts)?))
+        }
+        Node::Binary(Binary::More, sides) => {
+            let (Node::Fact(Name::Rank), Node::Float(least)) = (&sides.0, &sides.1) else { panic!() };
+            let least = *least;
+            Box::new(move |facts| Some(facts.rank? > least))
+        }
+        Node::InTexts(of, set) => {
+            let (of, set) = (text_closure(of), set.clone());
+            Box::new(move |facts| Some(set.contains(of(facts)?)))
+        }
+        Node::Call(Func::StartsWith, nodes) => {
+            let (a, b) = (text_closure(&nodes[0]), text_closure(&nodes[1]));
+            Box::new(move |facts| Some(a(facts)?.starts_with(b(facts)?)))
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+enum Op {
+    Text(Box<str>),
+    Slot(u16),
+    Fact(Name),
+    Float(f64),
+    Equal,
+    More,
+    StartsWith,
+    In(std::sync::Arc<std::collections::HashSet<Box<str>>>),
+    /// Ends with false if the top is false, else drops it.
+    OrElseFalse,
+    True,
+}
+
+fn bytecode(node: &Node, out: &mut Vec<Op>) {
+    match node {
+        Node::And(all) => {
+            for one in all {
+                bytecode(one, out);
+                out.push(Op::OrElseFalse);
+            }
+            out.push(Op::True);
+        }
+        Node::Binary(op, sides) => {
+            bytecode(&sides.0, out);
+            bytecode(&sides.1, out);
+            out.push(if *op == Binary::Equal { Op::Equal } else { Op::More });
+        }
+        Node::InTexts(of, set) => {
+            bytecode(of, out);
+            out.push(Op::In(set.clone()));
+        }
+        Node::Call(Func::StartsWith, nodes) => {
+            nodes.iter().for_each(|n| bytecode(n, out));
+            out.push(Op::StartsWith);
+        }
+        Node::Text(text) => out.push(Op::Text(text.clone())),
+        Node::Slot(slot) => out.push(Op::Slot(*slot)),
+        Node::Fact(name) => out.push(Op::Fact(*name)),
+        Node::Float(v) => out.push(Op::Float(*v)),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn run(code: &[Op], facts: &Facts<'static>) -> Option<bool> {
+    let mut stack = [Value::Bool(false); 16];
+    let mut top = 0;
+    for op in code {
+        match op {
+            Op::Text(text) => stack[top] = Value::Text(text),
+            Op::Slot(slot) => stack[top] = Value::Text(facts.params.slot(*slot).ok()?),
+            Op::Fact(name) => stack[top] = facts.get(*name)?,
+            Op::Float(v) => stack[top] = Value::Float(*v),
+            Op::True => stack[top] = Value::Bool(true),
+            Op::Equal | Op::More | Op::StartsWith => {
+                top -= 2;
+                let (a, b) = (stack[top], stack[top + 1]);
+                stack[top] = Value::Bool(match (op, a, b) {
+                    (Op::StartsWith, Value::Text(a), Value::Text(b)) => a.starts_with(b),
+                    (Op::More, a, b) => a.order(&b) == Some(std::cmp::Ordering::Greater),
+                    (_, a, b) => a.same(&b),
+                });
+            }
+            Op::In(set) => {
+                let Value::Text(text) = stack[top - 1] else { return None };
+                stack[top - 1] = Value::Bool(set.contains(text));
+                continue;
+            }
+            Op::OrElseFalse => {
+                top -= 1;
+                if let Value::Bool(false) = stack[top] {
+                    return Some(false);
+                }
+                continue;
+            }
+        }
+        top += 1;
+    }
+    match stack[top - 1] {
+        Value::Bool(v) => Some(v),
+        _ => None,
+    }
+}
+
+const TYPICAL: &str = "operation == \"gun-yaz\" && script.startsWith(\"/call/\") && rank > 0.25 && \
+    params.SITE in [\"site-1\", \"site-77\"] && params.KIND == \"shift\"";
+
+fn forms(c: &mut Criterion) {
+    let words = words();
+    let mut compiler = Compiler::new(&words);
+    let typed = compiler.compile(&parse(TYPICAL).unwrap(), &Type::Bool, 4000).unwrap();
+    let facts = Facts { params: compiler.names.pick(PAIRS.into_iter()), ..facts(&many(1)) };
+    let mut group = c.benchmark_group("forms");
+    let arena = bumpalo::Bump::new();
+    group.bench_function("tree, metered", |b| {
+        b.iter(|| Eval::new(black_box(&facts), &arena, 4000).holds(&typed.node, 4000));
+    });
+    let closure = closure(&typed.node);
+    group.bench_function("closures", |b| b.iter(|| closure(black_box(&facts))));
+    let mut code = Vec::new();
+    bytecode(&typed.node, &mut code);
+    group.bench_function("bytecode", |b| b.iter(|| run(&code, black_box(&facts))));
+    // The registry's interpreter, whose variables are made anew for each request as they would have to be.
+    let program = cel_interpreter::Program::compile(TYPICAL).unwrap();
+    group.bench_function("cel-interpreter", |b| {
+        b.iter(|| {
+            let mut context = cel_interpreter::Context::default();
+            context.add_variable_from_value("operation", "gun-yaz");
+            context.add_variable_from_value("script", "/call/gun-yaz");
+            context.add_variable_from_value("rank", 0.5);
+            let params = std::collections::HashMap::from([
+                ("SITE", "site-77"),
+                ("KIND", "shift"),
+                ("USER", "clerk-12"),
+            ]);
+            context.add_variable_from_value("params", params);
+            program.execute(black_box(&context)).unwrap()
+        });
+    });
+    group.finish();
+}
+
+criterion_group!(benches, index_and_scan, forms);
+criterion_main!(benches);
--- a/crates/rules/src/compile.rs
+++ b/crates/rules/src/compile.rs
@@ -18,6 +18,8 @@
 pub const MACROS_MAX: usize = 3;
 /// Slots of parameters that rules together may name.
 const SLOTS_MAX: usize = 512;
+/// A longer text is no number, time or address, without being looked at.
+pub const VALUE_MAX: usize = 64;
 /// The longest piece of text that a number, time or address becomes.
 const PRINTED: u64 = 40;
 
@@ -865,8 +867,9 @@
         // An empty separator gives an item for each byte at most.
         Func::Split => cost::search(of(0), of(1)) + cost::build(24 * (of(0) + 1)),
         Func::Lower | Func::Upper => cost::build(of(0)) + of(0),
-        Func::Hash | Func::ToInt | Func::ToFloat | Func::ToSpan | Func::ToTime | Func::ToAddress => {
-            cost::walk(of(0)) + cost::LOOK
+        Func::Hash => cost::walk(of(0)),
+        Func::ToInt | Func::ToFloat | Func::ToSpan | Func::ToTime | Func::ToAddress => {
+            cost::walk(of(0).min(VALUE_MAX as u64)) + 2 * cost::LOOK
         }
         Func::ToText => cost::build(of(0)) + 5 * cost::LOOK,
         Func::ToBytes => 0,
--- a/crates/rules/src/eval.rs
+++ b/crates/rules/src/eval.rs
@@ -2,7 +2,7 @@
 //! arena that is used again; every step is booked on a meter, which stops it at its limit whatever was computed
 //! before.
 
-use crate::compile::{Func, MACROS_MAX, Macro, Node, price};
+use crate::compile::{Func, MACROS_MAX, Macro, Node, VALUE_MAX, price};
 use crate::cost;
 use crate::facts::Facts;
 use crate::syntax::Binary;
@@ -261,6 +261,11 @@
         self.charge(price(func, &sizes))?;
         let [first, second, third] = given;
         use Value::*;
+        let parses =
+            matches!(func, Func::ToInt | Func::ToFloat | Func::ToSpan | Func::ToTime | Func::ToAddress);
+        if parses && sizes[0] > VALUE_MAX as u64 {
+            return Err(Fault::NoValue);
+        }
         Ok(match (func, first, second) {
             (Func::Size, Text(text), _) => Int(text.chars().count() as i64),
             (Func::Size, Bytes(bytes), _) => Int(bytes.len() as i64),
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -387,7 +387,8 @@
             // Nothing of it is there: what it lacks is what each of its parts lacks.
             return all.iter().for_each(|one| self.take(one, of, next, path, found));
         }
-        let names = Self::may_begin(particle).iter().map(|n| format!("<{n}>")).collect::<Vec<_>>().join(" or ");
+        let names =
+            Self::may_begin(particle).iter().map(|n| format!("<{n}>")).collect::<Vec<_>>().join(" or ");
         let at = of.children.get(*next).map_or(of.at, |child| child.at);
         found.push(complaint(at, path, format!("{names} is missing"), names.clone()));
     }
--- /dev/null
+++ b/crates/settings/tests/settings.rs
@@ -0,0 +1,230 @@
+//! Files of settings: what is wrong is told with its place, the schema and the reader know the same words, and no
+//! damage is taken for a file.
+
+use madderpoint::Effect;
+use madderpoint_settings::schema::Schema;
+use madderpoint_settings::{Complaints, Known, SCHEMA, read, xml};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const DEPLOYED: &str = include_str!("../../../deploy/translator.xml");
+
+fn known() -> Known {
+    let operations =
+        [("read", Effect::Idempotent), ("book", Effect::Tokened), ("pay", Effect::NonIdempotent)];
+    Known {
+        operations: Some(operations.map(|(n, e)| (n.to_owned(), e)).to_vec()),
+        tenants: Some(vec!["acme".into()]),
+        ..Known::anything()
+    }
+}
+
+fn wrong(text: &str) -> Complaints {
+    read("t.xml", text, &known()).map(|_| ()).unwrap_err()
+}
+
+fn rules(inner: &str) -> String {
+    format!("<translator version=\"1\"><rules>{inner}</rules></translator>")
+}
+
+#[test]
+fn places_are_those_of_the_file_whatever_stands_between() {
+    // Entities, references, CDATA, a tab and letters of two bytes before the place.
+    let text = "<translator version='1'>\n<rules>\n\t<rule name=\"a\"><when>true &amp;&amp; \"ş&#x15f;\" == <![CDATA[\"<\" && ]]>foo</when></rule>\n</rules></translator>";
+    let complaints = wrong(text);
+    assert_eq!(complaints.all.len(), 1);
+    let shown = complaints.to_string();
+    let line = text.lines().nth(2).unwrap();
+    let column = line[..line.find("foo").unwrap()].chars().count() + 1;
+    assert!(shown.starts_with(&format!("t.xml:3:{column}: rule 'a' when: unknown name 'foo'")), "{shown}");
+    let lines: Vec<_> = shown.lines().collect();
+    let column = lines[2].chars().position(|c| c == '^').unwrap();
+    assert_eq!(lines[1].chars().skip(column).take(3).collect::<String>(), "foo");
+    assert!(lines[2].ends_with("^~~"), "{shown}");
+}
+
+#[test]
+fn each_kind_of_mistake_is_told_with_its_line_and_field() {
+    let cases = [
+        ("<translator", "no XML"),
+        ("", "no element; expected <translator>"),
+        ("<a/>", "unknown element <a>; expected <translator>"),
+        ("<translator/>", "attribute 'version' is missing"),
+        ("<translator version=\"2\"/>", "version 2; expected 1"),
+        ("<translator version=\"1\"/><translator/>", "a second element at the top"),
+        ("<translator version=\"1\">x</translator>", "text where none may be"),
+        ("<translator version=\"1\"><pool/></translator>", "unknown element <pool>"),
+        ("<!DOCTYPE a [<!ENTITY b \"c\">]><translator version=\"1\"/>", "a document type"),
+        (&rules("<rule name=\"a\"><when>&huge;</when></rule>"), "unknown entity '&huge;'"),
+        (&rules("<rule name=\"a\"/>"), "<when> is missing"),
+        (&rules("<rule><when>true</when></rule>"), "attribute 'name' is missing"),
+        (&rules("<rule name=\"1\"><when>true</when></rule>"), "\"1\" does not fit"),
+        (
+            &rules("<rule name=\"a\"><when>true</when><when>true</when></rule>"),
+            "out of its order, or one too many",
+        ),
+        (
+            &rules("<rule name=\"a\"><when>true</when></rule><bucket name=\"b\" in-hand=\"1\"/>"),
+            "out of its order",
+        ),
+        (
+            &rules("<rule name=\"a\"><when>true</when></rule><rule name=\"a\"><when>true</when></rule>"),
+            "a second rule 'a'",
+        ),
+        (
+            &rules("<rule name=\"a\"><when>true</when><error status=\"429\" reason=\"x\"/></rule>"),
+            "\"429\" does not fit",
+        ),
+        (
+            &rules("<rule name=\"a\"><when>true</when><throttle pause=\"5\" reason=\"x\"/></rule>"),
+            "\"5\" does not fit",
+        ),
+        (
+            &rules(
+                "<rule name=\"a\"><when>true</when><give operation=\"pay\"><key>tenant</key></give></rule>",
+            ),
+            "neither idempotent nor tokened",
+        ),
+        (
+            &rules("<rule name=\"a\"><when>true</when><give operation=\"sing\"/></rule>"),
+            "the settings have no operation 'sing'",
+        ),
+        (
+            &rules(
+                "<rule name=\"a\"><when>true</when><give><limit bucket=\"b\">tenant</limit></give></rule>",
+            ),
+            "there is no bucket 'b'",
+        ),
+        (
+            &rules("<rule name=\"a\"><when>tenant == \"none\"</when></rule>"),
+            "the settings have no tenant 'none'; expected one of acme",
+        ),
+        (&rules("<bucket name=\"b\"/>"), "nothing is limited"),
+        (&rules("<bucket name=\"b\" burst=\"3\" in-hand=\"1\"/>"), "a burst without a rate"),
+        (&rules("<bucket name=\"b\" rate=\"1/999h\"/>"), "this rate can't be kept"),
+        (&rules("<parameter name=\"A\" most=\"5KiB\"/>"), "more than any parameter has"),
+        (&rules("<addresses name=\"a\">10.0.0.0/8 10.0.0.300</addresses>"), "no network: 10.0.0.300"),
+        (
+            &rules("<case name=\"c\"><request peer=\"x\"/><expect rule=\"none\"/></case>"),
+            "peer can't be \"x\"",
+        ),
+        (&rules("<case name=\"c\"><request/><expect rule=\"gone\"/></case>"), "there is no rule 'gone'"),
+    ];
+    for (text, what) in cases {
+        let shown = wrong(text).to_string();
+        assert!(shown.contains(what) && shown.starts_with("t.xml:"), "{text}\n{shown}");
+    }
+}
+
+#[test]
+fn all_that_is_wrong_is_told_in_the_order_of_the_file() {
+    let complaints = wrong(&rules(
+        "\n<bucket name=\"b\"/>\n<rule name=\"x\"><when>a</when></rule>\n<rule name=\"y\"><when>b &amp;&amp; c</when>\
+        <give operation=\"z\"/></rule>",
+    ));
+    let shown = complaints.to_string();
+    let lines: Vec<&str> = shown.lines().filter(|l| l.starts_with("t.xml:")).map(|l| &l[6..7]).collect();
+    assert_eq!(lines, ["2", "3", "4", "4", "4"], "{shown}");
+    assert!(complaints.first().ends_with("(and 4 more)"));
+}
+
+#[test]
+fn a_file_or_rules_beyond_the_room_are_refused_with_the_reason() {
+    let tight = Known { file_bytes: 1024, ..known() };
+    let many: String = (0..100).map(|i| format!("<rule name=\"r{i}\"><when>true</when></rule>")).collect();
+    let shown = read("t.xml", &rules(&many), &tight).map(|_| ()).unwrap_err().to_string();
+    assert!(
+        shown.contains("the file has 4 KiB; expected at most 1 KiB, which follows from the memory limit"),
+        "{shown}"
+    );
+    let tight = Known { bytes: 4096, ..known() };
+    let shown = read("t.xml", &rules(&many), &tight).map(|_| ()).unwrap_err().to_string();
+    assert!(shown.contains("the rules take about"), "{shown}");
+    // XML that nests without end is refused before it is kept.
+    let deep = "<translator version=\"1\">".to_owned() + &"<rules>".repeat(100_000);
+    assert!(wrong(&deep).to_string().contains("too deep"));
+}
+
+/// Every word of the schema is one that the reader asks for, and the other way round.
+#[test]
+fn the_schema_and_the_reader_know_the_same_words() {
+    let words = Schema::read(SCHEMA).unwrap().words();
+    let reader = [include_str!("../src/rulebook.rs"), include_str!("../src/lib.rs")].concat();
+    let asked = include_str!("../src/asked.rs");
+    for word in words.iter().filter(|word| *word != "translator") {
+        let last = word.rsplit('/').next().unwrap();
+        let facts = word.starts_with("request/");
+        let text = if facts { asked } else { reader.as_str() };
+        assert!(text.contains(&format!("\"{last}\"")), "{word} is in the schema, and nothing reads it");
+    }
+    for name in [
+        "operation",
+        "tenant",
+        "script",
+        "method",
+        "front",
+        "estimate",
+        "need",
+        "rank",
+        "peer",
+        "arrived",
+        "address",
+        "caller",
+    ] {
+        assert!(
+            words.contains(&format!("request/{name}")),
+            "{name} is read, and the schema does not have it"
+        );
+    }
+    assert!(words.len() > 40, "{words:?}");
+}
+
+#[test]
+fn a_schema_that_uses_what_is_not_checked_is_refused() {
+    let schema = |inner: &str| format!("<xs:schema>{inner}</xs:schema>");
+    for inner in [
+        "<xs:group name=\"a\"/>",
+        "<xs:simpleType name=\"a\"><xs:restriction base=\"xs:int\"/></xs:simpleType>",
+        "<xs:simpleType name=\"a\"><xs:restriction base=\"xs:string\"><xs:minLength value=\"1\"/></xs:restriction></xs:simpleType>",
+        "<xs:element name=\"a\" type=\"gone\"/>",
+        "<xs:element name=\"a\"><xs:complexType><xs:all/></xs:complexType></xs:element>",
+    ] {
+        assert!(Schema::read(&schema(inner)).is_err(), "{inner}");
+    }
+}
+
+#[test]
+fn damaged_files_are_refused_or_read_and_never_a_panic() {
+    let mut rng = Pcg64Mcg::seed_from_u64(77);
+    let anything = Known::anything();
+    assert!(read("t.xml", DEPLOYED, &anything).is_ok());
+    let mut refused = 0;
+    for _ in 0..1500 {
+        let mut bytes = DEPLOYED.as_bytes().to_vec();
+        for _ in 0..rng.random_range(1..4) {
+            let at = rng.random_range(0..bytes.len());
+            match rng.random_range(0..4) {
+                0 => drop(bytes.remove(at)),
+                1 => bytes.insert(at, b"<>&\"'/[]!=x\n"[rng.random_range(0..12)]),
+                2 => bytes.truncate(at.max(1)),
+                _ => bytes[at] = rng.random(),
+            }
+        }
+        let text = String::from_utf8_lossy(&bytes);
+        if let Err(complaints) = read("t.xml", &text, &anything) {
+            refused += 1;
+            assert!(!complaints.all.is_empty() && !complaints.to_string().is_empty());
+        }
+    }
+    assert!(refused > 700, "{refused}");
+}
+
+#[test]
+fn the_deployed_cases_hold() {
+    let book = read("t.xml", DEPLOYED, &Known::anything()).unwrap().rules.unwrap();
+    assert!(!book.cases.is_empty());
+    for case in &book.cases {
+        assert_eq!(case.run(&book), Ok(()), "{}", case.name);
+    }
+    assert_eq!(xml::read("<a b='&lt;&#10;'/>").unwrap().get("b").unwrap().value, "<\n");
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,11 @@
+//! Stand-in peers, scripted faults and checkers of the four rules, for tests and tools. All of it stays on loopback, on
+//! free ports, and waits for events.
+
+#![forbid(unsafe_code)]
+
+pub mod checker;
+pub mod load;
+pub mod peers;
+pub mod program;
+pub mod wire;
+pub mod worker;
--- a/crates/node/tests/support/mod.rs
+++ b/crates/standins/src/wire.rs
@@ -1,5 +1,4 @@
-//! What the tests share: settings, FastCGI as a dispatcher speaks it, splits and damage.
-#![allow(dead_code)]
+//! What tests and tools share: settings, FastCGI as a dispatcher speaks it, splits and damage.
 
 use std::collections::BTreeMap;
 use std::fmt::Debug;
--- /dev/null
+++ b/crates/standins/src/worker.rs
@@ -0,0 +1,170 @@
+//! A kernel that works by itself: takes links one after the other, tells gauges, and ends each run by a script.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::Value;
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// A command to run, as it came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Started {
+    pub rid: String,
+    pub route: String,
+    pub body: Vec<u8>,
+}
+
+#[derive(Default)]
+struct State {
+    started: Vec<Started>,
+    /// Runs that wait to be let go on, and whether new ones do.
+    held: Vec<String>,
+    holds: bool,
+    /// How many runs end as ERROR, by route.
+    errors: HashMap<String, usize>,
+    notices: u64,
+    link: Option<TcpStream>,
+}
+
+/// A kernel stand-in; it ends with the process.
+#[derive(Clone)]
+pub struct Worker {
+    pub address: SocketAddr,
+    state: Arc<(Mutex<State>, Condvar)>,
+}
+
+/// The result that a run of this request gives: it names the run, so that an answer can be told to be its own.
+pub fn result(rid: &str) -> Vec<u8> {
+    format!("result of {rid}").into_bytes()
+}
+
+impl Worker {
+    /// Listens on a free port.
+    pub fn start() -> Worker {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let worker = Worker { address: listener.local_addr().unwrap(), state: Arc::default() };
+        let serving = worker.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                serving.serve(stream);
+            }
+        });
+        worker
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(reader) = stream.try_clone() else { return };
+        self.state.0.lock().unwrap().link = Some(stream);
+        for line in BufReader::new(reader).lines() {
+            let Ok(line) = line else { return };
+            let Ok(command) = serde_json::from_str::<Value>(&line) else { return };
+            self.command(&command);
+        }
+    }
+
+    fn command(&self, command: &Value) {
+        let (lock, changed) = &*self.state;
+        let mut state = lock.lock().unwrap();
+        match command["t"].as_str() {
+            Some("OPEN") => state.say(r#"{"t":"BOOTED","status":"WARM","time_ms":9000}"#),
+            Some("SYSINFO") => {
+                let line = format!(r#"{{"t":"INFO","mark":{},"v":[0.1,0.1]}}"#, command["mark"]);
+                state.say(&line);
+            }
+            Some("POST") => {
+                let line = format!(r#"{{"t":"POSTED","mark":{},"status":"OK"}}"#, command["mark"]);
+                state.say(&line);
+            }
+            Some("SCHED") => {
+                let text = |name: &str| command[name].as_str().unwrap_or_default().to_owned();
+                let body = STANDARD.decode(text("b64")).unwrap_or_default();
+                let started = Started { rid: text("rid"), route: text("route"), body };
+                if state.started.iter().all(|s| s.rid != started.rid) {
+                    if state.holds {
+                        state.held.push(started.rid.clone());
+                    } else {
+                        state.end(&started.rid, &started.route);
+                    }
+                    state.started.push(started);
+                }
+            }
+            Some("PREEMPT") => {
+                let rid = command["rid"].as_str().unwrap_or_default().to_owned();
+                if let Some(at) = state.held.iter().position(|held| *held == rid) {
+                    state.held.remove(at);
+                    state.reap(&rid, "STOPPED");
+                }
+            }
+            _ => {}
+        }
+        changed.notify_all();
+    }
+
+    /// From here on runs wait, or end at once; those that waited are let go on.
+    pub fn hold(&self, holds: bool) {
+        let mut state = self.state.0.lock().unwrap();
+        state.holds = holds;
+        if !holds {
+            for rid in std::mem::take(&mut state.held) {
+                let route = state.started.iter().find(|s| s.rid == rid).map(|s| s.route.clone());
+                state.end(&rid, &route.unwrap_or_default());
+            }
+        }
+    }
+
+    /// The next runs of a route end as ERROR, so many of them.
+    pub fn fail(&self, route: &str, times: usize) {
+        self.state.0.lock().unwrap().errors.insert(route.to_owned(), times);
+    }
+
+    /// All that was started so far.
+    pub fn started(&self) -> Vec<Started> {
+        self.state.0.lock().unwrap().started.clone()
+    }
+
+    /// Waits until so many runs were started, and gives them.
+    pub fn wait_started(&self, count: usize) -> Vec<Started> {
+        let (lock, changed) = &*self.state;
+        let state = lock.lock().unwrap();
+        let enough = |state: &mut State| state.started.len() < count;
+        let (state, timeout) = changed.wait_timeout_while(state, Duration::from_secs(30), enough).unwrap();
+        assert!(!timeout.timed_out(), "{} of {count} runs were started", state.started.len());
+        state.started.clone()
+    }
+
+    /// Forgets what was started, for loads that go on for long.
+    pub fn forget(&self) {
+        self.state.0.lock().unwrap().started.clear();
+    }
+}
+
+impl State {
+    fn say(&mut self, line: &str) {
+        if let Some(link) = &mut self.link {
+            let _ = link.write_all(format!("{line}\n").as_bytes());
+        }
+    }
+
+    fn end(&mut self, rid: &str, route: &str) {
+        let fails = self.errors.get_mut(route).is_some_and(|left| {
+            let fails = *left > 0;
+            *left = left.saturating_sub(1);
+            fails
+        });
+        self.reap(rid, if fails { "ERROR" } else { "OK" });
+    }
+
+    fn reap(&mut self, rid: &str, status: &str) {
+        self.notices += 1;
+        let body = STANDARD.encode(result(rid));
+        let no = self.notices;
+        self.say(&format!(
+            r#"{{"t":"REAP","no":{no},"rid":"{rid}","status":"{status}","time_ms":1,"b64":"{body}"}}"#
+        ));
+    }
+}
