SPIFFE ids, trust bundles and the rotation of an identity, without I/O

The next direction needs ids by the letter of the standard, bundles whose sequence never goes back, and a rule for which identity is presented while issuers fail. crates/identity has these three; nothing uses them yet.

--- /dev/null
+++ b/crates/identity/src/id.rs
@@ -0,0 +1,231 @@
+//! SPIFFE ids and trust domains, by "The SPIFFE Identity and Verifiable Identity Document", section 2.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// The longest id that need be supported (2.3).
+pub const ID_MAX: usize = 2048;
+/// The longest name of a trust domain (2.3).
+pub const DOMAIN_MAX: usize = 255;
+const SCHEME: &str = "spiffe://";
+
+/// Why a text is no SPIFFE id, with the clause that it breaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Malformed {
+    /// 2.3: more than 2048 bytes.
+    TooLong,
+    /// 2: the scheme is not `spiffe`.
+    Scheme,
+    /// 2.1: no trust domain.
+    NoDomain,
+    /// 2.3: the trust domain has more than 255 bytes.
+    DomainTooLong,
+    /// 2.1: the trust domain has another letter than a-z, 0-9, '.', '-' and '_'; user and port are among these.
+    DomainLetter(char),
+    /// 2.2: a segment of the path is empty, or the path ends with '/'.
+    EmptySegment,
+    /// 2.2: a segment is '.' or '..'.
+    DotSegment,
+    /// 2.2: a segment has another letter than A-Z, a-z, 0-9, '.', '-' and '_'; so have a query, a fragment and what is
+    /// percent-encoded.
+    PathLetter(char),
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Malformed::TooLong => write!(f, "an id of more than {ID_MAX} bytes (2.3)"),
+            Malformed::Scheme => write!(f, "an id begins with {SCHEME} (2)"),
+            Malformed::NoDomain => f.write_str("no trust domain (2.1)"),
+            Malformed::DomainTooLong => write!(f, "a trust domain of more than {DOMAIN_MAX} bytes (2.3)"),
+            Malformed::DomainLetter(c) => write!(f, "{c:?} in the trust domain (2.1)"),
+            Malformed::EmptySegment => f.write_str("an empty segment in the path (2.2)"),
+            Malformed::DotSegment => f.write_str("a segment '.' or '..' in the path (2.2)"),
+            Malformed::PathLetter(c) => write!(f, "{c:?} in the path (2.2)"),
+        }
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+/// The name of a trust domain.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TrustDomain(Box<str>);
+
+impl TrustDomain {
+    /// The name.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for TrustDomain {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn check_domain(name: &str) -> Result<(), Malformed> {
+    let known = |c: &char| matches!(c, 'a'..='z' | '0'..='9' | '.' | '-' | '_');
+    if name.is_empty() {
+        return Err(Malformed::NoDomain);
+    }
+    match name.chars().find(|c| !known(c)) {
+        Some(c) => Err(Malformed::DomainLetter(c)),
+        None if name.len() > DOMAIN_MAX => Err(Malformed::DomainTooLong),
+        None => Ok(()),
+    }
+}
+
+fn check_path(path: &str) -> Result<(), Malformed> {
+    let known = |c: &char| c.is_ascii_alphanumeric() || matches!(c, '.' | '-' | '_');
+    let Some(segments) = path.strip_prefix('/') else { return Ok(()) };
+    for segment in segments.split('/') {
+        match segment {
+            "" => return Err(Malformed::EmptySegment),
+            "." | ".." => return Err(Malformed::DotSegment),
+            _ => {}
+        }
+        if let Some(c) = segment.chars().find(|c| !known(c)) {
+            return Err(Malformed::PathLetter(c));
+        }
+    }
+    Ok(())
+}
+
+impl FromStr for TrustDomain {
+    type Err = Malformed;
+
+    /// Reads a name, or takes the trust domain of an id.
+    fn from_str(text: &str) -> Result<TrustDomain, Malformed> {
+        if text.contains("://") {
+            return Ok(text.parse::<SpiffeId>()?.trust_domain());
+        }
+        check_domain(text)?;
+        Ok(TrustDomain(text.into()))
+    }
+}
+
+/// A SPIFFE id.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SpiffeId {
+    text: Box<str>,
+    /// Where the path begins.
+    path: usize,
+}
+
+impl SpiffeId {
+    /// The whole id.
+    pub fn as_str(&self) -> &str {
+        &self.text
+    }
+
+    /// The name of its trust domain.
+    pub fn domain(&self) -> &str {
+        &self.text[SCHEME.len()..self.path]
+    }
+
+    /// Its trust domain.
+    pub fn trust_domain(&self) -> TrustDomain {
+        TrustDomain(self.domain().into())
+    }
+
+    /// Its path, with the leading '/'; empty for the id of a trust domain itself.
+    pub fn path(&self) -> &str {
+        &self.text[self.path..]
+    }
+
+    /// Whether it is in this trust domain.
+    pub fn is_of(&self, domain: &TrustDomain) -> bool {
+        self.domain() == domain.as_str()
+    }
+}
+
+impl FromStr for SpiffeId {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<SpiffeId, Malformed> {
+        if text.len() > ID_MAX {
+            return Err(Malformed::TooLong);
+        }
+        let rest = text.strip_prefix(SCHEME).ok_or(Malformed::Scheme)?;
+        let path = SCHEME.len() + rest.find('/').unwrap_or(rest.len());
+        check_domain(&text[SCHEME.len()..path])?;
+        check_path(&text[path..])?;
+        Ok(SpiffeId { text: text.into(), path })
+    }
+}
+
+impl fmt::Display for SpiffeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.text)
+    }
+}
+
+impl fmt::Debug for SpiffeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.text)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn good_ids_fall_into_domain_and_path() {
+        for (text, domain, path) in [
+            ("spiffe://example.org", "example.org", ""),
+            ("spiffe://example.org/site/7", "example.org", "/site/7"),
+            ("spiffe://a-b_c.9/A.b-C_9", "a-b_c.9", "/A.b-C_9"),
+            ("spiffe://1.2.3.4/x", "1.2.3.4", "/x"),
+            ("spiffe://a/...", "a", "/..."),
+        ] {
+            let id: SpiffeId = text.parse().unwrap();
+            assert_eq!((id.as_str(), id.domain(), id.path()), (text, domain, path));
+            assert!(id.is_of(&domain.parse().unwrap()));
+            assert_eq!(text.parse::<TrustDomain>().unwrap().as_str(), domain, "of an id, its domain");
+        }
+    }
+
+    /// Each with the clause of the standard that it breaks.
+    #[test]
+    fn each_rule_of_the_standard_is_kept() {
+        let bad = [
+            ("", Malformed::Scheme),
+            ("http://example.org/a", Malformed::Scheme),
+            ("SPIFFE://example.org/a", Malformed::Scheme),
+            ("spiffe:/example.org", Malformed::Scheme),
+            ("spiffe://", Malformed::NoDomain),
+            ("spiffe:///a", Malformed::NoDomain),
+            ("spiffe://Example.org/a", Malformed::DomainLetter('E')),
+            ("spiffe://user@example.org/a", Malformed::DomainLetter('@')),
+            ("spiffe://example.org:80/a", Malformed::DomainLetter(':')),
+            ("spiffe://ex%61mple.org/a", Malformed::DomainLetter('%')),
+            ("spiffe://örnek.org/a", Malformed::DomainLetter('ö')),
+            ("spiffe://example.org?a", Malformed::DomainLetter('?')),
+            ("spiffe://example.org/", Malformed::EmptySegment),
+            ("spiffe://example.org/a/", Malformed::EmptySegment),
+            ("spiffe://example.org//a", Malformed::EmptySegment),
+            ("spiffe://example.org/a/./b", Malformed::DotSegment),
+            ("spiffe://example.org/a/..", Malformed::DotSegment),
+            ("spiffe://example.org/a%2fb", Malformed::PathLetter('%')),
+            ("spiffe://example.org/a?b", Malformed::PathLetter('?')),
+            ("spiffe://example.org/a#b", Malformed::PathLetter('#')),
+            ("spiffe://example.org/a b", Malformed::PathLetter(' ')),
+            ("spiffe://example.org/şube", Malformed::PathLetter('ş')),
+        ];
+        for (text, why) in bad {
+            assert_eq!(text.parse::<SpiffeId>(), Err(why), "{text}");
+        }
+    }
+
+    #[test]
+    fn lengths_are_bounded_to_the_byte() {
+        let of = |domain: usize, path: usize| format!("spiffe://{}/{}", "d".repeat(domain), "p".repeat(path));
+        assert!(of(255, 1).parse::<SpiffeId>().is_ok());
+        assert_eq!(of(256, 1).parse::<SpiffeId>(), Err(Malformed::DomainTooLong));
+        assert!(of(7, 2048 - 9 - 8).parse::<SpiffeId>().is_ok());
+        assert_eq!(of(7, 2048 - 9 - 7).parse::<SpiffeId>(), Err(Malformed::TooLong));
+    }
+}
--- /dev/null
+++ b/crates/identity/src/lib.rs
@@ -0,0 +1,18 @@
+//! SPIFFE identities without I/O: ids and trust domains ([`id`]), trust bundles in the SPIFFE format ([`bundle`]), and
+//! which identity is presented when, as a state machine over time ([`rotation`]).
+//!
+//! The rest of the direction (checks of certificates and tokens, the Workload API, TLS) stands on these and is not here
+//! yet; `docs/ROADMAP.md` says how far it is.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod bundle;
+pub mod id;
+pub mod rotation;
+
+pub use bundle::{Bundle, Bundles};
+pub use id::{SpiffeId, TrustDomain};
+
+/// Whole nanoseconds from any fixed point.
+pub type Nanos = u64;
--- a/crates/rules/tests/sets.rs
+++ b/crates/rules/tests/sets.rs
@@ -204,3 +204,30 @@
     assert_eq!(decision.faults.last().unwrap().1, Fault::Cost);
     assert!(decision.cost <= rules.request_limit());
 }
+
+#[test]
+fn the_arena_is_used_again_and_never_grows_past_what_the_cost_allows() {
+    let text = "params.A.matches(\"^x\") || script.startsWith(\"/no\") || (tenant + \"/\" + params.B).split(\"/\").size() > 90";
+    let rules = RuleSet::load(&[rule("a", text)], &words(), &[], Bounds::default()).unwrap();
+    let mut scratch = Scratch::new(1);
+    let before = scratch.bytes();
+    let mut rng = Pcg64Mcg::seed_from_u64(8);
+    for _ in 0..2000 {
+        let request = Request::random(&mut rng);
+        rules.decide(&request.facts(&rules), &mut scratch, Path::Index);
+        assert_eq!(scratch.bytes(), before, "what a usual rule builds fits what is there");
+    }
+    // A rule that builds as much as its limit lets it: the arena grows once, and not with each request.
+    let big = "(params.W + params.W).split(\"\").map(x, x + x).size() > 900000";
+    let costly = Bounds { cost: 100_000, ..Bounds::default() };
+    let mut words = words();
+    words.params.insert("W".into(), 150);
+    let rules = RuleSet::load(&[rule("a", big)], &words, &[], costly).unwrap();
+    let long = "w".repeat(150);
+    let pairs = [(b"W".as_slice(), long.as_bytes())];
+    let facts = Facts { params: rules.pick(pairs.into_iter()), ..Facts::default() };
+    for _ in 0..100 {
+        rules.decide(&facts, &mut scratch, Path::Index);
+    }
+    assert!(scratch.bytes() < 256 << 10, "{}", scratch.bytes());
+}
