X.509-SVIDs checked by the clauses of the standard; keys bounded by the node's memory

Kept keys had a bound that did not follow from the memory limit: they now take as much as kept results at most.

--- a/crates/identity/src/lib.rs
+++ b/crates/identity/src/lib.rs
@@ -1,7 +1,7 @@
-//! SPIFFE identities without I/O: ids and trust domains ([`id`]), trust bundles in the SPIFFE format ([`bundle`]), and
-//! which identity is presented when, as a state machine over time ([`rotation`]).
+//! SPIFFE identities without I/O: ids and trust domains ([`id`]), trust bundles in the SPIFFE format ([`bundle`]), checks
+//! of X.509-SVIDs ([`x509`]), and which identity is presented when, as a state machine over time ([`rotation`]).
 //!
-//! The rest of the direction (checks of certificates and tokens, the Workload API, TLS) stands on these and is not here
+//! The rest of the direction (checks of tokens, the Workload API, TLS) stands on these and is not here
 //! yet; `docs/ROADMAP.md` says how far it is.
 
 #![forbid(unsafe_code)]
@@ -10,6 +10,7 @@
 pub mod bundle;
 pub mod id;
 pub mod rotation;
+pub mod x509;
 
 pub use bundle::{Bundle, Bundles};
 pub use id::{SpiffeId, TrustDomain};
--- /dev/null
+++ b/crates/identity/src/x509.rs
@@ -0,0 +1,222 @@
+//! X.509-SVIDs, by "The X.509 SPIFFE Verifiable Identity Document": what the standard asks of the certificates is
+//! checked here, the signatures, times and the path to an authority by `webpki`.
+
+use crate::bundle::Bundles;
+use crate::id::{Malformed, SpiffeId};
+use crate::rotation::SKEW_MOST;
+use crate::{Bundle, Nanos};
+use rustls_pki_types::{CertificateDer, UnixTime};
+use std::fmt;
+use std::time::Duration;
+use webpki::{ALL_VERIFICATION_ALGS, EndEntityCert, KeyUsage, anchor_from_trusted_cert};
+use x509_parser::certificate::X509Certificate;
+use x509_parser::extensions::GeneralName;
+use x509_parser::prelude::FromDer;
+
+/// Certificates of a chain, and bytes of all of them; what is beyond is not looked at.
+pub const CHAIN_MAX: usize = 8;
+/// See there.
+pub const BYTES_MAX: usize = 64 << 10;
+
+/// Who proves itself: a caller to us, or a server that we call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It calls us.
+    Caller,
+    /// We call it.
+    Server,
+}
+
+/// Why a chain proves no identity, with the clause of the standard where it is one's.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// No certificate at all.
+    Empty,
+    /// More certificates, or bytes, than are looked at.
+    TooLarge,
+    /// A certificate that can't be read, or with bytes after its end.
+    Unreadable,
+    /// 2: not exactly one URI among the alternative names; how many there are.
+    Uris(usize),
+    /// 2: the URI is no SPIFFE id.
+    NoId(Malformed),
+    /// 4.1: the leaf is an authority.
+    LeafIsAuthority,
+    /// 4.1: the id of a leaf has no path.
+    NoPath,
+    /// 4.3: key usage is absent or not critical.
+    NoKeyUsage,
+    /// 4.3: a leaf must sign digitally, and must sign neither certificates nor revocation lists.
+    KeyUsage,
+    /// 4.4: extended key usage is there and lacks client or server authentication.
+    ExtendedKeyUsage,
+    /// 3.2, 4.2: an intermediate is no authority, may not sign certificates, or has an id with a path or of another domain.
+    Authority,
+    /// 5: nothing is trusted for the id's own trust domain.
+    UnknownDomain(String),
+    /// It is over, by more than clocks may differ.
+    Expired,
+    /// It begins later than clocks may differ.
+    NotYet,
+    /// 5.2: no path of good signatures to an authority of the id's own trust domain.
+    NoPathToAuthority(String),
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refused::Empty => f.write_str("no certificate"),
+            Refused::TooLarge => write!(f, "more than {CHAIN_MAX} certificates or {BYTES_MAX} bytes"),
+            Refused::Unreadable => f.write_str("a certificate that can't be read"),
+            Refused::Uris(n) => write!(f, "{n} URIs among the names; exactly one (X509-SVID 2)"),
+            Refused::NoId(why) => write!(f, "no SPIFFE id: {why}"),
+            Refused::LeafIsAuthority => f.write_str("the leaf is an authority (X509-SVID 4.1)"),
+            Refused::NoPath => f.write_str("the leaf's id has no path (X509-SVID 4.1)"),
+            Refused::NoKeyUsage => f.write_str("key usage is absent or not critical (X509-SVID 4.3)"),
+            Refused::KeyUsage => f.write_str("the leaf's key usage (X509-SVID 4.3)"),
+            Refused::ExtendedKeyUsage => {
+                f.write_str("extended key usage lacks client or server (X509-SVID 4.4)")
+            }
+            Refused::Authority => {
+                f.write_str("an intermediate is no authority of the domain (X509-SVID 3.2, 4)")
+            }
+            Refused::UnknownDomain(domain) => write!(f, "trust domain {domain} is not known"),
+            Refused::Expired => f.write_str("expired"),
+            Refused::NotYet => f.write_str("not valid yet"),
+            Refused::NoPathToAuthority(why) => write!(f, "no path to an authority of its domain: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Refused {}
+
+/// An identity that was proven.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Proven {
+    /// Whose it is.
+    pub id: SpiffeId,
+    /// From when on the leaf is valid, in nanoseconds since the Unix epoch.
+    pub not_before: Nanos,
+    /// Until when.
+    pub not_after: Nanos,
+    /// The version of the bundles by which it was proven.
+    pub bundles: u64,
+}
+
+fn parse(der: &[u8]) -> Result<X509Certificate<'_>, Refused> {
+    match X509Certificate::from_der(der) {
+        Ok(([], certificate)) => Ok(certificate),
+        _ => Err(Refused::Unreadable),
+    }
+}
+
+/// URIs among the alternative names. A second such extension is refused where it is parsed.
+fn uris<'c>(certificate: &'c X509Certificate<'_>) -> Result<Vec<&'c str>, Refused> {
+    let names = certificate.subject_alternative_name().map_err(|_| Refused::Unreadable)?;
+    let all = names.map(|names| names.value.general_names.iter()).into_iter().flatten();
+    let uri = |name: &'c GeneralName<'_>| if let GeneralName::URI(uri) = name { Some(*uri) } else { None };
+    Ok(all.filter_map(uri).collect())
+}
+
+fn is_authority(certificate: &X509Certificate<'_>) -> Result<bool, Refused> {
+    let constraints = certificate.basic_constraints().map_err(|_| Refused::Unreadable)?;
+    Ok(constraints.is_some_and(|constraints| constraints.value.ca))
+}
+
+/// A point in time of a certificate, in nanoseconds since the epoch; what lies before is the epoch.
+fn nanos(seconds: i64) -> Nanos {
+    u64::try_from(seconds).unwrap_or(0).saturating_mul(1_000_000_000)
+}
+
+/// The id of a leaf, and its validity, by all that the standard asks of it alone.
+fn leaf(der: &[u8]) -> Result<(SpiffeId, Nanos, Nanos), Refused> {
+    let certificate = parse(der)?;
+    let uris = uris(&certificate)?;
+    let [uri] = uris.as_slice() else { return Err(Refused::Uris(uris.len())) };
+    let id: SpiffeId = uri.parse().map_err(Refused::NoId)?;
+    if is_authority(&certificate)? {
+        return Err(Refused::LeafIsAuthority);
+    }
+    if id.path().is_empty() {
+        return Err(Refused::NoPath);
+    }
+    let usage = certificate.key_usage().map_err(|_| Refused::Unreadable)?;
+    let usage = usage.filter(|usage| usage.critical).ok_or(Refused::NoKeyUsage)?.value;
+    if !usage.digital_signature() || usage.key_cert_sign() || usage.crl_sign() {
+        return Err(Refused::KeyUsage);
+    }
+    let extended = certificate.extended_key_usage().map_err(|_| Refused::Unreadable)?;
+    if extended.is_some_and(|e| !(e.value.client_auth && e.value.server_auth)) {
+        return Err(Refused::ExtendedKeyUsage);
+    }
+    let validity = certificate.validity();
+    Ok((id, nanos(validity.not_before.timestamp()), nanos(validity.not_after.timestamp())))
+}
+
+fn intermediate(der: &[u8], domain: &str) -> Result<(), Refused> {
+    let certificate = parse(der)?;
+    let usage = certificate.key_usage().map_err(|_| Refused::Unreadable)?;
+    if !is_authority(&certificate)? || !usage.is_some_and(|usage| usage.value.key_cert_sign()) {
+        return Err(Refused::Authority);
+    }
+    match uris(&certificate)?.as_slice() {
+        [] => Ok(()),
+        [uri] => match uri.parse::<SpiffeId>() {
+            Ok(id) if id.domain() == domain && id.path().is_empty() => Ok(()),
+            _ => Err(Refused::Authority),
+        },
+        _ => Err(Refused::Authority),
+    }
+}
+
+/// Checks a chain, the leaf first, at a time of the Unix clock; clocks may differ by `skew`, at most [`SKEW_MOST`].
+pub fn check(
+    chain: &[impl AsRef<[u8]>],
+    bundles: &Bundles,
+    role: Role,
+    now: Nanos,
+    skew: Nanos,
+) -> Result<Proven, Refused> {
+    let (first, rest) = chain.split_first().ok_or(Refused::Empty)?;
+    if chain.len() > CHAIN_MAX || chain.iter().map(|c| c.as_ref().len()).sum::<usize>() > BYTES_MAX {
+        return Err(Refused::TooLarge);
+    }
+    let (id, not_before, not_after) = leaf(first.as_ref())?;
+    rest.iter().try_for_each(|der| intermediate(der.as_ref(), id.domain()))?;
+    // Only authorities of the id's own domain count: one of another domain can't vouch for it.
+    let bundle = bundles.of(id.domain()).ok_or_else(|| Refused::UnknownDomain(id.domain().to_owned()))?;
+    let skew = skew.min(SKEW_MOST);
+    if now > not_after.saturating_add(skew) {
+        return Err(Refused::Expired);
+    }
+    if now.saturating_add(skew) < not_before {
+        return Err(Refused::NotYet);
+    }
+    path(first.as_ref(), rest, bundle, role, now.clamp(not_before, not_after))?;
+    Ok(Proven { id, not_before, not_after, bundles: bundles.version() })
+}
+
+fn path(
+    first: &[u8],
+    rest: &[impl AsRef<[u8]>],
+    bundle: &Bundle,
+    role: Role,
+    now: Nanos,
+) -> Result<(), Refused> {
+    let authorities: Vec<CertificateDer<'_>> =
+        bundle.x509.iter().map(|der| CertificateDer::from(&der[..])).collect();
+    // An authority that can't be read vouches for nobody; the others still do.
+    let anchors: Vec<_> = authorities.iter().filter_map(|der| anchor_from_trusted_cert(der).ok()).collect();
+    let intermediates: Vec<_> = rest.iter().map(|der| CertificateDer::from(der.as_ref())).collect();
+    let first = CertificateDer::from(first);
+    let certificate = EndEntityCert::try_from(&first).map_err(|_| Refused::Unreadable)?;
+    let usage = match role {
+        Role::Caller => KeyUsage::client_auth(),
+        Role::Server => KeyUsage::server_auth(),
+    };
+    let time = UnixTime::since_unix_epoch(Duration::from_nanos(now));
+    certificate
+        .verify_for_usage(ALL_VERIFICATION_ALGS, &anchors, &intermediates, time, usage, None, None)
+        .map(drop)
+        .map_err(|e| Refused::NoPathToAuthority(e.to_string()))
+}
--- a/crates/node/src/kept.rs
+++ b/crates/node/src/kept.rs
@@ -4,8 +4,11 @@
 use madderpoint::{InvId, Nanos};
 use std::collections::{BTreeMap, HashMap};
 
-/// Keys kept at most.
+/// Keys kept at most, and what one takes in the maps; they may take as much as the results.
 const KEYS_MAX: usize = 8192;
+const KEY_BYTES: usize = 256;
+/// However little room there is, a few are kept.
+const KEYS_LEAST: usize = 16;
 
 /// What an invocation is known again by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -45,13 +48,15 @@
     expiry: BTreeMap<(Nanos, InvId), Alike>,
     bytes: usize,
     most_bytes: usize,
+    most_keys: usize,
 }
 
 impl Kept {
     /// Room for results of so many bytes.
     pub fn new(most_bytes: usize) -> Kept {
         let (entries, keys, expiry) = Default::default();
-        Kept { entries, keys, expiry, bytes: 0, most_bytes }
+        let most_keys = (most_bytes / KEY_BYTES).clamp(KEYS_LEAST, KEYS_MAX);
+        Kept { entries, keys, expiry, bytes: 0, most_bytes, most_keys }
     }
 
     /// Remembers a key for an invocation; an older one's entry moves to it.
@@ -61,7 +66,7 @@
         if let Some(old) = self.entries.get(&alike).map(|e| e.id) {
             self.forget(old);
         }
-        if self.entries.len() < KEYS_MAX {
+        if self.entries.len() < self.most_keys {
             self.entries.insert(alike, Entry { id, key, until, result: None });
             self.keys.insert(id, alike);
             self.expiry.insert((until, id), alike);
@@ -71,7 +76,7 @@
     /// Whether there is room for one more key.
     pub fn has_room(&mut self, now: Nanos) -> bool {
         self.sweep(now);
-        self.entries.len() < KEYS_MAX
+        self.entries.len() < self.most_keys
     }
 
     /// Whether a key is taken by an invocation with another body.
@@ -177,12 +182,13 @@
     #[test]
     fn entries_end_with_their_lifetimes_and_are_bounded() {
         let mut kept = Kept::new(BYTES_MAX);
-        for n in 0..KEYS_MAX as u64 + 10 {
+        let most = kept.most_keys;
+        for n in 0..most as u64 + 10 {
             kept.remember(0, InvId(n), read(n), 100);
         }
-        assert_eq!((kept.entries.len(), kept.expiry.len()), (KEYS_MAX, KEYS_MAX));
+        assert_eq!((kept.entries.len(), kept.expiry.len()), (most, most));
         let result = vec![7; 4096];
-        (0..KEYS_MAX as u64).for_each(|n| kept.keep(InvId(n), &result, 50));
+        (0..most as u64).for_each(|n| kept.keep(InvId(n), &result, 50));
         assert_eq!((kept.bytes, kept.entries.len()), (BYTES_MAX, BYTES_MAX / 4096));
         assert_eq!(kept.original(50, read(1)), Some(InvId(1)));
         assert_eq!(kept.original(51, read(1)), None);
--- a/crates/node/src/room.rs
+++ b/crates/node/src/room.rs
@@ -30,7 +30,7 @@
     /// Commands that may wait for the kernel, and calls for each link to the back end.
     pub commands: usize,
     pub calls: usize,
-    /// Bytes of results kept for like reads.
+    /// Bytes of results kept for like reads and repeats; their keys take as much again at most.
     pub results: usize,
     /// Bytes that a set of rules may take, and that limits by key take; 0 where there are no settings of ours.
     pub rules: usize,
@@ -76,7 +76,11 @@
         let waiting = self.front_events * REQUEST + self.peer_events * NOTICE;
         let written = (self.commands + self.calls * links) * COMMAND + self.unread;
         let settings = 2 * self.rules + self.buckets + READING * self.settings_file;
-        BARE + self.connections * (CONNECTION + self.unfinished) + waiting + written + self.results + settings
+        BARE + self.connections * (CONNECTION + self.unfinished)
+            + waiting
+            + written
+            + 2 * self.results
+            + settings
     }
 }
 
--- a/crates/node/tests/rules.rs
+++ b/crates/node/tests/rules.rs
@@ -46,6 +46,8 @@
   <give operation="book" class="writes"><key>script.part("/", 3)</key></give></rule>
 <rule name="limited"><when>has(params.HTTP_X_SITE)</when>
   <give class="reads"><limit bucket="site">params.HTTP_X_SITE</limit></give></rule>
+<rule name="near"><when>script == "/who" &amp;&amp; caller.address in net("127.0.0.0/8")</when>
+  <error status="418" reason="from here"/></rule>
 <rule name="old"><when>script == "/old/read"</when><give operation="read"/></rule>
 "#;
 
@@ -80,6 +82,7 @@
     thread::sleep(Duration::from_millis(pause)); // as a caller that heeds it
     assert_eq!(ask("/call/read", Some("7")).status, "200");
     assert_eq!(ask("/call/read", Some("8")).status, "200");
+    assert_eq!(ask("/who", None).status, "418", "where a caller connects from is known");
     assert_eq!(ask("/nowhere", None).status, "404");
 }
 
@@ -118,7 +121,7 @@
             node.logged("new settings not taken, those before stay: ");
             std::fs::write(&settings, whole(RULES)).unwrap();
             node.signal("-HUP");
-            node.logged("rules: 4 in force");
+            node.logged("rules: 5 in force");
             reloads += 2;
         }
     });
@@ -194,10 +197,10 @@
     let config = PROGRAM.config(&told(nobody(), nobody(), nobody(), 1024));
     let (good, config) = (good.to_str().unwrap(), config.to_str().unwrap());
     let (code, out, _) = call(&["check", good, "--config", config]);
-    assert!(code == Some(0) && out.contains("good; 4 rules, 1 buckets, 2 cases"), "{out}");
+    assert!(code == Some(0) && out.contains("good; 5 rules, 1 buckets, 2 cases"), "{out}");
     let (code, out, _) = call(&["check", good, "--format", "json"]);
     let told: serde_json::Value = serde_json::from_str(&out).unwrap();
-    assert_eq!((code, &told["rules"], &told["good"]), (Some(0), &4.into(), &true.into()));
+    assert_eq!((code, &told["rules"], &told["good"]), (Some(0), &5.into(), &true.into()));
     let (code, out, _) = call(&["rules", "test", good]);
     assert_eq!(code, Some(1));
     assert!(out.contains("ok: booked") && out.contains("FAILED: wrong: rule is old, not book"), "{out}");
