--- a/crates/identity/src/lib.rs
+++ b/crates/identity/src/lib.rs
@@ -1,7 +1,7 @@
 //! SPIFFE identities without I/O: ids and trust domains ([`id`]), trust bundles in the SPIFFE format ([`bundle`]), checks
-//! of X.509-SVIDs ([`x509`]), and which identity is presented when, as a state machine over time ([`rotation`]).
+//! of X.509-SVIDs ([`x509`]) and JWT-SVIDs ([`jwt`]), and which identity is presented when, as a state machine over time ([`rotation`]).
 //!
-//! The rest of the direction (checks of tokens, the Workload API, TLS) stands on these and is not here
+//! The rest of the direction (the Workload API, TLS, policy) stands on these and is not here
 //! yet; `docs/ROADMAP.md` says how far it is.
 
 #![forbid(unsafe_code)]
@@ -9,6 +9,7 @@
 
 pub mod bundle;
 pub mod id;
+pub mod jwt;
 pub mod rotation;
 pub mod x509;
 
