--- a/crates/identity/src/lib.rs
+++ b/crates/identity/src/lib.rs
@@ -1,5 +1,6 @@
 //! SPIFFE identities without I/O: ids and trust domains ([`id`]), trust bundles in the SPIFFE format ([`bundle`]), checks
-//! of X.509-SVIDs ([`x509`]) and JWT-SVIDs ([`jwt`]), and which identity is presented when, as a state machine over time ([`rotation`]).
+//! of X.509-SVIDs ([`x509`]) and JWT-SVIDs ([`jwt`]), which identity is presented when ([`rotation`]), and
+//! how long a connection stands by the identity it was opened with ([`sessions`]), both as state machines over time.
 //!
 //! The rest of the direction (the Workload API, TLS, policy) stands on these and is not here
 //! yet; `docs/ROADMAP.md` says how far it is.
@@ -11,6 +12,7 @@
 pub mod id;
 pub mod jwt;
 pub mod rotation;
+pub mod sessions;
 pub mod x509;
 
 pub use bundle::{Bundle, Bundles};
--- a/crates/identity/src/x509.rs
+++ b/crates/identity/src/x509.rs
@@ -99,10 +99,24 @@
     pub not_before: Nanos,
     /// Until when.
     pub not_after: Nanos,
+    /// The authority that vouched for it, by [`authority`]: while that is in the bundle, so is the identity good.
+    pub authority: Authority,
     /// The version of the bundles by which it was proven.
     pub bundles: u64,
 }
 
+/// Tells authorities apart: SHA-256 of the certificate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Authority(pub [u8; 32]);
+
+/// An authority by its certificate.
+pub fn authority(der: &[u8]) -> Authority {
+    let digest = ring::digest::digest(&ring::digest::SHA256, der);
+    let mut bytes = [0; 32];
+    bytes.copy_from_slice(digest.as_ref());
+    Authority(bytes)
+}
+
 fn parse(der: &[u8]) -> Result<X509Certificate<'_>, Refused> {
     match X509Certificate::from_der(der) {
         Ok(([], certificate)) => Ok(certificate),
@@ -192,8 +206,8 @@
     if now.saturating_add(skew) < not_before {
         return Err(Refused::NotYet);
     }
-    path(first.as_ref(), rest, bundle, role, now.clamp(not_before, not_after))?;
-    Ok(Proven { id, not_before, not_after, bundles: bundles.version() })
+    let authority = path(first.as_ref(), rest, bundle, role, now.clamp(not_before, not_after))?;
+    Ok(Proven { id, not_before, not_after, authority, bundles: bundles.version() })
 }
 
 fn path(
@@ -202,11 +216,13 @@
     bundle: &Bundle,
     role: Role,
     now: Nanos,
-) -> Result<(), Refused> {
+) -> Result<Authority, Refused> {
     let authorities: Vec<CertificateDer<'_>> =
         bundle.x509.iter().map(|der| CertificateDer::from(&der[..])).collect();
     // An authority that can't be read vouches for nobody; the others still do.
-    let anchors: Vec<_> = authorities.iter().filter_map(|der| anchor_from_trusted_cert(der).ok()).collect();
+    let anchors = authorities.iter().map(|der| (der, anchor_from_trusted_cert(der)));
+    let (ders, anchors): (Vec<_>, Vec<_>) =
+        anchors.filter_map(|(der, anchor)| Some((der, anchor.ok()?))).unzip();
     let intermediates: Vec<_> = rest.iter().map(|der| CertificateDer::from(der.as_ref())).collect();
     let first = CertificateDer::from(first);
     let certificate = EndEntityCert::try_from(&first).map_err(|_| Refused::Unreadable)?;
@@ -215,8 +231,9 @@
         Role::Server => KeyUsage::server_auth(),
     };
     let time = UnixTime::since_unix_epoch(Duration::from_nanos(now));
-    certificate
+    let found = certificate
         .verify_for_usage(ALL_VERIFICATION_ALGS, &anchors, &intermediates, time, usage, None, None)
-        .map(drop)
-        .map_err(|e| Refused::NoPathToAuthority(e.to_string()))
+        .map_err(|e| Refused::NoPathToAuthority(e.to_string()))?;
+    let at = anchors.iter().position(|anchor| anchor == found.anchor());
+    at.map(|at| authority(ders[at])).ok_or_else(|| Refused::NoPathToAuthority("of no authority".into()))
 }
--- a/crates/identity/tests/x509.rs
+++ b/crates/identity/tests/x509.rs
@@ -1,6 +1,6 @@
 //! Chains good and bad, each bad one with the clause of the standard that it breaks; and certificates damaged at every byte.
 
-use madderpoint_identity::x509::{Refused, Role, check};
+use madderpoint_identity::x509::{Refused, Role, authority, check};
 use madderpoint_identity::{Bundle, Bundles};
 use rcgen::{
     BasicConstraints, CertificateParams, CertifiedIssuer, DnType, ExtendedKeyUsagePurpose, IsCa, KeyPair,
@@ -63,12 +63,13 @@
 fn a_good_chain_proves_its_id_to_either_side() {
     let root = root("saha");
     let bundles = bundles(&[("saha.example", &[&root])]);
-    let authority = authority_params("below", &["spiffe://saha.example"]);
-    let below = CertifiedIssuer::signed_by(authority, KeyPair::generate().unwrap(), &root).unwrap();
+    let below = authority_params("below", &["spiffe://saha.example"]);
+    let below = CertifiedIssuer::signed_by(below, KeyPair::generate().unwrap(), &root).unwrap();
     let chain = [leaf(params(&[ID]), &below), below.der().to_vec()];
     for role in [Role::Caller, Role::Server] {
         let proven = check(&chain, &bundles, role, NOW, 0).unwrap();
         assert_eq!((proven.id.as_str(), proven.bundles), (ID, 1));
+        assert_eq!(proven.authority, authority(root.der()), "not the one between");
         assert!(proven.not_before < NOW && NOW < proven.not_after);
     }
     assert!(check(&chain[..1], &bundles, Role::Caller, NOW, 0).is_err(), "without the one between");
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -4,15 +4,18 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use hdrhistogram::Histogram;
 use madderpoint_facts::Start;
+use madderpoint_identity::{Bundle, Bundles, jwt, x509};
 use madderpoint_rules::ruleset::Why;
-use madderpoint_rules::{Path as Search, RuleSet, Scratch, Verdict};
+use madderpoint_rules::{Path as Search, RuleSet, Scratch, Verdict, time};
 use madderpoint_settings::asked::Asked;
 use madderpoint_settings::{Known, Rulebook, Translator};
+use rustls_pki_types::CertificateDer;
+use rustls_pki_types::pem::PemObject;
 use serde_json::{Value, json};
 use std::hint::black_box;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// Decides, inside a server, which invocations it takes, runs and throttles.
 #[derive(Parser)]
@@ -45,6 +48,11 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// Look into SPIFFE identities.
+    Identity {
+        #[command(subcommand)]
+        command: Identity,
+    },
     /// Try rules.
     Rules {
         #[command(subcommand)]
@@ -61,6 +69,31 @@
     config: Option<PathBuf>,
 }
 
+#[derive(Subcommand)]
+enum Identity {
+    /// Check a chain of certificates (PEM, the leaf first) or a JWT-SVID against trust bundles.
+    #[command(
+        after_help = "Example: madderpoint identity check caller.pem --bundle saha.example=bundle.json\n\
+        Example: madderpoint identity check token.jwt --bundle saha.example=bundle.json --audience node"
+    )]
+    Check {
+        /// The chain, or the token.
+        file: PathBuf,
+        /// A trust domain and the file of its bundle, in the SPIFFE format; may be given for each domain.
+        #[arg(long, value_name = "DOMAIN=FILE", required = true)]
+        bundle: Vec<String>,
+        /// Whom the token is to be for; the file is then taken for a JWT-SVID.
+        #[arg(long)]
+        audience: Option<String>,
+        /// The time at which it is checked, by RFC 3339; now if it is not told.
+        #[arg(long, value_name = "TIME")]
+        at: Option<String>,
+        /// How the result is shown.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+}
+
 #[derive(Subcommand)]
 enum Rules {
     /// Show which rule a request matches, why those above it do not, and what that costs.
@@ -109,6 +142,9 @@
             None => return Self::serves(self.settings),
             Some(Command::Serve { settings }) => return Self::serves(settings.or(self.settings)),
             Some(Command::Check { file, format }) => check(&file, format),
+            Some(Command::Identity { command: Identity::Check { file, bundle, audience, at, format } }) => {
+                identity(&file, &bundle, audience.as_deref(), at.as_deref(), format)
+            }
             Some(Command::Rules { command: Rules::Explain { file, request, format } }) => {
                 explain(&file, &request, format)
             }
@@ -309,6 +345,55 @@
     Ok(failed == 0)
 }
 
+fn identity(
+    file: &Path,
+    given: &[String],
+    audience: Option<&str>,
+    at: Option<&str>,
+    format: Format,
+) -> Ended {
+    let wrong = |path: &Path, what: &dyn std::fmt::Display| format!("{}: {what}", path.display());
+    let mut bundles = Bundles::default();
+    for pair in given {
+        let (domain, path) = pair.split_once('=').ok_or_else(|| format!("{pair}: expected DOMAIN=FILE"))?;
+        let domain = domain.parse().map_err(|e| format!("{domain}: {e}"))?;
+        let path = Path::new(path);
+        let text = std::fs::read(path).map_err(|e| wrong(path, &e))?;
+        bundles.offer(&domain, Bundle::read(&text).map_err(|e| wrong(path, &e))?);
+    }
+    let now = match at {
+        Some(text) => {
+            time::time(text).and_then(|t| u64::try_from(t).ok()).ok_or_else(|| format!("{text}: no time"))?
+        }
+        None => SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_nanos() as u64),
+    };
+    let read = std::fs::read(file).map_err(|e| wrong(file, &e))?;
+    let checked = match audience {
+        Some(audience) => {
+            let token = String::from_utf8_lossy(&read);
+            let checked = jwt::check(token.trim(), &bundles, &[audience], now, 0);
+            checked.map(|proven| (proven.id, proven.not_after)).map_err(|e| e.to_string())
+        }
+        None => {
+            let chain = CertificateDer::pem_slice_iter(&read).collect::<Result<Vec<_>, _>>();
+            let chain = chain.map_err(|e| wrong(file, &format!("no PEM: {e:?}")))?;
+            let checked = x509::check(&chain, &bundles, x509::Role::Caller, now, 0);
+            checked.map(|proven| (proven.id, proven.not_after)).map_err(|e| e.to_string())
+        }
+    };
+    let until = |nanos: u64| time::print_time(i64::try_from(nanos).unwrap_or(i64::MAX));
+    let good = checked.is_ok();
+    match (checked, format) {
+        (Ok((id, ends)), Format::Text) => println!("good: {id} until {}", until(ends)),
+        (Err(why), Format::Text) => println!("refused: {why}"),
+        (Ok((id, ends)), Format::Json) => {
+            println!("{}", json!({"good": true, "id": id.as_str(), "until": until(ends)}));
+        }
+        (Err(why), Format::Json) => println!("{}", json!({"good": false, "why": why})),
+    }
+    Ok(good)
+}
+
 /// Memory of the process, in KiB, where the system tells it.
 fn resident() -> Option<u64> {
     let status = std::fs::read_to_string("/proc/self/status").ok()?;
