--- a/crates/identity/src/lib.rs
+++ b/crates/identity/src/lib.rs
@@ -2,8 +2,8 @@
 //! of X.509-SVIDs ([`x509`]) and JWT-SVIDs ([`jwt`]), which identity is presented when ([`rotation`]), and
 //! how long a connection stands by the identity it was opened with ([`sessions`]), both as state machines over time.
 //!
-//! The rest of the direction (the Workload API, TLS, policy) stands on these and is not here
-//! yet; `docs/ROADMAP.md` says how far it is.
+//! What the Workload API says is read and checked in [`workload`]. Its transport, TLS and the policy are not here yet;
+//! `docs/ROADMAP.md` says how far it is.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -13,6 +13,7 @@
 pub mod jwt;
 pub mod rotation;
 pub mod sessions;
+pub mod workload;
 pub mod x509;
 
 pub use bundle::{Bundle, Bundles};
