The change read once more: a test that could not fail, a copy of the buckets, a case not shown

Reading the whole change again found a tautology in the tests of rule sets, a test of shares that dropped its tickets, and a list of buckets that the classifier kept and never read. They are put right, and a new key for each of 20,000 invocations is shown at the core: all are answered, and the limits stay within their bytes.

--- a/crates/limits/src/tests.rs
+++ b/crates/limits/src/tests.rs
@@ -107,7 +107,7 @@
         greedy.push(ticket);
     }
     assert_eq!(greedy.len(), 14, "an eighth is kept for others");
-    let (mut a, mut b) = (Vec::new(), Vec::new());
+    let (mut a, mut b, mut again) = (Vec::new(), Vec::new(), Vec::new());
     a.push(limits.ask(0, &[(0, 2)]).expect("a place is kept for a new key"));
     b.push(limits.ask(0, &[(0, 3)]).expect("and one more"));
     assert_eq!(limits.ask(0, &[(0, 4)]).unwrap_err().why, Why::Share, "all are taken");
@@ -116,9 +116,11 @@
         limits.done(SECOND, ticket);
         a.extend(limits.ask(SECOND, &[(0, 2)]));
         b.extend(limits.ask(SECOND, &[(0, 3)]));
-        let _ = limits.ask(SECOND, &[(0, 1)]).map(|ticket| a.len().min(b.len()).max(ticket.held.len()));
+        again.extend(limits.ask(SECOND, &[(0, 1)]));
     }
-    assert!(a.len() >= 5 && b.len() >= 5, "{} and {}", a.len(), b.len());
+    let held = [a.len(), b.len(), again.len()];
+    assert!(held.iter().all(|n| (3..=7).contains(n)) && held.iter().sum::<usize>() <= 16, "{held:?}");
+    assert_eq!(limits.tallies().next().unwrap().1.in_hand as usize, held.iter().sum::<usize>());
 }
 
 #[test]
--- a/crates/node/src/classify.rs
+++ b/crates/node/src/classify.rs
@@ -56,7 +56,7 @@
 
 /// The rules in force, their buckets and tallies.
 pub struct Classifier {
-    sheet: Sheet,
+    set: RuleSet,
     classes: Vec<Rc<str>>,
     scratch: Scratch,
     limits: Limits,
@@ -73,7 +73,7 @@
     /// Rules to be in force from now on; the limits take about so many bytes.
     pub fn new(now: Nanos, sheet: Sheet, limit_bytes: usize, seed: u64) -> Classifier {
         let mut classifier = Classifier {
-            sheet: Sheet { rules: sheet.rules, buckets: Vec::new() },
+            set: sheet.rules,
             classes: Vec::new(),
             scratch: Scratch::new(seed),
             limits: Limits::new(limit_bytes, seed),
@@ -84,41 +84,40 @@
             exhausted: 0,
             told: 0,
         };
-        classifier.named(now, sheet.buckets);
+        classifier.named(now, &sheet.buckets);
         classifier
     }
 
     /// Takes other rules in place of those in force. Buckets whose definition stayed keep what they count.
     pub fn replace(&mut self, now: Nanos, sheet: Sheet) {
-        self.sheet.rules = sheet.rules;
-        self.named(now, sheet.buckets);
+        self.set = sheet.rules;
+        self.named(now, &sheet.buckets);
     }
 
-    fn named(&mut self, now: Nanos, buckets: Vec<Bucket>) {
-        self.limits.define(now, &buckets);
-        self.sheet.buckets = buckets;
-        self.classes = self.sheet.rules.classes().iter().map(|name| Rc::from(name.as_str())).collect();
+    fn named(&mut self, now: Nanos, buckets: &[Bucket]) {
+        self.limits.define(now, buckets);
+        self.classes = self.set.classes().iter().map(|name| Rc::from(name.as_str())).collect();
         let classes = &self.classes;
         self.by_class.retain(|class, _| classes.contains(class)); // names come and go with reloads without end
         self.rules.clear();
-        self.rules.resize_with(self.sheet.rules.rules().len(), RuleTally::default);
+        self.rules.resize_with(self.set.rules().len(), RuleTally::default);
     }
 
     /// The rules in force.
     pub fn rules(&self) -> &RuleSet {
-        &self.sheet.rules
+        &self.set
     }
 
     /// What the first rule that matches gives.
     pub fn rule(&mut self, now: Nanos, facts: &Facts<'_>) -> Option<Ruled> {
-        let decision = self.sheet.rules.decide(facts, &mut self.scratch, Path::Index);
+        let decision = self.set.decide(facts, &mut self.scratch, Path::Index);
         self.exhausted += u64::from(decision.exhausted);
         for (place, fault) in decision.faults {
             let tally = &mut self.rules[place];
             tally.faults += 1;
             if tally.told.is_none_or(|told| now >= told + TELL_AGAIN) && self.lines.len() < TOLD {
                 tally.told = Some(now);
-                let name = &self.sheet.rules.rules()[place].name;
+                let name = &self.set.rules()[place].name;
                 self.lines.push(format!(
                     "rules: '{name}' erred and so did not match: {fault} ({} times)",
                     tally.faults
@@ -212,6 +211,11 @@
         Some(line)
     }
 
+    #[cfg(test)]
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
     #[cfg(test)]
     pub fn class(&self, name: &str) -> ClassTally {
         self.by_class.get(name).copied().unwrap_or_default()
--- a/crates/node/src/core/tests/rules.rs
+++ b/crates/node/src/core/tests/rules.rs
@@ -289,3 +289,25 @@
     node.event(Event::Disconnected(conn));
     assert!(node.core.has_left());
 }
+
+#[test]
+fn a_new_key_for_each_invocation_takes_no_more_memory_than_there_is() {
+    let mut node = Node::ruled(
+        r#"<bucket name="each" rate="1/h" burst="1"/><rule name="r"><when>operation == "read"</when>
+        <give class="c"><limit bucket="each">params.HTTP_X_CORRELATION_ID</limit></give></rule>"#,
+    );
+    for i in 0..20_000u32 {
+        let rid = format!("{i:016x}");
+        node.ask(1, "/call/read", &rid);
+        if !node.kernel_lines().is_empty() {
+            node.reap(&rid, End::Ok, b"");
+        }
+    }
+    assert_eq!(node.answers().len(), 20_000);
+    let (keys, bytes) = {
+        let desk = node.core.desk.borrow();
+        let limits = desk.rules.as_ref().unwrap().limits();
+        (limits.keys(), limits.bytes())
+    };
+    assert!((1000..12_000).contains(&keys) && bytes < 3 << 19, "{keys} keys, {bytes} bytes");
+}
--- a/crates/rules/tests/sets.rs
+++ b/crates/rules/tests/sets.rs
@@ -10,7 +10,7 @@
 use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64Mcg;
 use std::sync::Arc;
-use support::{ADDRESSES, Kind, NETWORKS, Request, expression, words};
+use support::{Kind, NETWORKS, Request, expression, words};
 
 fn rule(name: &str, when: &str) -> Written {
     Written { name: name.into(), when: when.into(), ..Written::default() }
@@ -86,8 +86,10 @@
                 "what is left out does not match"
             );
             let (last, before) = why.split_last().unwrap();
-            assert!(before.iter().all(|w| w.failed.is_some() || w.result == Ok(true)));
-            assert!(scan.is_none() || last.place <= scan.unwrap().0);
+            assert!(before.iter().all(|w| w.failed.is_some() && w.result != Ok(true)));
+            assert_eq!(last.failed.is_none(), last.result == Ok(true));
+            // A rule whose condition holds may still err in what it gives: then the match comes later.
+            assert!(scan.is_none_or(|(place, _)| last.place <= place));
         }
     }
     assert!(matched > 3_000 && left_out > asked, "{matched} matched, {asked} asked, {left_out} left out");
@@ -186,7 +188,6 @@
         let decision = rules.decide(&facts, &mut Scratch::new(1), Path::Index);
         assert_eq!((decision.given.is_some(), decision.asked), (is_in, usize::from(is_in)), "{address}");
     }
-    assert_eq!(ADDRESSES.len(), 7);
 }
 
 #[test]
