--- /dev/null
+++ b/crates/fleet/src/gossip.rs
@@ -0,0 +1,104 @@
+//! News that still has to be spread: each piece goes out so many times, those that went out least first.
+
+use crate::member::Key;
+use std::collections::{BTreeSet, HashMap};
+
+/// How often each piece is sent, times the decimal logarithm of the fleet's size.
+const COPIES: f64 = 4.0;
+
+/// Members of whom news is to be spread.
+#[derive(Debug, Default)]
+pub struct Gossip {
+    /// How often it went out, when it came (the latest first), and of whom.
+    queue: BTreeSet<(u32, std::cmp::Reverse<u64>, Key)>,
+    places: HashMap<Key, (u32, u64)>,
+    came: u64,
+}
+
+/// How often a piece of news is sent by each node of so many.
+pub fn copies(members: usize) -> u32 {
+    (COPIES * ((members + 1) as f64).log10()).ceil().max(1.0) as u32
+}
+
+impl Gossip {
+    /// There is news of a member; what was still to be spread of it is out of date.
+    pub fn push(&mut self, key: Key) {
+        self.drop_news(key);
+        self.came += 1;
+        self.places.insert(key, (0, self.came));
+        self.queue.insert((0, std::cmp::Reverse(self.came), key));
+    }
+
+    /// Nothing is to be spread of a member any more.
+    pub fn drop_news(&mut self, key: Key) {
+        if let Some((sent, came)) = self.places.remove(&key) {
+            self.queue.remove(&(sent, std::cmp::Reverse(came), key));
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
+    /// Hands out members of whom news goes into a datagram, as long as `fits` takes them; each counts as sent.
+    pub fn take(&mut self, members: usize, mut fits: impl FnMut(Key) -> bool) {
+        let most = copies(members);
+        let mut sent = Vec::new();
+        for (times, came, key) in &self.queue {
+            if !fits(*key) {
+                break;
+            }
+            sent.push((*times, *came, *key));
+        }
+        for (times, came, key) in sent {
+            self.queue.remove(&(times, came, key));
+            if times + 1 < most {
+                self.queue.insert((times + 1, came, key));
+                self.places.insert(key, (times + 1, came.0));
+            } else {
+                self.places.remove(&key);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_piece_goes_out_its_number_of_times_the_least_sent_first() {
+        let mut gossip = Gossip::default();
+        (1..=6).for_each(|n| gossip.push(Key(n)));
+        let mut sent: HashMap<Key, u32> = HashMap::new();
+        while !gossip.is_empty() {
+            let mut room = 2;
+            gossip.take(99, |key| {
+                let fits = room > 0;
+                if fits {
+                    room -= 1;
+                    *sent.entry(key).or_default() += 1;
+                }
+                fits
+            });
+            let (least, most) = (sent.values().min(), sent.values().max());
+            assert!(sent.len() < 6 || most.unwrap() - least.unwrap() <= 1, "{sent:?}");
+        }
+        assert!(sent.values().all(|times| *times == copies(99)) && sent.len() == 6, "{sent:?}");
+    }
+
+    #[test]
+    fn fresh_news_of_a_member_takes_the_place_of_what_was_out() {
+        let mut gossip = Gossip::default();
+        gossip.push(Key(1));
+        gossip.take(9, |_| true);
+        gossip.push(Key(1));
+        assert_eq!((gossip.len(), gossip.places[&Key(1)].0), (1, 0));
+        gossip.drop_news(Key(1));
+        assert!(gossip.is_empty() && gossip.places.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/health.rs
@@ -0,0 +1,63 @@
+//! A node's doubt of itself, after Lifeguard: a node that is slow or cut off would suspect all others. Each sign that the
+//! fault is its own makes it wait longer for answers and ask less often, before it says anything of others.
+
+/// The most doubt; waits grow by one more than this at most.
+const MOST: u32 = 8;
+
+/// Doubt of oneself, from none.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    doubt: u32,
+}
+
+impl Health {
+    /// Waits are this many times as long.
+    pub fn factor(self) -> u64 {
+        u64::from(self.doubt) + 1
+    }
+
+    pub fn doubt(self) -> u32 {
+        self.doubt
+    }
+
+    /// A probe was answered in time.
+    pub fn answered(&mut self) {
+        self.doubt = self.doubt.saturating_sub(1);
+    }
+
+    /// Nobody answered a probe, not even helpers that they asked: one more for each helper that was silent, one less if
+    /// all spoke, for then it is the other that is gone.
+    pub fn unanswered(&mut self, helpers: u32, silent: u32) {
+        let worse = if helpers == 0 { 1 } else { silent };
+        self.doubt = (self.doubt + worse).min(MOST);
+    }
+
+    /// Others suspected this node.
+    pub fn suspected(&mut self) {
+        self.doubt = (self.doubt + 1).min(MOST);
+    }
+
+    /// This node stood still.
+    pub fn stood_still(&mut self) {
+        self.doubt = (self.doubt + 2).min(MOST);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn doubt_grows_by_what_points_to_oneself_and_is_bounded() {
+        let mut health = Health::default();
+        health.unanswered(3, 0); // helpers spoke: the other is gone
+        assert_eq!(health.doubt(), 0);
+        health.unanswered(3, 2);
+        health.suspected();
+        assert_eq!((health.doubt(), health.factor()), (3, 4));
+        (0..9).for_each(|_| health.stood_still());
+        assert_eq!(health.doubt(), MOST);
+        (0..20).for_each(|_| health.answered());
+        assert_eq!(health.factor(), 1);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/history.rs
@@ -0,0 +1,145 @@
+//! What changed in the view: a bounded history, and the lines of the log, of which a burst becomes one.
+
+use crate::{Nanos, SECOND};
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+use std::sync::Arc;
+
+/// Changes that are kept.
+const KEPT: usize = 256;
+/// Lines a second; what is beyond becomes one line in the next second.
+const LINES: usize = 8;
+
+/// What kind of change it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    Joined,
+    /// Another process has the name now.
+    Replaced,
+    Moved,
+    Suspect,
+    Back,
+    Dead,
+    Left,
+    Phase,
+    /// This node cannot tell whether others are gone or it is cut off, or can again.
+    Unsure,
+    Sure,
+    /// Others held this node for suspect or dead, and it said that it is there.
+    Refuted,
+    /// This node stood still.
+    StoodStill,
+    /// Another process has this node's name; or it has it again.
+    NameTaken,
+    NameBack,
+    /// None of the seeds answers and nobody else is known; or somebody is.
+    Alone,
+    Company,
+}
+
+impl Kind {
+    /// Its word, as logs show it.
+    pub fn word(self) -> &'static str {
+        match self {
+            Kind::Joined => "joined",
+            Kind::Replaced => "replaced",
+            Kind::Moved => "moved",
+            Kind::Suspect => "suspect",
+            Kind::Back => "back",
+            Kind::Dead => "dead",
+            Kind::Left => "left",
+            Kind::Phase => "phase",
+            Kind::Unsure => "unsure",
+            Kind::Sure => "sure",
+            Kind::Refuted => "refuted",
+            Kind::StoodStill => "stood still",
+            Kind::NameTaken => "name taken",
+            Kind::NameBack => "name back",
+            Kind::Alone => "alone",
+            Kind::Company => "no longer alone",
+        }
+    }
+}
+
+/// A change.
+#[derive(Clone, Debug)]
+pub struct Happened {
+    pub unix_ms: u64,
+    pub kind: Kind,
+    /// Whom it is about.
+    pub name: Arc<str>,
+    /// More of it, for people.
+    pub more: String,
+}
+
+impl fmt::Display for Happened {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.name, self.kind.word())?;
+        if self.more.is_empty() { Ok(()) } else { write!(f, ", {}", self.more) }
+    }
+}
+
+/// The latest changes, and what is still to be told of them.
+#[derive(Debug, Default)]
+pub struct History {
+    kept: VecDeque<Happened>,
+    second: Nanos,
+    told: usize,
+    /// What was not told, by kind: how often, and who was the first.
+    untold: BTreeMap<Kind, (usize, Arc<str>)>,
+}
+
+impl History {
+    /// A change; gives its line if one may be written now.
+    pub fn push(&mut self, now: Nanos, happened: Happened) -> Option<String> {
+        if now / SECOND != self.second {
+            (self.second, self.told) = (now / SECOND, 0);
+        }
+        self.told += 1;
+        let line = (self.told <= LINES).then(|| happened.to_string());
+        if line.is_none() {
+            self.untold.entry(happened.kind).or_insert((0, Arc::clone(&happened.name))).0 += 1;
+        }
+        if self.kept.len() >= KEPT {
+            self.kept.pop_front();
+        }
+        self.kept.push_back(happened);
+        line
+    }
+
+    /// A line for what was not told in a second that is over.
+    pub fn rest(&mut self, now: Nanos) -> Option<String> {
+        if self.untold.is_empty() || now / SECOND == self.second {
+            return None;
+        }
+        let untold = std::mem::take(&mut self.untold).into_iter();
+        let parts: Vec<String> =
+            untold.map(|(kind, (n, first))| format!("{n} more {} (first {first})", kind.word())).collect();
+        Some(parts.join(", "))
+    }
+
+    /// The latest changes, the last one first.
+    pub fn latest(&self) -> impl Iterator<Item = &Happened> {
+        self.kept.iter().rev()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_burst_becomes_one_line_and_the_history_is_bounded() {
+        let mut history = History::default();
+        let change =
+            |n: usize, kind| Happened { unix_ms: 0, kind, name: format!("n{n}").into(), more: String::new() };
+        let lines: Vec<String> =
+            (0..300).filter_map(|n| history.push(SECOND, change(n, Kind::Dead))).collect();
+        assert_eq!((lines.len(), &lines[0][..]), (LINES, "n0 dead"));
+        assert_eq!(history.rest(SECOND), None);
+        assert_eq!(history.rest(2 * SECOND).unwrap(), "292 more dead (first n8)");
+        assert_eq!(history.rest(3 * SECOND), None);
+        assert_eq!((history.latest().count(), &history.latest().next().unwrap().name[..]), (KEPT, "n299"));
+        assert!(history.push(4 * SECOND, change(1, Kind::Back)).is_some());
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/member.rs
@@ -0,0 +1,388 @@
+//! What is known of one member, and which of two things said of it holds.
+//!
+//! Of a name, the later life holds (by the time of its start, then by its number); within a life, standing and details
+//! are two values that only grow: the standing by bump and then by status, the details by their revision. Only the member
+//! itself raises its bump or its revision. So all that is said of it may come in any order, twice or late, and whoever
+//! has heard the same holds the same.
+
+use crate::wire::{Hung, News, Told};
+use prost::Message;
+use siphasher::sip::SipHasher24;
+use std::fmt;
+use std::hash::Hasher;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+use std::sync::Arc;
+
+/// Bounds on what a member may say of itself.
+pub const NAME_MAX: usize = 64;
+pub const ZONE_MAX: usize = 32;
+pub const PROGRAM_MAX: usize = 32;
+pub const PARTS_MAX: usize = 8;
+/// Bytes of all its details as they travel.
+pub const DETAILS_MAX: usize = 400;
+
+/// SipHash-2-4 with these keys; both are part of the format.
+pub(crate) fn hash(bytes: &[&[u8]]) -> u64 {
+    let mut hasher = SipHasher24::new_with_keys(0x6d61_6464_6572_706f, 0x696e_742d_666c_6565);
+    for part in bytes {
+        hasher.write(part);
+    }
+    hasher.finish()
+}
+
+/// A member's name, hashed. Two names that share one are taken for one; at 10,000 members the chance is 3e-12.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key(pub u64);
+
+impl Key {
+    /// The key of this name; never 0, which stands for nobody.
+    pub fn of(name: &str) -> Key {
+        Key(hash(&[name.as_bytes()]).max(1))
+    }
+
+    /// Stands for nobody.
+    pub const NOBODY: Key = Key(0);
+}
+
+/// One process, from its start to its end; drawn by chance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Life(pub u64);
+
+/// A life, placed among the others of its name by when it began. A later start holds over an earlier one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Epoch {
+    /// Unix milliseconds of the start, by the member's own clock, or one more than the highest that it heard of its name.
+    pub birth: u64,
+    /// The process.
+    pub life: Life,
+}
+
+/// Whether a member is held to be there. Within a bump the later word holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Status {
+    /// It is there.
+    #[default]
+    Alive,
+    /// It did not answer, and may say that it is there.
+    Suspect,
+    /// It did not say so in time.
+    Dead,
+    /// It said that it was leaving.
+    Left,
+}
+
+impl Status {
+    /// Whether it counts as a member.
+    pub fn is_present(self) -> bool {
+        matches!(self, Status::Alive | Status::Suspect)
+    }
+
+    pub(crate) fn number(self) -> u32 {
+        self as u32
+    }
+
+    pub(crate) fn from_number(number: u32) -> Option<Status> {
+        [Status::Alive, Status::Suspect, Status::Dead, Status::Left].get(number as usize).copied()
+    }
+
+    /// Its word, as logs and tables show it.
+    pub fn word(self) -> &'static str {
+        ["alive", "suspect", "dead", "left"][self as usize]
+    }
+}
+
+/// A standing within a life: a member that refutes raises the bump.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Standing {
+    pub bump: u32,
+    pub status: Status,
+}
+
+/// What a member that stands so does when it hears that it is held to stand otherwise: it says that it is there (or that
+/// it left) by a higher bump, where the word that it heard would hold over its own.
+pub fn refutes(own: Standing, heard: Standing) -> Option<u32> {
+    (heard > own).then(|| heard.bump.saturating_add(1))
+}
+
+/// What a member is about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Phase {
+    /// Started, and not yet warm.
+    Cold,
+    /// At work.
+    #[default]
+    Serving,
+    /// Told to leave: it answers what it has read.
+    Draining,
+}
+
+impl Phase {
+    fn from_number(number: u32) -> Phase {
+        match number {
+            0 => Phase::Cold,
+            2 => Phase::Draining,
+            // A phase that a later version knows is read as at work: it is there and answers.
+            _ => Phase::Serving,
+        }
+    }
+
+    /// Its word.
+    pub fn word(self) -> &'static str {
+        ["cold", "serving", "draining"][self as usize]
+    }
+}
+
+/// Something that another package hangs on an entry, by its own number and version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    pub id: u32,
+    pub version: u32,
+    pub bytes: Vec<u8>,
+}
+
+/// What a member says of itself. It travels as the member wrote it, so that what a later version adds passes through
+/// nodes that do not know it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Details {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its zone; may be empty.
+    pub zone: Arc<str>,
+    pub phase: Phase,
+    /// The version of its program.
+    pub program: Arc<str>,
+    /// Versions of the datagrams that it reads, the least and the most.
+    pub wire: (u32, u32),
+    /// The number and the hash of its settings.
+    pub settings: (u64, u64),
+    pub parts: Vec<Part>,
+    raw: Box<[u8]>,
+    hash: u64,
+}
+
+/// Why details were not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Odd {
+    TooLarge,
+    Unreadable,
+    BadAddress,
+    BadName,
+}
+
+impl fmt::Display for Odd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Odd::TooLarge => "an entry is too large",
+            Odd::Unreadable => "an entry can't be read",
+            Odd::BadAddress => "an entry's address can't be used",
+            Odd::BadName => "an entry's name can't be used",
+        })
+    }
+}
+
+fn address_bytes(address: SocketAddr) -> Vec<u8> {
+    let mut bytes = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    bytes.extend(address.port().to_be_bytes());
+    bytes
+}
+
+fn address_from(bytes: &[u8]) -> Option<SocketAddr> {
+    let (ip, port) = bytes.split_at_checked(bytes.len().checked_sub(2)?)?;
+    let ip: IpAddr = match ip.len() {
+        4 => Ipv4Addr::from(<[u8; 4]>::try_from(ip).ok()?).into(),
+        16 => Ipv6Addr::from(<[u8; 16]>::try_from(ip).ok()?).into(),
+        _ => return None,
+    };
+    let port = u16::from_be_bytes(port.try_into().ok()?);
+    (port > 0 && !ip.is_unspecified() && !ip.is_multicast()).then(|| SocketAddr::new(ip, port))
+}
+
+/// A name that may stand in a line of the log and in a table.
+pub fn is_name(name: &str, most: usize) -> bool {
+    !name.is_empty() && name.len() <= most && name.bytes().all(|b| b.is_ascii_graphic())
+}
+
+impl Details {
+    /// What a member says of itself now.
+    pub fn new(
+        address: SocketAddr,
+        zone: &str,
+        phase: Phase,
+        program: &str,
+        wire: (u32, u32),
+        settings: (u64, u64),
+        parts: Vec<Part>,
+    ) -> Result<Details, Odd> {
+        let told = Told {
+            address: address_bytes(address),
+            zone: zone.to_owned(),
+            phase: phase as u32,
+            program: program.to_owned(),
+            wire_least: wire.0,
+            wire_most: wire.1,
+            settings: settings.0,
+            settings_hash: settings.1,
+            parts: parts.into_iter().map(|p| Hung { id: p.id, version: p.version, bytes: p.bytes }).collect(),
+        };
+        Details::read(&told.encode_to_vec())
+    }
+
+    /// Reads what a member said. Fields that are not known stay in what is passed on.
+    pub fn read(raw: &[u8]) -> Result<Details, Odd> {
+        if raw.len() > DETAILS_MAX {
+            return Err(Odd::TooLarge);
+        }
+        let told = Told::decode(raw).map_err(|_| Odd::Unreadable)?;
+        let address = address_from(&told.address).ok_or(Odd::BadAddress)?;
+        let fits = |text: &str, most| text.is_empty() || is_name(text, most);
+        if !fits(&told.zone, ZONE_MAX) || !fits(&told.program, PROGRAM_MAX) {
+            return Err(Odd::BadName);
+        }
+        if told.parts.len() > PARTS_MAX {
+            return Err(Odd::TooLarge);
+        }
+        let parts = told.parts.into_iter();
+        Ok(Details {
+            address,
+            zone: told.zone.into(),
+            phase: Phase::from_number(told.phase),
+            program: told.program.into(),
+            wire: (told.wire_least, told.wire_most),
+            settings: (told.settings, told.settings_hash),
+            parts: parts.map(|p| Part { id: p.id, version: p.version, bytes: p.bytes }).collect(),
+            raw: raw.into(),
+            hash: hash(&[raw]),
+        })
+    }
+
+    /// The details as they travel.
+    pub fn raw(&self) -> &[u8] {
+        &self.raw
+    }
+
+    pub(crate) fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Bytes that they take here, roughly.
+    pub fn bytes(&self) -> usize {
+        let parts: usize = self.parts.iter().map(|p| p.bytes.len() + size_of::<Part>()).sum();
+        size_of::<Details>() + 2 * self.raw.len() + parts + 64
+    }
+}
+
+/// Room and load, spread without a promise: the latest word of each member that came by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pulse {
+    /// Counts the words of one life.
+    pub no: u16,
+    /// Room left, and load, each of 255.
+    pub room: u8,
+    pub load: u8,
+}
+
+/// What is known of a member.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub name: Arc<str>,
+    pub epoch: Epoch,
+    pub standing: Standing,
+    /// Counts what it said of itself in this life.
+    pub revision: u32,
+    pub details: Arc<Details>,
+    /// The latest word of its room and load, and when it came; 0 if none did.
+    pub pulse: Pulse,
+    pub pulse_at: crate::Nanos,
+    /// When its status here became what it is.
+    pub since: crate::Nanos,
+}
+
+impl Entry {
+    pub fn status(&self) -> Status {
+        self.standing.status
+    }
+
+    /// What it adds to the digest of a view while it is present. Suspicion adds nothing, for it passes.
+    pub(crate) fn stamp(&self, key: Key) -> u64 {
+        hash(&[
+            &key.0.to_le_bytes(),
+            &self.epoch.birth.to_le_bytes(),
+            &self.epoch.life.0.to_le_bytes(),
+            &self.standing.bump.to_le_bytes(),
+            &self.revision.to_le_bytes(),
+            &self.details.hash().to_le_bytes(),
+        ])
+    }
+
+    /// The news of it without name and details, for those who have them.
+    pub(crate) fn brief(&self, key: Key) -> News {
+        News {
+            key: key.0,
+            birth: self.epoch.birth,
+            life: self.epoch.life.0,
+            bump: self.standing.bump,
+            status: self.standing.status.number(),
+            revision: self.revision,
+            ..News::default()
+        }
+    }
+
+    /// All that is known of it.
+    pub(crate) fn full(&self, key: Key) -> News {
+        News { name: self.name.to_string(), told: self.details.raw().to_vec(), ..self.brief(key) }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn details(parts: Vec<Part>) -> Result<Details, Odd> {
+        let address = SocketAddr::from(([127, 0, 0, 1], 9));
+        Details::new(address, "a", Phase::Serving, "0.1.0", (1, 1), (7, 8), parts)
+    }
+
+    #[test]
+    fn details_come_back_as_they_were_told_and_bounds_hold() {
+        let part = |len| Part { id: 3, version: 2, bytes: vec![1; len] };
+        let told = details(vec![part(40)]).unwrap();
+        assert_eq!(Details::read(told.raw()).unwrap(), told);
+        assert_eq!((told.phase, &told.zone[..], told.settings), (Phase::Serving, "a", (7, 8)));
+        assert_eq!(details(vec![part(DETAILS_MAX)]).unwrap_err(), Odd::TooLarge);
+        assert_eq!(details(vec![part(1); PARTS_MAX + 1]).unwrap_err(), Odd::TooLarge);
+        let zone = "z".repeat(ZONE_MAX + 1);
+        let bad = |address, zone: &str| {
+            Details::new(address, zone, Phase::Cold, "", (1, 1), (0, 0), vec![]).unwrap_err()
+        };
+        assert_eq!(bad(SocketAddr::from(([127, 0, 0, 1], 9)), &zone), Odd::BadName);
+        assert_eq!(bad(SocketAddr::from(([127, 0, 0, 1], 9)), "a b"), Odd::BadName);
+        assert_eq!(bad(SocketAddr::from(([0, 0, 0, 0], 9)), "a"), Odd::BadAddress);
+        assert_eq!(bad(SocketAddr::from(([127, 0, 0, 1], 0)), "a"), Odd::BadAddress);
+    }
+
+    /// A later version adds a field: a node that does not know it passes it on unharmed, and both agree on the digest.
+    #[test]
+    fn what_a_later_version_adds_passes_through() {
+        let mut raw = details(vec![]).unwrap().raw().to_vec();
+        raw.extend([0xfa, 0x01, 0x03, b'n', b'e', b'w']); // field 31, bytes
+        let read = Details::read(&raw).unwrap();
+        assert_eq!(read.raw(), &raw[..]);
+        assert_ne!(read.hash(), details(vec![]).unwrap().hash());
+    }
+
+    #[test]
+    fn every_cut_and_bit_of_details_is_read_or_refused() {
+        let raw = details(vec![Part { id: 1, version: 1, bytes: b"abc".to_vec() }]).unwrap().raw().to_vec();
+        for at in 0..raw.len() {
+            let _ = Details::read(&raw[..at]);
+            for bit in 0..8 {
+                let mut raw = raw.clone();
+                raw[at] ^= 1 << bit;
+                let _ = Details::read(&raw);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/seal.rs
@@ -0,0 +1,412 @@
+//! Datagrams are believed only if they bear the fleet's name, a keyed MAC and a number that did not come before. What
+//! fails any of these is counted and dropped without an answer.
+//!
+//! A sealed datagram: `mf`, the frame's version, the key's number (1 byte each); the fleet's tag, the sender's life (8
+//! each); the time it was sealed, in Unix milliseconds, and a count (6 each); the message; the MAC, 16 bytes. Numbers
+//! stand with the highest byte first.
+
+use crate::member::{Life, hash};
+use crate::wire::DATAGRAM_MAX;
+use crate::{Nanos, SECOND};
+use ring::digest;
+use ring::hmac;
+use std::collections::{BTreeMap, HashSet};
+use std::fmt;
+use std::net::SocketAddr;
+
+const MAGIC: [u8; 2] = *b"mf";
+const FRAME: u8 = 1;
+const HEAD: usize = 32;
+const MAC: usize = 16;
+/// Bytes that sealing adds.
+pub const OVERHEAD: usize = HEAD + MAC;
+/// The most bytes of a message.
+pub const MESSAGE_MAX: usize = DATAGRAM_MAX - OVERHEAD;
+/// Keys that may be valid at once, for a change of keys.
+pub const KEYS_MAX: usize = 2;
+/// Bytes of a key, at least.
+const KEY_LEAST: usize = 16;
+
+/// Why a datagram was dropped. Each is counted by its word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Dropped {
+    /// It is none of ours.
+    NoFrame,
+    AnotherFrame,
+    AnotherFleet,
+    UnknownKey,
+    BadMac,
+    /// It came before, or is older than what can be told from that.
+    Replayed,
+    /// A first word from a life whose clock is too far from ours.
+    OutOfTime,
+    Unreadable,
+    /// More came than is looked at.
+    Flood,
+}
+
+impl Dropped {
+    /// Its word, as logs and counts show it.
+    pub fn word(self) -> &'static str {
+        match self {
+            Dropped::NoFrame => "datagrams that are none of a fleet",
+            Dropped::AnotherFrame => "datagrams of another frame version",
+            Dropped::AnotherFleet => "datagrams of another fleet",
+            Dropped::UnknownKey => "datagrams under an unknown key",
+            Dropped::BadMac => "datagrams with a wrong MAC",
+            Dropped::Replayed => "datagrams that came before",
+            Dropped::OutOfTime => "datagrams from a clock too far away",
+            Dropped::Unreadable => "datagrams that can't be read",
+            Dropped::Flood => "datagrams beyond the rate",
+        }
+    }
+}
+
+/// The keys of a fleet: the first one seals, all open.
+#[derive(Clone)]
+pub struct Keys {
+    keys: Vec<(u8, hmac::Key)>,
+}
+
+impl fmt::Debug for Keys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_list().entries(self.keys.iter().map(|(number, _)| number)).finish()
+    }
+}
+
+impl Keys {
+    /// Keys from their bytes.
+    pub fn new(keys: &[Vec<u8>]) -> Result<Keys, String> {
+        if keys.is_empty() || keys.len() > KEYS_MAX {
+            return Err(format!("{} keys; expected 1 to {KEYS_MAX}", keys.len()));
+        }
+        if let Some(short) = keys.iter().find(|key| key.len() < KEY_LEAST) {
+            return Err(format!("a key of {} bytes; expected {KEY_LEAST} at least", short.len()));
+        }
+        let numbered = keys.iter().map(|key| {
+            let number = digest::digest(&digest::SHA256, key).as_ref()[0];
+            (number, hmac::Key::new(hmac::HMAC_SHA256, key))
+        });
+        Ok(Keys { keys: numbered.collect() })
+    }
+
+    /// Reads a file of keys: one a line in hexadecimal, with blank lines and lines after `#` passed over.
+    pub fn read(text: &str) -> Result<Keys, String> {
+        let lines = text.lines().enumerate().map(|(at, line)| (at, line.trim()));
+        let lines = lines.filter(|(_, line)| !line.is_empty() && !line.starts_with('#'));
+        let keys: Result<Vec<_>, _> = lines
+            .map(|(at, line)| unhex(line).ok_or(format!("line {}: no key; expected hexadecimal", at + 1)))
+            .collect();
+        Keys::new(&keys?)
+    }
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    let digits: Option<Vec<u8>> =
+        text.chars().map(|c| c.to_digit(16).and_then(|d| u8::try_from(d).ok())).collect();
+    let digits = digits.filter(|d| d.len() % 2 == 0)?;
+    Some(digits.chunks(2).map(|two| two[0] << 4 | two[1]).collect())
+}
+
+/// Which numbers of a life came: the highest, and those of the 64 below it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Window {
+    highest: u64,
+    seen: u64,
+    heard: Nanos,
+}
+
+impl Window {
+    fn take(&mut self, count: u64) -> bool {
+        if count > self.highest {
+            let step = count - self.highest;
+            self.seen = if step < 64 { self.seen << step | 1 << (step - 1) } else { 0 };
+            self.highest = count;
+            return true;
+        }
+        let below = self.highest - count;
+        if below == 0 || below > 64 {
+            return false;
+        }
+        let bit = 1 << (below - 1);
+        let is_new = self.seen & bit == 0;
+        self.seen |= bit;
+        is_new
+    }
+}
+
+/// Whether two MACs are equal, in a time that does not tell where they differ.
+fn is_equal(a: &[u8], b: &[u8]) -> bool {
+    let differ = a.iter().zip(b).fold(0, |differ, (a, b)| std::hint::black_box(differ | (a ^ b)));
+    a.len() == b.len() && differ == 0
+}
+
+fn push6(frame: &mut Vec<u8>, number: u64) {
+    frame.extend_from_slice(&number.to_be_bytes()[2..]);
+}
+
+fn read8(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0, |sum, b| sum << 8 | u64::from(*b))
+}
+
+/// Seals what a node sends and opens what it gets.
+#[derive(Debug)]
+pub struct Seal {
+    fleet: String,
+    tag: u64,
+    keys: Keys,
+    life: Life,
+    sent: u64,
+    /// A first word from a life is believed only if its time is this close to ours.
+    skew_ms: u64,
+    windows: BTreeMap<Life, Window>,
+    most: usize,
+}
+
+impl Seal {
+    /// For a node of this fleet, which keeps the numbers of so many lives.
+    pub fn new(fleet: &str, keys: Keys, life: Life, skew: Nanos, most: usize) -> Seal {
+        let tag = hash(&[fleet.as_bytes()]);
+        let skew_ms = skew / crate::MILLISECOND;
+        Seal { fleet: fleet.to_owned(), tag, keys, life, sent: 0, skew_ms, windows: BTreeMap::new(), most }
+    }
+
+    /// Puts other keys in force.
+    pub fn rekey(&mut self, keys: Keys) {
+        self.keys = keys;
+    }
+
+    /// Seals a message.
+    pub fn seal(&mut self, unix_ms: u64, message: &[u8]) -> Vec<u8> {
+        self.sent += 1;
+        let (number, key) = &self.keys.keys[0];
+        let mut frame = Vec::with_capacity(OVERHEAD + message.len());
+        frame.extend_from_slice(&MAGIC);
+        frame.extend_from_slice(&[FRAME, *number]);
+        frame.extend_from_slice(&self.tag.to_be_bytes());
+        frame.extend_from_slice(&self.life.0.to_be_bytes());
+        push6(&mut frame, unix_ms);
+        push6(&mut frame, self.sent);
+        frame.extend_from_slice(message);
+        let mac = self.mac(key, &frame);
+        frame.extend_from_slice(&mac.as_ref()[..MAC]);
+        frame
+    }
+
+    fn mac(&self, key: &hmac::Key, frame: &[u8]) -> hmac::Tag {
+        let mut context = hmac::Context::with_key(key);
+        context.update(self.fleet.as_bytes());
+        context.update(&[0]);
+        context.update(frame);
+        context.sign()
+    }
+
+    /// Opens a datagram; gives the sender's life and the message.
+    pub fn open<'f>(
+        &mut self,
+        now: Nanos,
+        unix_ms: u64,
+        frame: &'f [u8],
+    ) -> Result<(Life, &'f [u8]), Dropped> {
+        if frame.len() < OVERHEAD || frame.len() > DATAGRAM_MAX || frame[..2] != MAGIC {
+            return Err(Dropped::NoFrame);
+        }
+        if frame[2] != FRAME {
+            return Err(Dropped::AnotherFrame);
+        }
+        if read8(&frame[4..12]) != self.tag {
+            return Err(Dropped::AnotherFleet);
+        }
+        let (signed, mac) = frame.split_at(frame.len() - MAC);
+        let mut keys = self.keys.keys.iter().filter(|(number, _)| *number == frame[3]).peekable();
+        if keys.peek().is_none() {
+            return Err(Dropped::UnknownKey);
+        }
+        let right = keys.any(|(_, key)| is_equal(&self.mac(key, signed).as_ref()[..MAC], mac));
+        if !right {
+            return Err(Dropped::BadMac);
+        }
+        let life = Life(read8(&frame[12..20]));
+        self.admit(now, unix_ms, life, read8(&frame[20..26]), read8(&frame[26..32]))?;
+        Ok((life, &signed[HEAD..]))
+    }
+
+    /// Whether a datagram did not come before. Of a life that is not known yet that can't be told, so its time must be
+    /// near; later its count is enough, whatever its clock does.
+    fn admit(
+        &mut self,
+        now: Nanos,
+        unix_ms: u64,
+        life: Life,
+        sealed: u64,
+        count: u64,
+    ) -> Result<(), Dropped> {
+        if let Some(window) = self.windows.get_mut(&life) {
+            window.heard = now;
+            return if window.take(count) { Ok(()) } else { Err(Dropped::Replayed) };
+        }
+        if sealed.abs_diff(unix_ms) > self.skew_ms {
+            return Err(Dropped::OutOfTime);
+        }
+        if self.windows.len() >= self.most {
+            let silent = self.windows.iter().min_by_key(|(_, window)| window.heard).map(|(life, _)| *life);
+            silent.map(|life| self.windows.remove(&life));
+        }
+        let mut window = Window { heard: now, ..Window::default() };
+        window.take(count);
+        self.windows.insert(life, window);
+        Ok(())
+    }
+}
+
+/// Lives for commands that ask a node and are no members.
+pub fn observer(seed: u64) -> Life {
+    Life(seed | 1 << 63)
+}
+
+/// How many datagrams a second are looked at. Checking a MAC takes a microsecond or two; a stranger who floods must not
+/// take more of the node than this, nor crowd out those whose datagrams proved good.
+#[derive(Debug)]
+pub struct Gate {
+    proven: HashSet<SocketAddr>,
+    most: usize,
+    /// Datagrams that may still be looked at, by whether their source is proven.
+    left: [f64; 2],
+    filled: Nanos,
+}
+
+/// A second, from sources that have proved good and from others; and the same number may come at once.
+const RATES: [f64; 2] = [4000.0, 500.0];
+
+impl Gate {
+    /// One that keeps so many good sources in mind.
+    pub fn new(most: usize) -> Gate {
+        Gate { proven: HashSet::new(), most, left: RATES, filled: 0 }
+    }
+
+    /// Whether to look at a datagram from there.
+    pub fn admits(&mut self, now: Nanos, from: SocketAddr) -> bool {
+        let passed = now.saturating_sub(self.filled) as f64 / SECOND as f64;
+        self.filled = now;
+        for (left, rate) in self.left.iter_mut().zip(RATES) {
+            *left = (*left + rate * passed).min(rate);
+        }
+        let left = &mut self.left[usize::from(!self.proven.contains(&from))];
+        let admitted = *left >= 1.0;
+        *left -= if admitted { 1.0 } else { 0.0 };
+        admitted
+    }
+
+    /// A datagram from there was good.
+    pub fn proved(&mut self, from: SocketAddr) {
+        if self.proven.len() >= self.most && !self.proven.contains(&from) {
+            self.proven.clear(); // all prove themselves again with their next one
+        }
+        self.proven.insert(from);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MINUTES: Nanos = 60 * SECOND;
+
+    fn keys(seeds: &[u8]) -> Keys {
+        Keys::new(&seeds.iter().map(|seed| vec![*seed; 32]).collect::<Vec<_>>()).unwrap()
+    }
+
+    fn seal(fleet: &str, seeds: &[u8], life: u64) -> Seal {
+        Seal::new(fleet, keys(seeds), Life(life), 10 * MINUTES, 4)
+    }
+
+    #[test]
+    fn what_is_sealed_opens_once_and_only_in_its_fleet() {
+        let (mut a, mut b) = (seal("f", &[1], 1), seal("f", &[1], 2));
+        let frame = a.seal(1000, b"hello");
+        assert_eq!(frame.len(), OVERHEAD + 5);
+        assert_eq!(b.open(0, 2000, &frame), Ok((Life(1), &b"hello"[..])));
+        assert_eq!(b.open(0, 2000, &frame), Err(Dropped::Replayed));
+        assert_eq!(seal("g", &[1], 3).open(0, 2000, &frame), Err(Dropped::AnotherFleet));
+        assert_eq!(seal("f", &[2], 3).open(0, 2000, &frame), Err(Dropped::UnknownKey));
+        assert_eq!(b.open(0, 2000, b"GET / HTTP/1.1"), Err(Dropped::NoFrame));
+    }
+
+    #[test]
+    fn no_cut_and_no_bit_that_is_flipped_is_believed() {
+        let (mut a, mut b) = (seal("f", &[1], 1), seal("f", &[1], 2));
+        let frame = a.seal(1000, b"hello");
+        for at in 0..frame.len() {
+            assert!(b.open(0, 1000, &frame[..at]).is_err());
+            for bit in 0..8 {
+                let mut frame = frame.clone();
+                frame[at] ^= 1 << bit;
+                assert!(b.open(0, 1000, &frame).is_err(), "byte {at}, bit {bit}");
+            }
+        }
+        assert!(b.open(0, 1000, &frame).is_ok());
+    }
+
+    #[test]
+    fn keys_change_while_both_are_valid() {
+        let (mut a, mut b) = (seal("f", &[1], 1), seal("f", &[1], 2));
+        b.rekey(keys(&[1, 2])); // b opens both and seals with the old one
+        assert!(a.open(0, 0, &b.seal(0, b"1")).is_ok());
+        a.rekey(keys(&[2, 1]));
+        assert!(b.open(0, 0, &a.seal(0, b"2")).is_ok());
+        b.rekey(keys(&[2]));
+        assert!(a.open(0, 0, &b.seal(0, b"3")).is_ok() && b.open(0, 0, &a.seal(0, b"4")).is_ok());
+        a.rekey(keys(&[1]));
+        assert_eq!(b.open(0, 0, &a.seal(0, b"5")), Err(Dropped::UnknownKey));
+    }
+
+    /// Numbers may come in any order within the window, each once; a life's clock may step as it likes once it is known.
+    #[test]
+    fn a_number_counts_once_whatever_the_order_and_the_clock() {
+        let (mut a, mut b) = (seal("f", &[1], 1), seal("f", &[1], 2));
+        let frames: Vec<_> = (0..100).map(|n| a.seal(if n < 50 { 5 } else { 1 << 40 }, &[n])).collect();
+        for n in [0, 3, 1, 2, 40, 10, 90, 99, 60] {
+            assert!(b.open(0, 0, &frames[n]).is_ok(), "{n}");
+            assert_eq!(b.open(0, 0, &frames[n]), Err(Dropped::Replayed), "{n}");
+        }
+        assert_eq!(b.open(0, 0, &frames[20]), Err(Dropped::Replayed), "too old to tell");
+        let mut c = seal("f", &[1], 3);
+        assert_eq!(c.open(0, 0, &frames[60]), Err(Dropped::OutOfTime), "a first word from a far clock");
+    }
+
+    #[test]
+    fn the_numbers_of_few_lives_are_kept_and_the_most_silent_goes() {
+        let mut b = seal("f", &[1], 9);
+        let frames: Vec<_> = (1..=5).map(|life| seal("f", &[1], life).seal(0, b"x")).collect();
+        for (at, frame) in frames.iter().enumerate() {
+            assert!(b.open(at as Nanos, 0, frame).is_ok());
+        }
+        assert_eq!(b.windows.len(), 4);
+        assert_eq!(b.open(9, 0, &frames[4]), Err(Dropped::Replayed));
+    }
+
+    #[test]
+    fn a_flood_of_strangers_leaves_room_for_those_who_proved_good() {
+        let (good, bad) = (SocketAddr::from(([127, 0, 0, 1], 1)), SocketAddr::from(([127, 0, 0, 1], 2)));
+        let mut gate = Gate::new(10);
+        gate.proved(good);
+        let admitted = (0..10_000).filter(|_| gate.admits(SECOND, bad)).count();
+        assert_eq!(admitted, RATES[1] as usize);
+        assert!(gate.admits(SECOND, good));
+        assert!(!gate.admits(SECOND, bad) && gate.admits(2 * SECOND, bad));
+    }
+
+    #[test]
+    fn a_file_of_keys_is_read_or_its_line_named() {
+        let good = format!("# the new one\n{}\n\n{}\n", "ab".repeat(32), "01".repeat(16));
+        assert_eq!(Keys::read(&good).unwrap().keys.len(), 2);
+        for (text, told) in [
+            ("", "0 keys"),
+            ("zz", "line 1"),
+            ("ab", "1 bytes"),
+            (&format!("{good}{}", "ff".repeat(16)), "3 keys"),
+        ] {
+            assert!(Keys::read(text).unwrap_err().contains(told), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/suspicion.rs
@@ -0,0 +1,149 @@
+//! How long a suspect has to say that it is there: long while few suspect it, shorter with each that confirms. Nobody is
+//! buried without a last call: who suspects asks the suspect itself once more, and tells it what it is held for. Without
+//! that, a suspicion from within a partition outlived the partition: its news was spent before it could reach the suspect
+//! (60 members cut for 6 s, one of 16 seeds: a member buried 13 s after the heal).
+
+use crate::Nanos;
+use crate::member::Key;
+use std::collections::BTreeMap;
+
+/// Others whose word shortens the wait.
+pub const CONFIRMED: usize = 3;
+
+/// One suspicion.
+#[derive(Clone, Debug)]
+struct Suspicion {
+    since: Nanos,
+    by: Vec<Key>,
+    least: Nanos,
+    most: Nanos,
+    /// When the last call went out.
+    called: Option<Nanos>,
+}
+
+impl Suspicion {
+    /// When its time is over but for the last call.
+    fn over(&self) -> Nanos {
+        let confirmed = self.by.len().saturating_sub(1);
+        if confirmed == 0 {
+            return self.since + self.most;
+        }
+        let part = ((confirmed + 1) as f64).ln() / ((CONFIRMED + 1) as f64).ln();
+        let wait = self.most as f64 - part.min(1.0) * (self.most - self.least) as f64;
+        self.since + (wait as Nanos).max(self.least)
+    }
+
+    /// When something is to be done: the last call, or the end.
+    fn due(&self, lead: Nanos) -> Nanos {
+        match self.called {
+            None => self.over().saturating_sub(lead),
+            Some(called) => self.over().max(called + lead),
+        }
+    }
+}
+
+/// What is due.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Due {
+    /// Suspects to be asked a last time.
+    pub calls: Vec<Key>,
+    /// Suspects whose time is over.
+    pub over: Vec<Key>,
+}
+
+/// All that is suspected here.
+#[derive(Debug, Default)]
+pub struct Suspicions {
+    all: BTreeMap<Key, Suspicion>,
+}
+
+impl Suspicions {
+    /// Somebody suspects a member; true if that is new here. The wait lies between these two.
+    pub fn suspect(&mut self, now: Nanos, key: Key, by: Key, (least, most): (Nanos, Nanos)) -> bool {
+        let fresh = || Suspicion { since: now, by: Vec::new(), least, most: most.max(least), called: None };
+        let suspicion = self.all.entry(key).or_insert_with(fresh);
+        let is_new = !suspicion.by.contains(&by) && suspicion.by.len() <= CONFIRMED;
+        if is_new {
+            suspicion.by.push(by);
+        }
+        is_new
+    }
+
+    /// Who suspected it last.
+    pub fn latest(&self, key: Key) -> Option<Key> {
+        self.all.get(&key)?.by.last().copied()
+    }
+
+    /// It is cleared, or buried.
+    pub fn clear(&mut self, key: Key) {
+        self.all.remove(&key);
+    }
+
+    pub fn clear_all(&mut self) {
+        self.all.clear();
+    }
+
+    /// The node stood still for so long: what it did not hear meanwhile speaks against nobody.
+    pub fn put_off(&mut self, time: Nanos) {
+        for suspicion in self.all.values_mut() {
+            suspicion.since += time;
+            suspicion.called = None;
+        }
+    }
+
+    /// When the next one is due, if a last call has this long for its answer.
+    pub fn next(&self, lead: Nanos) -> Option<Nanos> {
+        self.all.values().map(|suspicion| suspicion.due(lead)).min()
+    }
+
+    /// What is due.
+    pub fn due(&mut self, now: Nanos, lead: Nanos) -> Due {
+        let mut due = Due::default();
+        for (key, suspicion) in self.all.iter_mut().filter(|(_, s)| s.due(lead) <= now) {
+            if suspicion.called.is_none() {
+                suspicion.called = Some(now);
+                due.calls.push(*key);
+            } else {
+                due.over.push(*key);
+            }
+        }
+        due.over.iter().for_each(|key| self.clear(*key));
+        due
+    }
+
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_suspect_has_less_time_the_more_confirm_and_never_less_than_the_least() {
+        let mut all = Suspicions::default();
+        let mut dues = Vec::new();
+        for by in 1..=6 {
+            all.suspect(100, Key(7), Key(by), (1000, 6000));
+            dues.push(all.next(0).unwrap());
+        }
+        assert_eq!((dues[0], dues[3], dues[5]), (6100, 1100, 1100));
+        assert!(dues.windows(2).all(|two| two[1] <= two[0]), "{dues:?}");
+        assert!(!all.suspect(200, Key(7), Key(2), (1000, 6000)), "the same accuser confirms nothing");
+    }
+
+    #[test]
+    fn nobody_is_buried_without_a_last_call_and_its_time() {
+        let mut all = Suspicions::default();
+        all.suspect(100, Key(7), Key(1), (1000, 1000));
+        assert_eq!((all.next(300), all.due(799, 300)), (Some(800), Due::default()));
+        assert_eq!(all.due(850, 300), Due { calls: vec![Key(7)], over: vec![] });
+        assert_eq!((all.next(300), all.due(1149, 300)), (Some(1150), Due::default()));
+        all.put_off(500); // heard nothing meanwhile: called again
+        assert_eq!(all.due(1300, 300).calls, vec![Key(7)]);
+        assert_eq!(all.due(1600, 300), Due { calls: vec![], over: vec![Key(7)] });
+        assert_eq!(all.len(), 0);
+    }
+}
--- /dev/null
+++ b/crates/settings/src/fleet.rs
@@ -0,0 +1,147 @@
+//! The element `<fleet>`: how a node takes part in its fleet.
+
+use crate::xml::{Element, Text};
+use crate::{Complaint, Place};
+use madderpoint_fleet::{Nanos, Periods};
+use madderpoint_rules::time;
+use std::net::SocketAddr;
+
+/// The most seeds that are of use.
+const SEEDS_MAX: usize = 64;
+const MILLISECOND: Nanos = 1_000_000;
+const SECOND: Nanos = 1000 * MILLISECOND;
+
+/// What the file says of the fleet. What differs by node (zone, addresses) may be told by the environment instead.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetSettings {
+    /// The fleet's name.
+    pub name: String,
+    /// The file of its keys.
+    pub keys: String,
+    /// The node's zone.
+    pub zone: Option<String>,
+    /// Where the node listens, and where others reach it.
+    pub bind: Option<SocketAddr>,
+    /// The same, seen from others.
+    pub advertise: Option<SocketAddr>,
+    /// What the program is called to others, beside its version.
+    pub program: Option<String>,
+    /// Where somebody may be found.
+    pub seeds: Vec<SocketAddr>,
+    /// How often things are done.
+    pub periods: Periods,
+}
+
+/// Tells two texts of settings apart; part of what a node says of itself.
+pub fn fingerprint(text: &str) -> u64 {
+    madderpoint_fleet::Key::of(text).0
+}
+
+struct Reading {
+    complaints: Vec<Complaint>,
+}
+
+impl Reading {
+    fn wrong(&mut self, text: &Text, field: &str, what: String, expected: &str) {
+        let place = Place::Span(text.place(0), text.value.len().max(1));
+        let field = format!("fleet/{field}");
+        self.complaints.push(Complaint { place, field, what, expected: expected.to_owned() });
+    }
+
+    fn address(&mut self, text: &Text, field: &str) -> Option<SocketAddr> {
+        let address: Option<SocketAddr> = text.value.parse().ok();
+        let address = address.filter(|a| a.port() > 0 && !a.ip().is_multicast());
+        if address.is_none() {
+            self.wrong(text, field, format!("{:?} is no address", text.value), "such as 10.0.0.4:7946");
+        }
+        address
+    }
+
+    /// A time between two bounds.
+    fn time(&mut self, of: &Element, name: &str, into: &mut Nanos, least: Nanos, most: Nanos) {
+        let Some(text) = of.get(name) else { return };
+        let time = time::span(&text.value).and_then(|time| Nanos::try_from(time).ok());
+        match time.filter(|time| (least..=most).contains(time)) {
+            Some(time) => *into = time,
+            None => {
+                let expected = format!("{} to {} ms", least / MILLISECOND, most / MILLISECOND);
+                self.wrong(
+                    text,
+                    &format!("periods/@{name}"),
+                    format!("{:?} is out of range", text.value),
+                    &expected,
+                );
+            }
+        }
+    }
+
+    fn factor(&mut self, of: &Element, name: &str, into: &mut f64, least: f64) {
+        let Some(text) = of.get(name) else { return };
+        match text.value.parse::<f64>().ok().filter(|factor| (least..=100.0).contains(factor)) {
+            Some(factor) => *into = factor,
+            None => {
+                let what = format!("{:?} is out of range", text.value);
+                self.wrong(text, &format!("periods/@{name}"), what, &format!("{least} to 100"));
+            }
+        }
+    }
+}
+
+impl FleetSettings {
+    /// Reads the element, which fits the schema; gives all that is wrong with what it means.
+    pub fn read(element: &Element) -> Result<FleetSettings, Vec<Complaint>> {
+        let mut reading = Reading { complaints: Vec::new() };
+        let text = |name: &str| element.get(name).map(|text| text.value.clone());
+        let mut seeds = Vec::new();
+        for seed in element.all("seed") {
+            if let Some(address) = seed.get("address").and_then(|text| reading.address(text, "seed/@address"))
+            {
+                seeds.push(address);
+            }
+        }
+        if seeds.len() > SEEDS_MAX
+            && let Some(text) = element.all("seed").nth(SEEDS_MAX).and_then(|seed| seed.get("address"))
+        {
+            reading.wrong(text, "seed", format!("{} seeds", seeds.len()), "64 at most");
+        }
+        let mut periods = Periods::default();
+        if let Some(of) = element.one("periods") {
+            reading.time(of, "probe", &mut periods.probe, 50 * MILLISECOND, 60 * SECOND);
+            reading.time(of, "answer", &mut periods.answer, 10 * MILLISECOND, 30 * SECOND);
+            reading.time(of, "gossip", &mut periods.gossip, 20 * MILLISECOND, 10 * SECOND);
+            reading.time(of, "regain", &mut periods.regain, 50 * MILLISECOND, 600 * SECOND);
+            reading.time(of, "remember", &mut periods.remember, 60 * SECOND, 7 * 24 * 3600 * SECOND);
+            reading.time(of, "skew", &mut periods.skew, SECOND, 24 * 3600 * SECOND);
+            reading.factor(of, "suspicion", &mut periods.suspicion, 0.5);
+            reading.factor(of, "suspicion-most", &mut periods.suspicion_most, 1.0);
+            if let Some(text) = of.get("answer").or(of.get("probe"))
+                && periods.answer >= periods.probe
+            {
+                let what = "an answer has as long as the period between two probes".to_owned();
+                reading.wrong(
+                    text,
+                    "periods/@answer",
+                    what,
+                    "less than probe, so that others can still be asked",
+                );
+            }
+        }
+        let mut place =
+            |name: &str| element.get(name).and_then(|text| reading.address(text, &format!("@{name}")));
+        let (bind, advertise) = (place("bind"), place("advertise"));
+        if reading.complaints.is_empty() {
+            Ok(FleetSettings {
+                name: text("name").unwrap_or_default(),
+                keys: text("keys").unwrap_or_default(),
+                zone: text("zone"),
+                bind,
+                advertise,
+                program: text("program"),
+                seeds,
+                periods,
+            })
+        } else {
+            Err(reading.complaints)
+        }
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,10 +6,12 @@
 
 pub mod asked;
 pub mod cases;
+pub mod fleet;
 pub mod rulebook;
 pub mod schema;
 pub mod xml;
 
+pub use fleet::FleetSettings;
 pub use rulebook::{Known, Rulebook};
 
 use schema::Schema;
@@ -125,6 +127,10 @@
 pub struct Translator {
     /// The rules, if it has any.
     pub rules: Option<Rulebook>,
+    /// The fleet, if nodes keep a view of it.
+    pub fleet: Option<FleetSettings>,
+    /// The number that the file was given, and a hash of its text.
+    pub number: (u64, u64),
 }
 
 /// Reads and checks a file's text.
@@ -159,5 +165,10 @@
         Some(element) => Some(Rulebook::read(element, known).map_err(complaints)?),
         None => None,
     };
-    Ok(Translator { rules })
+    let fleet = match root.one("fleet") {
+        Some(element) => Some(FleetSettings::read(element).map_err(complaints)?),
+        None => None,
+    };
+    let number = root.get("number").and_then(|number| number.value.parse().ok()).unwrap_or(0);
+    Ok(Translator { rules, fleet, number: (number, fleet::fingerprint(text)) })
 }
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -149,7 +149,9 @@
 #[test]
 fn the_schema_and_the_reader_know_the_same_words() {
     let words = Schema::read(SCHEMA).unwrap().words();
-    let reader = [include_str!("../src/rulebook.rs"), include_str!("../src/lib.rs")].concat();
+    let reader =
+        [include_str!("../src/rulebook.rs"), include_str!("../src/fleet.rs"), include_str!("../src/lib.rs")]
+            .concat();
     let asked = include_str!("../src/asked.rs");
     for word in words.iter().filter(|word| *word != "translator") {
         let last = word.rsplit('/').next().unwrap();
@@ -228,3 +230,59 @@
     }
     assert_eq!(xml::read("<a b='&lt;&#10;'/>").unwrap().get("b").unwrap().value, "<\n");
 }
+
+fn fleet(inner: &str, attributes: &str) -> String {
+    format!(
+        "<translator version=\"1\" number=\"7\">\n<fleet name=\"f\" keys=\"k\" {attributes}>{inner}</fleet></translator>"
+    )
+}
+
+#[test]
+fn a_fleet_is_read_with_its_seeds_and_periods() {
+    let text = fleet(
+        "<seed address=\"10.0.0.1:7946\"/><seed address=\"[2001:db8::1]:7946\"/><periods probe=\"500ms\" answer=\"150ms\" suspicion=\"2.5\"/>",
+        "zone=\"a-1\" bind=\"10.0.0.4:7946\" program=\"0.1.0+b\"",
+    )
+    .replace("0.1.0+b", "0.1.0-b");
+    let read = read("t.xml", &text, &Known::anything()).unwrap();
+    let fleet = read.fleet.unwrap();
+    assert_eq!(
+        (fleet.seeds.len(), fleet.zone.as_deref(), fleet.program.as_deref()),
+        (2, Some("a-1"), Some("0.1.0-b"))
+    );
+    assert_eq!(
+        (fleet.periods.probe, fleet.periods.answer, fleet.periods.suspicion),
+        (500_000_000, 150_000_000, 2.5)
+    );
+    assert_eq!((fleet.bind.unwrap().port(), fleet.advertise, read.number.0), (7946, None, 7));
+}
+
+#[test]
+fn what_a_fleet_can_not_be_set_to_is_told_with_its_place() {
+    for (inner, attributes, told) in [
+        (
+            "<seed address=\"10.0.0.999:1\"/>",
+            "",
+            "t.xml:2:42: fleet/seed/@address: \"10.0.0.999:1\" is no address",
+        ),
+        ("<seed address=\"10.0.0.9\"/>", "", "does not fit"),
+        (
+            "<periods probe=\"1ms\"/>",
+            "",
+            "fleet/periods/@probe: \"1ms\" is out of range; expected 50 to 60000 ms",
+        ),
+        ("<periods answer=\"1s\"/>", "", "fleet/periods/@answer: an answer has as long as"),
+        ("<periods suspicion=\"0.1\"/>", "", "expected 0.5 to 100"),
+        ("<pulse/>", "", "unknown element <pulse>"),
+        ("", "zone=\"a b\"", "does not fit"),
+        ("", "port=\"1\"", "unknown attribute"),
+    ] {
+        let shown = wrong(&fleet(inner, attributes)).to_string();
+        assert!(shown.contains(told), "{inner} {attributes}: {shown}");
+    }
+    assert!(
+        wrong("<translator version=\"1\"><fleet name=\"f\"/></translator>")
+            .to_string()
+            .contains("'keys' is missing")
+    );
+}
