--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -386,7 +386,7 @@
             counts: BTreeMap::new(),
         };
         fleet.announce(at)?;
-        fleet.promised = fleet.next();
+        fleet.promised = fleet.next().max(at.now);
         Ok(fleet)
     }
 
@@ -582,7 +582,7 @@
     /// A node that wakes late has heard nothing meanwhile: that speaks against itself and against nobody else.
     fn noticed(&mut self, at: Moment) {
         let late = at.now.saturating_sub(self.promised);
-        self.promised = Nanos::MAX;
+        self.promised = self.next().max(at.now); // what is due from before does not show another sleep
         if late < STOOD_STILL {
             return;
         }
@@ -660,9 +660,11 @@
         if now >= self.timers.tidy {
             self.timers.tidy = now + TIDY;
             let forgot = self.view.forget(now, self.settings.periods.remember);
-            self.count("members forgotten after their time", forgot as u64);
+            if forgot > 0 {
+                self.count("members forgotten after their time", forgot as u64);
+            }
         }
-        self.promised = self.next();
+        self.promised = self.next().max(at.now);
     }
 
     fn look(&mut self, at: Moment) {
@@ -1126,7 +1128,7 @@
 
     /// Sends a datagram, filled up with news and pulses; gives its size.
     fn send(&mut self, at: Moment, to: SocketAddr, mut datagram: Datagram) -> usize {
-        if datagram.from != 0 {
+        if datagram.from != 0 || datagram.kind == kind::PAGE {
             datagram.digest = self.view.digest();
         }
         let mut pack = Pack::new(datagram);
@@ -1211,7 +1213,6 @@
     pub fn datagram(&mut self, at: Moment, from: SocketAddr, frame: &[u8]) {
         self.noticed(at);
         if at.now < self.deaf_until {
-            self.promised = self.next();
             return self.count("datagrams from before a long sleep", 1);
         }
         if !self.gate.admits(at.now, from) {
@@ -1227,11 +1228,10 @@
             return self.count("datagrams of its own", 1);
         }
         self.take(at, from, life, &datagram);
-        self.promised = self.next();
+        self.promised = self.next().max(at.now);
     }
 
     fn dropped(&mut self, why: Dropped) {
-        self.promised = self.next();
         self.count(why.word(), 1);
     }
 
@@ -1448,10 +1448,11 @@
                     break;
                 }
                 pack.news(entry.full(key));
+                let pulse = if key == self.me { self.pulse } else { entry.pulse };
                 pack.size += PULSE;
                 pack.datagram.pulses.extend(((key.0 >> 32) as u32).to_be_bytes());
-                pack.datagram.pulses.extend(entry.pulse.no.to_be_bytes());
-                pack.datagram.pulses.extend([entry.pulse.room, entry.pulse.load]);
+                pack.datagram.pulses.extend(pulse.no.to_be_bytes());
+                pack.datagram.pulses.extend([pulse.room, pulse.load]);
             }
         }
         self.send(at, to, pack.datagram);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod health;
 pub mod history;
 pub mod member;
+pub mod observer;
 mod probe;
 mod reconcile;
 pub mod seal;
--- /dev/null
+++ b/crates/fleet/src/observer.rs
@@ -0,0 +1,105 @@
+//! One who is no member and asks a node what it holds, by the keyed datagrams that members use. No I/O: it says what to
+//! send, and is fed what comes.
+
+use crate::Nanos;
+use crate::member::{Details, Key, Phase, Status};
+use crate::seal::{Dropped, Keys, Seal, observer};
+use crate::wire::{Datagram, Report, kind};
+use prost::Message;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// What a node holds of a member.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shown {
+    pub name: String,
+    pub status: Status,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub phase: Phase,
+    pub program: String,
+    pub settings: (u64, u64),
+    pub birth: u64,
+    pub life: u64,
+    pub bump: u32,
+    pub revision: u32,
+    /// Room and load, where a word of them came.
+    pub pulse: Option<(u8, u8)>,
+}
+
+/// What a node holds.
+#[derive(Clone, Debug, Default)]
+pub struct Holding {
+    /// How it stands itself.
+    pub report: Report,
+    pub digest: u64,
+    pub members: BTreeMap<Key, Shown>,
+}
+
+/// Asks one node for all that it holds, page by page.
+pub struct Observer {
+    seal: Seal,
+    no: u32,
+    cursor: u64,
+    holding: Holding,
+}
+
+impl Observer {
+    /// For a node of this fleet. Its life is drawn from the seed.
+    pub fn new(fleet: &str, keys: Keys, seed: u64, skew: Nanos) -> Observer {
+        Observer {
+            seal: Seal::new(fleet, keys, observer(seed), skew, 64),
+            no: 0,
+            cursor: 0,
+            holding: Holding::default(),
+        }
+    }
+
+    /// The question to send: the next page, or the same one again.
+    pub fn question(&mut self, unix_ms: u64) -> Vec<u8> {
+        self.no += 1;
+        let datagram = Datagram { kind: kind::SHOW, no: self.no, cursor: self.cursor, ..Datagram::default() };
+        self.seal.seal(unix_ms, &datagram.encode_to_vec())
+    }
+
+    /// A datagram came; gives all that the node holds once the last page is there, and whether this was the page that was
+    /// asked for.
+    pub fn datagram(
+        &mut self,
+        now: Nanos,
+        unix_ms: u64,
+        frame: &[u8],
+    ) -> Result<(bool, Option<Holding>), Dropped> {
+        let (_, message) = self.seal.open(now, unix_ms, frame)?;
+        let page = Datagram::decode(message).map_err(|_| Dropped::Unreadable)?;
+        if page.kind != kind::PAGE || page.no != self.no {
+            return Ok((false, None));
+        }
+        if let Some(report) = page.report {
+            self.holding.report = report;
+        }
+        self.holding.digest = page.digest;
+        for (at, news) in page.news.iter().enumerate() {
+            let Ok(details) = Details::read(&news.told) else { continue };
+            let pulse = page.pulses.as_chunks::<8>().0.get(at).filter(|p| p[4..6] != [0, 0]);
+            let shown = Shown {
+                name: news.name.clone(),
+                status: Status::from_number(news.status).unwrap_or_default(),
+                address: details.address,
+                zone: details.zone.to_string(),
+                phase: details.phase,
+                program: details.program.to_string(),
+                settings: details.settings,
+                birth: news.birth,
+                life: news.life,
+                bump: news.bump,
+                revision: news.revision,
+                pulse: pulse.map(|p| (p[6], p[7])),
+            };
+            self.holding.members.insert(Key(news.key), shown);
+        }
+        self.cursor = page.cursor;
+        let done = self.cursor == 0;
+        Ok((true, done.then(|| std::mem::take(&mut self.holding))))
+    }
+}
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -1,6 +1,8 @@
 //! The command line.
 
-use crate::serve;
+mod fleet;
+
+use crate::serve::{self, Logging};
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use hdrhistogram::Histogram;
 use madderpoint_facts::Start;
@@ -27,10 +29,35 @@
     /// The file of our settings, where serving is to use one.
     #[arg(long, value_name = "FILE")]
     settings: Option<PathBuf>,
+    #[command(flatten)]
+    log: Log,
     #[command(subcommand)]
     command: Option<Command>,
 }
 
+/// How the log is written.
+#[derive(Args, Clone, Copy, Debug)]
+struct Log {
+    /// As plain lines, or as JSON lines with time, node, part and event.
+    #[arg(long, value_enum, value_name = "FORM", default_value_t = Form::Plain)]
+    log: Form,
+    /// With each step of each invocation, without regard to the rate: for a look, not for service.
+    #[arg(long)]
+    follow: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, ValueEnum)]
+enum Form {
+    Plain,
+    Json,
+}
+
+impl From<Log> for Logging {
+    fn from(log: Log) -> Logging {
+        Logging { json: log.log == Form::Json, follow: log.follow }
+    }
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Serve, as without a sub-command.
@@ -38,6 +65,13 @@
         /// The file of our settings.
         #[arg(long, value_name = "FILE")]
         settings: Option<PathBuf>,
+        #[command(flatten)]
+        log: Log,
+    },
+    /// Look at a running fleet, or simulate one.
+    Fleet {
+        #[command(subcommand)]
+        command: fleet::Command,
     },
     /// Check a file of our settings, and show all that is wrong.
     #[command(after_help = "Example: madderpoint check deploy/translator.xml --config config.json")]
@@ -139,8 +173,9 @@
     /// Carries the call out.
     pub fn run(self) -> ExitCode {
         let ended = match self.command {
-            None => return Self::serves(self.settings),
-            Some(Command::Serve { settings }) => return Self::serves(settings.or(self.settings)),
+            None => return Self::serves(self.settings, self.log),
+            Some(Command::Serve { settings, log }) => return Self::serves(settings.or(self.settings), log),
+            Some(Command::Fleet { command }) => command.run(),
             Some(Command::Check { file, format }) => check(&file, format),
             Some(Command::Identity { command: Identity::Check { file, bundle, audience, at, format } }) => {
                 identity(&file, &bundle, audience.as_deref(), at.as_deref(), format)
@@ -161,8 +196,8 @@
         }
     }
 
-    fn serves(settings: Option<PathBuf>) -> ExitCode {
-        match serve::serve(settings) {
+    fn serves(settings: Option<PathBuf>, log: Log) -> ExitCode {
+        match serve::serve(settings, log.into()) {
             Ok(()) => ExitCode::SUCCESS,
             Err(what) => {
                 eprintln!("madderpoint: {what}");
--- /dev/null
+++ b/crates/node/src/cli/fleet.rs
@@ -0,0 +1,406 @@
+//! `madderpoint fleet`: what a running node holds of its fleet, and fleets that are simulated.
+
+use super::{Ended, Format};
+use crate::serve;
+use clap::Subcommand;
+use madderpoint_fleet::observer::{Holding, Observer, Shown};
+use madderpoint_fleet::sim::{Plan, Sim};
+use madderpoint_fleet::wire::DATAGRAM_MAX;
+use madderpoint_fleet::{Nanos, Status};
+use madderpoint_rules::time;
+use madderpoint_settings::Known;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const MS: Nanos = 1_000_000;
+const S: Nanos = 1000 * MS;
+/// How long an answer is waited for, and how often a question is asked.
+const ANSWER: Duration = Duration::from_millis(500);
+const TRIES: u32 = 6;
+/// Changes that `watch` shows at its start.
+const SHOWN_BEFORE: usize = 5;
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Show what a running node holds of its fleet.
+    #[command(after_help = "Example: madderpoint fleet show --settings translator.xml --at 10.0.0.4:7946")]
+    Show {
+        /// The settings with the fleet's name and keys.
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+        /// Where the node's part in the fleet listens.
+        #[arg(long, value_name = "ADDRESS")]
+        at: SocketAddr,
+        /// How it is shown.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Show what changes at a running node, and its digest, until it ends.
+    #[command(
+        after_help = "Example: madderpoint fleet watch --settings translator.xml --at 10.0.0.4:7946 --times 60"
+    )]
+    Watch {
+        /// The settings with the fleet's name and keys.
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+        /// Where the node's part in the fleet listens.
+        #[arg(long, value_name = "ADDRESS")]
+        at: SocketAddr,
+        /// Between two looks.
+        #[arg(long, default_value = "1s")]
+        every: String,
+        /// How many looks; without end if it is not told.
+        #[arg(long)]
+        times: Option<u64>,
+    },
+    /// Play a fleet of any size over simulated time, and measure it.
+    #[command(
+        after_help = "Example: madderpoint fleet simulate --members 300 --loss 0.05 --seeds 3 --time 10m"
+    )]
+    Simulate {
+        /// How many members.
+        #[arg(long, default_value_t = 300)]
+        members: usize,
+        /// Share of datagrams that are lost.
+        #[arg(long, default_value_t = 0.0)]
+        loss: f64,
+        /// Share of members that stand still now and then, for up to 1.5 s.
+        #[arg(long, default_value_t = 0.0)]
+        slow: f64,
+        /// How many zones.
+        #[arg(long, default_value_t = 3)]
+        zones: usize,
+        /// How long nothing happens, to count what it costs and who is falsely held dead.
+        #[arg(long, default_value = "60s")]
+        time: String,
+        /// How many members crash, one after the other, to measure how soon that is found.
+        #[arg(long, default_value_t = 5)]
+        crashes: usize,
+        /// How long a zone is cut off.
+        #[arg(long, default_value = "30s")]
+        cut: String,
+        /// The first seed, and how many are played.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// What is left out, to measure what it is worth: health, confirm, reconcile, regain.
+        #[arg(long, value_delimiter = ',')]
+        without: Vec<String>,
+        /// Shown as a line of text for each seed, or as a line of JSON.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+}
+
+impl Command {
+    /// Carries the call out.
+    pub fn run(self) -> Ended {
+        match self {
+            Command::Show { settings, at, format } => show(&settings, at, format),
+            Command::Watch { settings, at, every, times } => watch(&settings, at, &every, times),
+            Command::Simulate {
+                members,
+                loss,
+                slow,
+                zones,
+                time,
+                crashes,
+                cut,
+                seed,
+                seeds,
+                without,
+                format,
+            } => {
+                if !(1..=20_000).contains(&members)
+                    || !(0.0..1.0).contains(&loss)
+                    || !(0.0..=1.0).contains(&slow)
+                {
+                    return Err("members: 1 to 20000, loss: 0 to under 1, slow: 0 to 1".into());
+                }
+                let mut plan = Plan { members, loss, slow, zones, ..Plan::default() };
+                for part in &without {
+                    match part.as_str() {
+                        "health" => plan.extensions.health = false,
+                        "confirm" => plan.extensions.confirm = false,
+                        "reconcile" => plan.extensions.reconcile = false,
+                        "regain" => plan.extensions.regain = false,
+                        other => {
+                            return Err(format!(
+                                "--without {other}: expected health, confirm, reconcile or regain"
+                            ));
+                        }
+                    }
+                }
+                let (time, cut) = (span(&time)?, span(&cut)?);
+                for seed in seed..seed.saturating_add(seeds) {
+                    let measured = simulate(Plan { seed, ..plan.clone() }, time, crashes, cut);
+                    match format {
+                        Format::Json => println!("{measured}"),
+                        Format::Text => print_measured(&measured),
+                    }
+                }
+                Ok(true)
+            }
+        }
+    }
+}
+
+fn span(text: &str) -> Result<Nanos, String> {
+    time::span(text)
+        .and_then(|t| Nanos::try_from(t).ok())
+        .ok_or_else(|| format!("{text}: no time, such as 30s"))
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64)
+}
+
+/// Asks a node, as often as that takes.
+struct Asker {
+    socket: UdpSocket,
+    at: SocketAddr,
+    observer: Observer,
+    begun: Instant,
+}
+
+impl Asker {
+    fn new(settings: &Path, at: SocketAddr) -> Result<Asker, String> {
+        let read = serve::read(settings, &Known::anything()).map_err(|complaints| complaints.to_string())?;
+        let fleet = read.fleet.ok_or_else(|| format!("{}: no <fleet>", settings.display()))?;
+        let keys = serve::keys(settings, &fleet)?;
+        let any: SocketAddr = if at.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
+        let socket =
+            UdpSocket::bind(any).and_then(|socket| socket.set_read_timeout(Some(ANSWER)).map(|()| socket));
+        let socket = socket.map_err(|e| format!("no socket: {e}"))?;
+        let seed = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |t| t.as_nanos() as u64);
+        let observer =
+            Observer::new(&fleet.name, keys, seed ^ u64::from(std::process::id()) << 40, fleet.periods.skew);
+        Ok(Asker { socket, at, observer, begun: Instant::now() })
+    }
+
+    fn ask(&mut self) -> Result<Holding, String> {
+        let wrong = |e: std::io::Error| format!("{}: {e}", self.at);
+        let (mut buffer, mut tries) = ([0; DATAGRAM_MAX + 1], 0);
+        loop {
+            let question = self.observer.question(unix_ms());
+            self.socket.send_to(&question, self.at).map_err(wrong)?;
+            let until = Instant::now() + ANSWER;
+            loop {
+                let read = match self.socket.recv_from(&mut buffer) {
+                    Ok((n, _)) => {
+                        let now = self.begun.elapsed().as_nanos() as Nanos;
+                        self.observer.datagram(now, unix_ms(), &buffer[..n]).ok()
+                    }
+                    Err(_) => None,
+                };
+                match read {
+                    Some((_, Some(holding))) => return Ok(holding),
+                    Some((true, None)) => {
+                        tries = 0; // the next page
+                        break;
+                    }
+                    _ if Instant::now() < until => {}
+                    _ => break,
+                }
+            }
+            tries += 1;
+            if tries > TRIES {
+                return Err(format!(
+                    "{}: no answer: nobody is there, or the fleet's name or keys are others",
+                    self.at
+                ));
+            }
+        }
+    }
+}
+
+fn row(shown: &Shown) -> Value {
+    json!({"name": shown.name, "status": shown.status.word(), "zone": shown.zone, "phase": shown.phase.word(),
+        "address": shown.address.to_string(), "program": shown.program, "settings": shown.settings.0,
+        "settings_hash": format!("{:016x}", shown.settings.1), "birth_ms": shown.birth, "bump": shown.bump,
+        "life": format!("{:016x}", shown.life), "revision": shown.revision,
+        "room": shown.pulse.map(|p| p.0), "load": shown.pulse.map(|p| p.1)})
+}
+
+fn show(settings: &Path, at: SocketAddr, format: Format) -> Ended {
+    let holding = Asker::new(settings, at)?.ask()?;
+    let mut members: Vec<&Shown> = holding.members.values().collect();
+    members.sort_by(|a, b| (&a.zone, &a.name).cmp(&(&b.zone, &b.name)));
+    let report = &holding.report;
+    if format == Format::Json {
+        let counts: BTreeMap<_, _> = report.counts.iter().map(|c| (c.what.clone(), c.times)).collect();
+        let changes: Vec<_> =
+            report.changes.iter().map(|c| json!({"unix_ms": c.unix_ms, "line": c.line})).collect();
+        let whole = json!({"node": report.name, "digest": format!("{:016x}", holding.digest), "size": report.size,
+            "low": report.low, "high": report.high, "unsure_ms": report.unsure_ms, "doubt": report.doubt,
+            "suspects": report.suspects, "dead": report.dead, "mute": report.mute, "counts": counts,
+            "changes": changes, "members": members.into_iter().map(row).collect::<Vec<_>>()});
+        println!("{whole:#}");
+        return Ok(true);
+    }
+    println!("{}", summary(&holding));
+    println!(
+        "{:<16} {:<8} {:<8} {:<9} {:<22} {:<12} {:>8} {:>5} {:>5} {:>5}",
+        "name", "zone", "status", "phase", "address", "program", "settings", "bump", "room", "load"
+    );
+    for m in members {
+        let (room, load) =
+            m.pulse.map_or(("-".into(), "-".into()), |(room, load)| (room.to_string(), load.to_string()));
+        println!(
+            "{:<16} {:<8} {:<8} {:<9} {:<22} {:<12} {:>8} {:>5} {room:>5} {load:>5}",
+            m.name,
+            m.zone,
+            m.status.word(),
+            m.phase.word(),
+            m.address,
+            m.program,
+            m.settings.0,
+            m.bump
+        );
+    }
+    for count in &report.counts {
+        println!("{:>8}  {}", count.times, count.what);
+    }
+    Ok(true)
+}
+
+fn summary(holding: &Holding) -> String {
+    let r = &holding.report;
+    let unsure = match r.unsure_ms {
+        0 => String::new(),
+        ms => format!(", UNSURE for {:.1} s", ms as f64 / 1e3),
+    };
+    let mute = if r.mute { ", MUTE: another process has its name" } else { "" };
+    format!(
+        "{}: digest {:016x}, {} members (for sure {}, at most {}), {} suspect, {} dead, doubt of itself {}{unsure}{mute}",
+        r.name, holding.digest, r.size, r.low, r.high, r.suspects, r.dead, r.doubt
+    )
+}
+
+fn watch(settings: &Path, at: SocketAddr, every: &str, times: Option<u64>) -> Ended {
+    let every = Duration::from_nanos(span(every)?);
+    let mut asker = Asker::new(settings, at)?;
+    let (mut last, mut told) = (None, String::new());
+    let mut looks = 0;
+    while times.is_none_or(|times| looks < times) {
+        if looks > 0 {
+            thread::sleep(every);
+        }
+        looks += 1;
+        let holding = match asker.ask() {
+            Ok(holding) => holding,
+            Err(what) if looks == 1 => return Err(what),
+            Err(what) => {
+                println!("{what}");
+                continue;
+            }
+        };
+        let changes = &holding.report.changes; // the latest first
+        let is_new = |c: &&madderpoint_fleet::wire::Happened| last.as_ref() != Some(*c);
+        let most = if last.is_none() { SHOWN_BEFORE } else { usize::MAX };
+        let new: Vec<_> = changes.iter().take_while(is_new).take(most).collect();
+        for change in new.iter().rev() {
+            println!(
+                "{} {}",
+                time::print_time((change.unix_ms as i64).saturating_mul(1_000_000)),
+                change.line
+            );
+        }
+        last = changes.first().cloned().or(last);
+        let line = summary(&holding);
+        if line != told {
+            println!("{line}");
+            told = line;
+        }
+    }
+    Ok(true)
+}
+
+fn quantile(sorted: &[Nanos], q: f64) -> Option<f64> {
+    let at = ((sorted.len() as f64 * q).ceil() as usize).clamp(1, sorted.len().max(1)) - 1;
+    sorted.get(at).map(|nanos| *nanos as f64 / 1e9)
+}
+
+/// Plays one seed: quiet time, crashes, a zone that is cut off and comes back.
+fn simulate(plan: Plan, time: Nanos, crashes: usize, cut: Nanos) -> Value {
+    let began = Instant::now();
+    let members = plan.members;
+    let described = json!({"members": members, "loss": plan.loss, "slow": plan.slow, "zones": plan.zones, "seed": plan.seed});
+    let mut sim = Sim::started(plan);
+    sim.run(10 * S);
+    sim.spent();
+    let quiet_false = sim.false_deaths.len();
+    sim.run(time);
+    let seconds = time as f64 / 1e9;
+    let (bytes, datagrams) = sim.spent();
+    let false_deaths = sim.false_deaths.len() - quiet_false;
+    // Crashes: when the first one finds it, and when all agree.
+    let mut agreed = Vec::new();
+    let crashes = crashes.min(members.saturating_sub(2));
+    for n in 0..crashes {
+        let node = n * members / crashes.max(1);
+        sim.crash(node);
+        agreed.extend(sim.run_until(120 * S, 50 * MS, |sim| sim.is_settled()));
+        sim.start(node);
+        sim.run(2 * S);
+    }
+    let mut found: Vec<Nanos> = sim.detected.values().copied().collect();
+    found.sort_unstable();
+    agreed.sort_unstable();
+    let _ = sim.run_until(60 * S, 50 * MS, |sim| sim.is_settled());
+    sim.spent();
+    let mut healed = Value::Null;
+    if cut > 0 && sim.plan.zones > 1 {
+        sim.cut(|from, to| (from.zone == 0) != (to.zone == 0));
+        sim.run(cut);
+        sim.heal();
+        sim.spent();
+        let took = sim.run_until(60 * S, 50 * MS, |sim| sim.is_settled());
+        let (bytes, _) = sim.spent();
+        healed = json!({"cut_s": cut as f64 / 1e9, "settled_s": took.map(|t| t as f64 / 1e9), "bytes_each": bytes.round()});
+    }
+    let settled = sim
+        .up()
+        .all(|(_, fleet)| fleet.view().get(sim.nodes[0].key).is_some_and(|e| e.status() != Status::Dead));
+    let view_bytes = sim.up().next().map_or(0, |(_, fleet)| fleet.view().bytes());
+    json!({
+        "plan": described,
+        "quiet": {"seconds": seconds, "bytes_s_each": (bytes / seconds).round(), "datagrams_s_each": (datagrams / seconds * 10.0).round() / 10.0,
+            "false_deaths": false_deaths, "false_deaths_hour": false_deaths as f64 / seconds * 3600.0},
+        "crash": {"times": found.len(), "found_s_p50": quantile(&found, 0.5), "found_s_p99": quantile(&found, 0.99),
+            "agreed_s_p50": quantile(&agreed, 0.5), "agreed_s_p99": quantile(&agreed, 0.99)},
+        "heal": healed, "node_0_there": settled, "view_bytes": view_bytes,
+        "events": sim.played, "real_s": (began.elapsed().as_secs_f64() * 10.0).round() / 10.0,
+        "cpu_us_event": (began.elapsed().as_secs_f64() * 1e7 / sim.played.max(1) as f64).round() / 10.0,
+    })
+}
+
+fn print_measured(m: &Value) {
+    let text = |v: &Value| if v.is_null() { "-".to_owned() } else { v.to_string() };
+    println!(
+        "members {} loss {} slow {} seed {}: {} B/s and {} datagrams/s each, {} false deaths in {} s; crash found in {} s \
+         (p99 {}), agreed on in {} s (p99 {}); settled {} s after a cut of {} s; view {} KiB; {} events in {} s",
+        text(&m["plan"]["members"]),
+        text(&m["plan"]["loss"]),
+        text(&m["plan"]["slow"]),
+        text(&m["plan"]["seed"]),
+        text(&m["quiet"]["bytes_s_each"]),
+        text(&m["quiet"]["datagrams_s_each"]),
+        text(&m["quiet"]["false_deaths"]),
+        text(&m["quiet"]["seconds"]),
+        text(&m["crash"]["found_s_p50"]),
+        text(&m["crash"]["found_s_p99"]),
+        text(&m["crash"]["agreed_s_p50"]),
+        text(&m["crash"]["agreed_s_p99"]),
+        text(&m["heal"]["settled_s"]),
+        text(&m["heal"]["cut_s"]),
+        m["view_bytes"].as_u64().unwrap_or(0) >> 10,
+        text(&m["events"]),
+        text(&m["real_s"])
+    );
+}
--- /dev/null
+++ b/crates/node/src/company.rs
@@ -0,0 +1,97 @@
+//! What the core has to do with the fleet: what is seen of it, and what this node says of itself. The decisions work the same
+//! with no fleet at all, and nothing waits for it.
+
+use madderpoint::Advert;
+use madderpoint_fleet::{Phase, Sight};
+
+/// Runs that succeeded before a node that started cold counts as warm.
+const WARM_AFTER: u32 = 64;
+
+/// What a node says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// What it is about.
+    Phase(Phase),
+    /// Its room (what it advertises, of 255) and its load (invocations in hand, 255 at most).
+    Pulse { room: u8, load: u8 },
+}
+
+/// The node among others.
+#[derive(Debug, Default)]
+pub struct Company {
+    /// What is seen of the fleet; none until its part has said anything.
+    pub sight: Option<Sight>,
+    phase: Option<Phase>,
+    succeeded: u32,
+    pulse: Option<(u8, u8)>,
+}
+
+impl Company {
+    fn enter(&mut self, phase: Phase) -> Option<Word> {
+        let is_new = self.phase.is_none_or(|before| before < phase);
+        is_new.then(|| {
+            self.phase = Some(phase);
+            Word::Phase(phase)
+        })
+    }
+
+    /// The kernel is up.
+    pub fn booted(&mut self, cold: bool) -> Option<Word> {
+        self.enter(if cold { Phase::Cold } else { Phase::Serving })
+    }
+
+    /// A run succeeded; enough of them, and the node is warm.
+    pub fn succeeded(&mut self) -> Option<Word> {
+        self.succeeded = self.succeeded.saturating_add(1);
+        if self.succeeded == WARM_AFTER { self.enter(Phase::Serving) } else { None }
+    }
+
+    /// The notice to leave came.
+    pub fn drains(&mut self) -> Option<Word> {
+        self.enter(Phase::Draining)
+    }
+
+    /// What the node has room for, if that is another than was said last.
+    pub fn pulse(&mut self, kind: Advert, advert: Option<f64>, in_hand: usize) -> Option<Word> {
+        let share = |part: f64| (part.clamp(0.0, 1.0) * 255.0) as u8;
+        let room = match (kind, advert) {
+            (Advert::No, _) | (_, None) => 255,
+            (Advert::Level, Some(held_back)) => share(1.0 - held_back),
+            (Advert::Weight, Some(weight)) => share(weight),
+            (Advert::Credit, Some(credit)) => credit.clamp(0.0, 255.0) as u8,
+        };
+        let load = u8::try_from(in_hand).unwrap_or(u8::MAX);
+        let is_new = self.pulse.replace((room, load)) != Some((room, load));
+        is_new.then_some(Word::Pulse { room, load })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_node_says_once_that_it_is_cold_warm_and_draining_and_never_goes_back() {
+        let mut company = Company::default();
+        assert_eq!(company.booted(true), Some(Word::Phase(Phase::Cold)));
+        assert_eq!(company.booted(true), None);
+        let said: Vec<Word> = (0..200).filter_map(|_| company.succeeded()).collect();
+        assert_eq!(said, [Word::Phase(Phase::Serving)]);
+        assert_eq!((company.drains(), company.drains()), (Some(Word::Phase(Phase::Draining)), None));
+        assert_eq!((company.booted(false), company.succeeded()), (None, None));
+    }
+
+    #[test]
+    fn room_is_what_the_kind_of_advert_means() {
+        let mut company = Company::default();
+        let mut said = |kind, advert, in_hand| match company.pulse(kind, advert, in_hand) {
+            Some(Word::Pulse { room, load }) => Some((room, load)),
+            _ => None,
+        };
+        assert_eq!(said(Advert::Weight, Some(1.0), 3), Some((255, 3)));
+        assert_eq!(said(Advert::Weight, Some(1.0), 3), None);
+        assert_eq!(said(Advert::Level, Some(1.0), 999), Some((0, 255)));
+        assert_eq!(said(Advert::Credit, Some(7.9), 0), Some((7, 0)));
+        assert_eq!(said(Advert::No, None, 0), Some((255, 0)));
+    }
+}
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -3,68 +3,27 @@
 
 use crate::backend;
 use crate::classify::{Classifier, Ruled, Sheet};
-use crate::config::{Moved, Peers};
+use crate::company::{Company, Word};
+use crate::config::Moved;
 use crate::desk::{Deferred, Desk, Given, Hands, Open, Timer};
-use crate::fastcgi::{self, Reply};
+use crate::fastcgi;
 use crate::kernel::{End, Notice};
+use crate::outward::{BackendLink, CallNo, ConnId, Outward};
 use crate::request::{Fields, Head, Rejected, Wanted};
 use crate::room::Room;
 use madderpoint::choice::Choice;
 use madderpoint::{Arrival, CallEnding, Ending, InvId, Nanos};
 use madderpoint_facts::Start;
+use madderpoint_fleet::Sight;
 use madderpoint_rules::Verdict;
 use std::cell::RefCell;
-use std::fmt;
 use std::net::IpAddr;
 use std::rc::Rc;
 
 /// Kept back from the time between the notice to leave and the stop, for answers to be written out.
 const WRITE_OUT: Nanos = 150_000_000;
-
-/// A dispatcher's connection; never reused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct ConnId(pub u64);
-
-/// One call below; never reused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct CallNo(pub u64);
-
-/// A connection to the back end: its place, and how often it was made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BackendLink {
-    /// Its place among the links.
-    pub place: usize,
-    /// How many connections were made there before.
-    pub generation: u64,
-}
-
-/// What the node does to the world. None of it may wait.
-pub trait Outward {
-    /// Write to a dispatcher.
-    fn reply(&mut self, conn: ConnId, reply: Reply);
-    /// Close a connection after what was handed over is written.
-    fn close(&mut self, conn: ConnId);
-    /// Read on from a connection only after so long a pause, each time.
-    fn pace(&mut self, conn: ConnId, pause: Nanos);
-    /// Write a line to the kernel.
-    fn kernel(&mut self, line: String);
-    /// Send a call below over the link at this place; false if that has no room.
-    fn call(&mut self, place: usize, call: CallNo, id: InvId, bytes: Vec<u8>) -> bool;
-    /// Give a call up over the link that it was sent on.
-    fn cancel(&mut self, place: usize, bytes: Vec<u8>);
-    /// Close the link at this place: no call is in hand on it.
-    fn rest(&mut self, place: usize);
-    /// From now on peers are reached at these addresses; gives whether the kernel is at another one.
-    fn moved(&mut self, peers: Peers) -> bool;
-    /// Close the link to the kernel; another one takes its place.
-    fn renew_kernel(&mut self);
-    /// Tell dispatchers that the node is leaving.
-    fn leaving(&mut self);
-    /// Take no more connections.
-    fn stop_listening(&mut self);
-    /// Write a line to the log.
-    fn log(&mut self, line: fmt::Arguments<'_>);
-}
+/// Between two words to the fleet about room and load.
+const PULSE: Nanos = 1_000_000_000;
 
 /// What happened.
 #[derive(Debug)]
@@ -99,6 +58,8 @@
     Moved(Moved),
     /// Rules that are in force from now on.
     Ruled(Box<Sheet>),
+    /// What is seen of the fleet.
+    Fleet(Box<Sight>),
 }
 
 /// A reading of the clocks.
@@ -120,6 +81,8 @@
     limit_bytes: usize,
     /// There are none before the kernel is up: it says whether the node starts cold.
     choice: Option<Choice<Hands<O>>>,
+    /// None where nodes keep no view of their fleet.
+    company: Option<Company>,
 }
 
 impl<O: Outward> Core<O> {
@@ -127,7 +90,20 @@
     pub fn new(out: O, start: Start, seed: u64, stop_after: Nanos, has_backend: bool, room: &Room) -> Self {
         let start = Rc::new(start);
         let desk = Rc::new(RefCell::new(Desk::new(out, Rc::clone(&start), has_backend, room)));
-        Core { desk, start, seed, stop_after, limit_bytes: room.buckets, choice: None }
+        Core { desk, start, seed, stop_after, limit_bytes: room.buckets, choice: None, company: None }
+    }
+
+    /// Takes part in a fleet from now on.
+    pub fn join_fleet(&mut self, now: Nanos) {
+        self.company = Some(Company::default());
+        let mut desk = self.desk.borrow_mut();
+        desk.now = now;
+        desk.set_timer(PULSE, Timer::Pulse);
+    }
+
+    /// What is seen of the fleet, if there is one and its part has said anything.
+    pub fn sight(&self) -> Option<&Sight> {
+        self.company.as_ref()?.sight.as_ref()
     }
 
     /// Lets the driver or a test reach what it handed over.
@@ -180,6 +156,7 @@
             Timer::Doubt(id) => self.desk.borrow_mut().doubt_over(id),
             Timer::Leave => self.desk.borrow_mut().leave(),
             Timer::Look => self.desk.borrow_mut().look(),
+            Timer::Pulse => self.pulse(),
         }
     }
 
@@ -228,6 +205,11 @@
             Event::Drain => self.drain(now),
             Event::Moved(moved) => self.desk.borrow_mut().moved(&moved),
             Event::Ruled(sheet) => self.ruled(now, *sheet),
+            Event::Fleet(sight) => {
+                if let Some(company) = &mut self.company {
+                    company.sight = Some(*sight);
+                }
+            }
         }
         self.settle(now);
     }
@@ -420,11 +402,30 @@
         if !self.desk.borrow_mut().drain(left, grace) {
             return; // noticed before
         }
+        self.say(|company| company.drains());
         if let Some(choice) = &mut self.choice {
             choice.drain(now, left);
         }
     }
 
+    // ---- The fleet ----
+
+    fn say(&mut self, word: impl FnOnce(&mut Company) -> Option<Word>) {
+        if let Some(word) = self.company.as_mut().and_then(word) {
+            self.desk.borrow_mut().out.fleet(word);
+        }
+    }
+
+    fn pulse(&mut self) {
+        let (in_hand, advert) = {
+            let mut desk = self.desk.borrow_mut();
+            desk.set_timer(PULSE, Timer::Pulse);
+            (desk.in_hand(), desk.advert())
+        };
+        let kind = self.start.premises.advert;
+        self.say(|company| company.pulse(kind, advert, in_hand));
+    }
+
     // ---- The kernel ----
 
     fn notice(&mut self, now: Nanos, notice: Notice) {
@@ -466,9 +467,13 @@
             self.choice = Some(Choice::new(born, hands, site, self.seed));
         }
         self.desk.borrow_mut().booted(cold, up_ms);
+        self.say(|company| company.booted(cold));
     }
 
     fn ended(&mut self, now: Nanos, id: InvId, ending: Ending, latency: Nanos) {
+        if ending == Ending::Succeeded {
+            self.say(|company| company.succeeded());
+        }
         if let Some(choice) = &mut self.choice {
             choice.ended(now, id, ending, latency);
         }
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -2,11 +2,13 @@
 
 use super::*;
 use crate::backend::Outcome;
-use crate::config::Limits;
-use crate::fastcgi::ProtocolStatus;
+use crate::company::Word;
+use crate::config::{Limits, Peers};
+use crate::fastcgi::{ProtocolStatus, Reply};
 use madderpoint::Host;
 use madderpoint_standins::wire::{self as support, Answer};
 use std::collections::BTreeMap;
+use std::fmt;
 
 mod rules;
 
@@ -28,6 +30,7 @@
     resting: Vec<usize>,
     renewed: usize,
     paced: Vec<(ConnId, Nanos)>,
+    words: Vec<Word>,
 }
 
 impl Outward for Recorder {
@@ -66,6 +69,10 @@
     fn stop_listening(&mut self) {
         self.stopped = true;
     }
+    fn fleet(&mut self, word: Word) {
+        self.words.push(word);
+    }
+    fn step(&mut self, _: &str, _: fmt::Arguments<'_>) {}
     fn log(&mut self, _: fmt::Arguments<'_>) {}
 }
 
@@ -81,7 +88,8 @@
     /// A node whose kernel is not up.
     fn waiting(settings: &str) -> Node {
         let start = madderpoint_facts::decode(settings.as_bytes()).unwrap();
-        let room = Room::of(&Limits { cores: 1.0, memory_mb: 32.0, sockets: 64 }, 4, true);
+        let beside = crate::room::Beside { settings: true, fleet: false };
+        let room = Room::of(&Limits { cores: 1.0, memory_mb: 32.0, sockets: 64 }, 4, beside);
         let core = Core::new(Recorder::default(), start, 7, 3000 * MS, true, &room);
         let mut node = Node { core, conn: ConnId(1), now: 1000 * MS };
         node.event(Event::Connected(ConnId(1), None));
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -1,9 +1,9 @@
 //! What the node keeps of connections, invocations, runs, calls and timers; the [`Host`] of the decisions.
 
 use crate::classify::Classifier;
-use crate::core::{BackendLink, CallNo, ConnId, Outward};
 use crate::fastcgi::Reply;
 use crate::kept::{Kept, Key};
+use crate::outward::{BackendLink, CallNo, ConnId, Outward};
 use crate::request::Head;
 use crate::room::Room;
 use madderpoint::{AlarmId, CallEnding, Effect, Ending, Gauges, Host, InvId, Nanos, OpId};
@@ -92,6 +92,7 @@
     Doubt(InvId),
     Leave,
     Look,
+    Pulse,
 }
 
 /// What is open on a connection.
@@ -322,6 +323,16 @@
         fresh.map_or_else(Gauges::default, |(_, gauges)| gauges)
     }
 
+    /// Invocations that are not answered yet or run.
+    pub fn in_hand(&self) -> usize {
+        self.invs.len()
+    }
+
+    /// What the decisions advertise.
+    pub fn advert(&self) -> Option<f64> {
+        self.advert
+    }
+
     // ---- Invocations ----
 
     pub fn knows(&self, rid: &str) -> bool {
@@ -388,6 +399,7 @@
             class,
             ticket,
         };
+        self.out.step(&head.rid, format_args!("read, age {} ms", age / MILLISECOND));
         self.ids.insert(head.rid.clone(), id);
         self.invs.insert(id, invocation);
         if let Some(conn) = self.conns.get_mut(&front.conn) {
@@ -405,6 +417,10 @@
         let Some(inv) = self.invs.get_mut(&id) else { return };
         let Some(front) = inv.front.take() else { return };
         let (class, arrived) = (inv.class.clone(), inv.arrived);
+        self.out.step(
+            &inv.rid,
+            format_args!("answered {status} after {} ms", (self.now - arrived) / MILLISECOND),
+        );
         let timeout = self.start.premises.operations[inv.op.0].client_timeout;
         if self.now > arrived + timeout {
             self.count("answers after the client timeout", 1);
--- a/crates/node/src/desk/calls.rs
+++ b/crates/node/src/desk/calls.rs
@@ -2,8 +2,8 @@
 
 use super::{BACKEND_LINKS, Below, Call, Deferred, Desk, MILLISECOND, Timer, Wait};
 use crate::backend;
-use crate::core::{BackendLink, CallNo, Outward};
 use crate::kernel::Command;
+use crate::outward::{BackendLink, CallNo, Outward};
 use madderpoint::{CallEnding, InvId, Nanos};
 
 /// A link that so many replies on others have overtaken has gone silent: it is passed over, and closed when a call
@@ -37,6 +37,8 @@
         if !self.out.call(place, no, id, bytes) {
             return self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
         }
+        self.out
+            .step(&inv.rid, format_args!("calls below on link {place}, for {} ms", timeout / MILLISECOND));
         inv.call = Some(Call { no, place, since: self.now, written: None });
         self.set_timer(timeout, Timer::CallLimit(id, no));
     }
@@ -103,6 +105,7 @@
     /// A reply came: gives the invocation whose call it ends.
     pub fn replied(&mut self, place: usize, reply: &backend::Reply) -> Option<InvId> {
         let id = self.ids.get(&reply.id).copied();
+        self.out.step(&reply.id, format_args!("reply {:?} on link {place}", reply.outcome));
         self.heard(place, id);
         let call = id.and_then(|id| self.invs.get(&id)).and_then(|inv| inv.call.as_ref());
         if call.is_none_or(|call| call.place != place) {
--- a/crates/node/src/desk/front.rs
+++ b/crates/node/src/desk/front.rs
@@ -1,9 +1,9 @@
 //! Dispatchers' connections, what is open on them, and health checks.
 
 use super::{Asked, CHECK_LIMIT, Conn, Desk, MILLISECOND, Open, Timer};
-use crate::core::{ConnId, Outward};
 use crate::fastcgi::{MAX_OPEN, ProtocolStatus, Reply, Request};
 use crate::kernel::Command;
+use crate::outward::{ConnId, Outward};
 use madderpoint::{Advert, InvId, Nanos};
 use std::collections::BTreeMap;
 use std::net::IpAddr;
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -2,8 +2,8 @@
 
 use super::{Desk, GAUGES_LEAD, Invocation, LOOK_PERIOD, MILLISECOND, Run, Timer, Wait};
 use crate::config::Moved;
-use crate::core::Outward;
 use crate::kernel::{Command, End};
+use crate::outward::Outward;
 use madderpoint::{Effect, InvId, Nanos};
 
 /// How long a link that is to be renewed has to show that all commands arrived.
@@ -153,6 +153,7 @@
         let op = inv.op;
         let route = self.start.operations[op.0].clone();
         let sent = self.command(Command::Sched { rid: &rid, route: &route, body: &body });
+        self.out.step(&rid, format_args!("told to run, command {sent}"));
         if let Some(inv) = self.invs.get_mut(&id) {
             let run = inv.run.get_or_insert_with(|| Run {
                 sent,
@@ -221,6 +222,7 @@
         };
         inv.run = None;
         inv.ran |= end != End::Moot;
+        self.out.step(rid, format_args!("run over: {end:?}"));
         let call = inv.call.take();
         if let Some(call) = call {
             self.cancel(rid, call.place);
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -2,21 +2,28 @@
 
 mod backend_link;
 mod dispatchers;
+mod fleet_link;
 mod front;
 mod kernel_link;
+mod places;
 mod reports;
 
+pub use fleet_link::{Part, Reset};
+
 use crate::classify::Sheet;
+use crate::company::Word;
 use crate::config::{Identity, Moved, Peers};
-use crate::core::{CallNo, ConnId, Core, Event, Moment, Outward};
+use crate::core::{Core, Event, Moment};
 use crate::desk::BACKEND_LINKS;
 use crate::fastcgi::Reply;
 use crate::log::log;
-use crate::room::Room;
+use crate::outward::{CallNo, ConnId, Outward};
+use crate::room::{Beside, Room};
 use backend_link::Below;
 use crossbeam_channel::{Receiver, Sender, bounded, select};
 use crossbeam_utils::atomic::AtomicCell;
 use dispatchers::Connection;
+use fleet_link::FleetLink;
 use front::Front;
 use kernel_link::KernelLink;
 use madderpoint::{InvId, Nanos};
@@ -55,6 +62,8 @@
     Moved(Moved),
     /// That its rules were replaced.
     Ruled(Box<Sheet>),
+    /// That what it is told of its fleet was replaced.
+    Fleet(Box<Reset>),
 }
 
 /// What reaches the core's thread.
@@ -106,6 +115,7 @@
     addresses: Addresses,
     front: Arc<Front>,
     leaving: Arc<AtomicBool>,
+    fleet: Option<FleetLink>,
 }
 
 impl Outward for Sockets {
@@ -168,6 +178,16 @@
         self.front.stop();
     }
 
+    fn fleet(&mut self, word: Word) {
+        if let Some(fleet) = &self.fleet {
+            fleet.say(word);
+        }
+    }
+
+    fn step(&mut self, rid: &str, what: fmt::Arguments<'_>) {
+        crate::log::step(rid, what);
+    }
+
     fn log(&mut self, line: fmt::Arguments<'_>) {
         log!("{line}");
     }
@@ -190,15 +210,30 @@
     peers: Receiver<Message>,
 }
 
-/// How much of each thing a node may keep, with settings of ours or without.
-pub fn room(who: &Identity, with_settings: bool) -> Room {
-    Room::of(&who.limits, BACKEND_LINKS, with_settings)
+/// How much of each thing a node may keep, with these parts beside what it always has.
+pub fn room(who: &Identity, beside: Beside) -> Room {
+    Room::of(&who.limits, BACKEND_LINKS, beside)
+}
+
+/// What a node has beside what the platform asks for.
+#[derive(Debug, Default)]
+pub struct Ours {
+    /// Rules, from settings of ours.
+    pub rules: Option<Box<Sheet>>,
+    /// Its part in a fleet.
+    pub fleet: Option<Box<Part>>,
+}
+
+impl Ours {
+    fn beside(&self) -> Beside {
+        Beside { settings: self.rules.is_some(), fleet: self.fleet.is_some() }
+    }
 }
 
 /// Runs the node until it has left.
-pub fn serve(who: &Identity, rules: Option<Box<Sheet>>, notices: Receiver<Notice>) -> io::Result<()> {
+pub fn serve(who: &Identity, ours: Ours, notices: Receiver<Notice>) -> io::Result<()> {
     let clock = Clock::start();
-    let room = room(who, rules.is_some());
+    let room = room(who, ours.beside());
     let (front_events, front_inbox) = bounded(room.front_events);
     let (events, peers_inbox) = bounded(room.peer_events);
     let inbox = Inbox { front: front_inbox, peers: peers_inbox };
@@ -213,25 +248,50 @@
     }
     kernel_link::start(Arc::clone(&addresses), room.commands, events.clone())?;
     reports::start(Arc::clone(&addresses), who.name.clone(), Arc::clone(&leaving))?;
+    let fleet = match ours.fleet {
+        Some(mut part) => {
+            part.settings.bytes = room.fleet;
+            let unix = move || {
+                let Moment { now, unix_ms } = clock.read();
+                madderpoint_fleet::Moment { now, unix_ms }
+            };
+            // Chance of its own: the seed of the decisions is told by the platform, and may be the same on many.
+            Some(fleet_link::start(*part, who.seed ^ clock.now(), unix, events.clone())?)
+        }
+        None => None,
+    };
+    let (fleet, fleet_thread) = fleet.unzip();
+    let told = fleet.clone();
     spawn("notices", move || {
         while let Ok(notice) = notices.recv() {
             let event = match notice {
                 Notice::Leave => Event::Drain,
                 Notice::Moved(moved) => Event::Moved(moved),
                 Notice::Ruled(sheet) => Event::Ruled(sheet),
+                Notice::Fleet(reset) => {
+                    told.iter().for_each(|fleet| fleet.reset((*reset).clone()));
+                    continue;
+                }
             };
             let _ = events.send(Message::Event(event));
         }
     })?;
     let has_backend = !backend.is_empty();
     let (conns, dirty) = (HashMap::new(), Vec::new());
-    let sockets = Sockets { conns, dirty, kernel: None, backend, addresses, front, leaving };
+    let sockets = Sockets { conns, dirty, kernel: None, backend, addresses, front, leaving, fleet };
     let stop_after = who.stop_after.as_nanos() as Nanos;
     let mut core = Core::new(sockets, who.start.clone(), who.seed, stop_after, has_backend, &room);
-    if let Some(sheet) = rules {
+    if let Some(sheet) = ours.rules {
         core.handle(clock.read(), Event::Ruled(sheet));
     }
+    if fleet_thread.is_some() {
+        core.join_fleet(clock.now());
+    }
     run(&mut core, clock, &inbox);
+    core.out(|out| out.fleet.iter().for_each(FleetLink::leave));
+    if let Some(thread) = fleet_thread {
+        let _ = thread.join();
+    }
     Ok(())
 }
 
--- a/crates/node/src/driver/backend_link.rs
+++ b/crates/node/src/driver/backend_link.rs
@@ -2,8 +2,9 @@
 
 use super::{Addresses, CONNECT, Message, read_all, spawn};
 use crate::backend;
-use crate::core::{BackendLink, CallNo, Event};
+use crate::core::Event;
 use crate::log::log;
+use crate::outward::{BackendLink, CallNo};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use madderpoint::InvId;
 use std::io::{self, ErrorKind, Write};
--- a/crates/node/src/driver/dispatchers.rs
+++ b/crates/node/src/driver/dispatchers.rs
@@ -1,7 +1,7 @@
 //! The core's end of dispatchers' connections: it writes as much as a socket takes at once, and a writer is started
 //! for one that does not take all.
 
-use super::front::Socket;
+use super::places::Socket;
 use super::{spawn, write_gathered};
 use crate::fastcgi::{self, Reply};
 use crate::log::log;
@@ -77,9 +77,9 @@
         };
         for reply in std::mem::take(&mut self.replies) {
             let size = reply.size();
-            let unread = self.socket.front.unread.fetch_add(size, SeqCst);
-            if unread > self.socket.front.room.unread || writer.try_send(Outgoing::Reply(reply)).is_err() {
-                self.socket.front.unread.fetch_sub(size, SeqCst);
+            let unread = self.socket.places.unread.fetch_add(size, SeqCst);
+            if unread > self.socket.places.room.unread || writer.try_send(Outgoing::Reply(reply)).is_err() {
+                self.socket.places.unread.fetch_sub(size, SeqCst);
                 log!("dispatcher: connection ended, its peer does not read");
                 return self.end();
             }
@@ -119,7 +119,7 @@
         self.socket.stream.set_write_timeout(Some(UNREAD))?;
         let (queue, replies) = bounded(REPLIES);
         let socket = Arc::clone(&self.socket);
-        spawn("write", move || write(&socket.stream, &replies, &socket.front.unread))?;
+        spawn("write", move || write(&socket.stream, &replies, &socket.places.unread))?;
         self.writer = Some(queue);
         Ok(())
     }
--- a/crates/node/src/driver/front.rs
+++ b/crates/node/src/driver/front.rs
@@ -3,10 +3,12 @@
 //! then every thread is woken each time, also those that only wait.
 
 use super::dispatchers::Connection;
+use super::places::{Places, Socket};
 use super::{CONNECT, Message, READ, spawn};
-use crate::core::{ConnId, Event};
+use crate::core::Event;
 use crate::fastcgi;
 use crate::log::log;
+use crate::outward::ConnId;
 use crate::room::Room;
 use crossbeam_channel::Sender;
 use rustix::buffer::spare_capacity;
@@ -20,7 +22,7 @@
 use std::io::{self, ErrorKind};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::time::{Duration, Instant};
 
 /// Sockets that are looked at after one wait, and connections accepted in a row.
@@ -31,27 +33,10 @@
 /// The listener's number; connections count from 1.
 const LISTENER: u64 = 0;
 
-/// A connection's socket, shared by the reader, the core and a writer. Its place is free again only when all have
-/// let go of it: until then it takes a descriptor.
-pub struct Socket {
-    pub stream: TcpStream,
-    pub front: Arc<Front>,
-}
-
-impl Drop for Socket {
-    fn drop(&mut self) {
-        self.front.open.fetch_sub(1, SeqCst);
-    }
-}
-
-/// What is shared round the listening side.
+/// The listening side, seen from the core.
 pub struct Front {
+    places: Arc<Places>,
     listen: SocketAddr,
-    pub room: Room,
-    /// Connections that take a descriptor.
-    open: AtomicUsize,
-    /// Bytes of answers that wait to be written.
-    pub unread: AtomicUsize,
     stopped: AtomicBool,
 }
 
@@ -60,13 +45,9 @@
     pub fn open(listen: SocketAddr, room: Room, events: Sender<Message>) -> io::Result<Arc<Front>> {
         let listener = TcpListener::bind(listen)?;
         listener.set_nonblocking(true)?;
-        let front = Arc::new(Front {
-            listen: listener.local_addr()?,
-            room,
-            open: AtomicUsize::new(0),
-            unread: AtomicUsize::new(0),
-            stopped: AtomicBool::new(false),
-        });
+        let places = Arc::new(Places::new(room));
+        let stopped = AtomicBool::new(false);
+        let front = Arc::new(Front { places, listen: listener.local_addr()?, stopped });
         log!("listening on {}", front.listen);
         let poll = epoll::create(CreateFlags::CLOEXEC)?;
         epoll::add(&poll, &listener, EventData::new_u64(LISTENER), EventFlags::IN)?;
@@ -166,7 +147,7 @@
                 self.listener = None;
             }
             let Some(listener) = &self.listener else { return };
-            let room = self.front.open.load(SeqCst) < self.front.room.connections;
+            let room = self.front.places.has_one();
             let accepted = if room { listener.accept() } else { Err(ErrorKind::QuotaExceeded.into()) };
             match accepted.and_then(|(stream, from)| self.connect(stream, from.ip())) {
                 Ok(()) => {}
@@ -185,10 +166,10 @@
     fn connect(&mut self, stream: TcpStream, from: IpAddr) -> io::Result<()> {
         stream.set_nodelay(true)?;
         self.accepted += 1;
-        self.front.open.fetch_add(1, SeqCst);
-        let socket = Arc::new(Socket { stream, front: Arc::clone(&self.front) });
+        let places = &self.front.places;
+        let socket = Arc::new(Socket::new(stream, places));
         let pause = Arc::new(AtomicU64::new(0));
-        let parser = fastcgi::Parser::new(self.front.room.connections, self.front.room.unfinished);
+        let parser = fastcgi::Parser::new(places.room.connections, places.room.unfinished);
         let reading = Reading { socket: Arc::clone(&socket), parser, pause: Arc::clone(&pause) };
         self.reading.insert(self.accepted, reading);
         let connection = Connection::new(socket, pause);
--- /dev/null
+++ b/crates/node/src/driver/places.rs
@@ -0,0 +1,48 @@
+//! The places for dispatchers' connections, which the reader, the core and writers share.
+
+use crate::room::Room;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+
+/// What is taken of what there is for connections.
+pub struct Places {
+    pub room: Room,
+    /// Connections that take a descriptor.
+    open: AtomicUsize,
+    /// Bytes of answers that wait to be written.
+    pub unread: AtomicUsize,
+}
+
+impl Places {
+    /// All of it is free.
+    pub fn new(room: Room) -> Places {
+        Places { room, open: AtomicUsize::new(0), unread: AtomicUsize::new(0) }
+    }
+
+    /// Whether there is a place for another connection.
+    pub fn has_one(&self) -> bool {
+        self.open.load(SeqCst) < self.room.connections
+    }
+}
+
+/// A connection's socket, shared by the reader, the core and a writer. Its place is free again only when all have
+/// let go of it: until then it takes a descriptor.
+pub struct Socket {
+    pub stream: TcpStream,
+    pub places: Arc<Places>,
+}
+
+impl Socket {
+    /// A connection that was accepted takes its place.
+    pub fn new(stream: TcpStream, places: &Arc<Places>) -> Socket {
+        places.open.fetch_add(1, SeqCst);
+        Socket { stream, places: Arc::clone(places) }
+    }
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        self.places.open.fetch_sub(1, SeqCst);
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod backend;
 pub mod classify;
+pub mod company;
 pub mod config;
 pub mod core;
 mod desk;
@@ -17,5 +18,6 @@
 pub mod kernel;
 pub mod log;
 pub mod members;
+pub mod outward;
 pub mod request;
 pub mod room;
--- /dev/null
+++ b/crates/node/src/outward.rs
@@ -0,0 +1,56 @@
+//! What the core, the desk and the driver all know: the ids of what they speak about, and what a node does to the world.
+
+use crate::company::Word;
+use crate::config::Peers;
+use crate::fastcgi::Reply;
+use madderpoint::{InvId, Nanos};
+use std::fmt;
+
+/// A dispatcher's connection; never reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ConnId(pub u64);
+
+/// One call below; never reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct CallNo(pub u64);
+
+/// A connection to the back end: its place, and how often it was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BackendLink {
+    /// Its place among the links.
+    pub place: usize,
+    /// How many connections were made there before.
+    pub generation: u64,
+}
+
+/// What the node does to the world. None of it may wait.
+pub trait Outward {
+    /// Write to a dispatcher.
+    fn reply(&mut self, conn: ConnId, reply: Reply);
+    /// Close a connection after what was handed over is written.
+    fn close(&mut self, conn: ConnId);
+    /// Read on from a connection only after so long a pause, each time.
+    fn pace(&mut self, conn: ConnId, pause: Nanos);
+    /// Write a line to the kernel.
+    fn kernel(&mut self, line: String);
+    /// Send a call below over the link at this place; false if that has no room.
+    fn call(&mut self, place: usize, call: CallNo, id: InvId, bytes: Vec<u8>) -> bool;
+    /// Give a call up over the link that it was sent on.
+    fn cancel(&mut self, place: usize, bytes: Vec<u8>);
+    /// Close the link at this place: no call is in hand on it.
+    fn rest(&mut self, place: usize);
+    /// From now on peers are reached at these addresses; gives whether the kernel is at another one.
+    fn moved(&mut self, peers: Peers) -> bool;
+    /// Close the link to the kernel; another one takes its place.
+    fn renew_kernel(&mut self);
+    /// Tell dispatchers that the node is leaving.
+    fn leaving(&mut self);
+    /// Take no more connections.
+    fn stop_listening(&mut self);
+    /// Say to the fleet how this node is; nothing where there is none.
+    fn fleet(&mut self, word: Word);
+    /// A step of an invocation, for who follows them.
+    fn step(&mut self, rid: &str, what: fmt::Arguments<'_>);
+    /// Write a line to the log.
+    fn log(&mut self, line: fmt::Arguments<'_>);
+}
--- a/crates/node/src/room.rs
+++ b/crates/node/src/room.rs
@@ -37,6 +37,17 @@
     pub buckets: usize,
     /// Bytes that the file of our settings may have.
     pub settings_file: usize,
+    /// Bytes that the view of the fleet may take; 0 where nodes keep none.
+    pub fleet: usize,
+}
+
+/// What a node has beside what it always has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Beside {
+    /// Settings of ours.
+    pub settings: bool,
+    /// A part in a fleet.
+    pub fleet: bool,
 }
 
 /// A quarter of what is free is set aside where our settings are given: two sets of rules, the one in force and the
@@ -44,14 +55,18 @@
 /// times its size while it is a tree (measured: 11 for 10,000 rules).
 const FOR_SETTINGS: usize = 4;
 const READING: usize = 12;
+/// A sixteenth more is set aside for the fleet: two thirds of it for the view (832 bytes a member), the rest for what is
+/// kept of each member beside it (numbers against replays, news, the round) and for the datagram in hand.
+const FOR_FLEET: usize = 16;
 
 impl Room {
-    /// What these limits leave room for, with so many links to the back end, and with settings of ours or without.
-    pub fn of(limits: &Limits, links: usize, with_settings: bool) -> Room {
+    /// What these limits leave room for, with so many links to the back end, and with these parts beside.
+    pub fn of(limits: &Limits, links: usize, beside: Beside) -> Room {
         let memory = (limits.memory_mb * f64::from(1 << 20)) as usize;
         let free = memory.saturating_sub(BARE);
-        let aside = if with_settings { free / FOR_SETTINGS } else { 0 };
-        let free = free - aside;
+        let aside = if beside.settings { free / FOR_SETTINGS } else { 0 };
+        let fleet = if beside.fleet { free / FOR_FLEET } else { 0 };
+        let free = free - aside - fleet;
         let connections = (free / 3 / CONNECTION).min(limits.sockets.saturating_sub(RESERVED)).max(1);
         let part = free / 12;
         Room {
@@ -67,6 +82,7 @@
             rules: aside / 6,
             buckets: aside / 6,
             settings_file: aside / 2 / READING,
+            fleet: fleet / 3 * 2,
         }
     }
 
@@ -75,7 +91,7 @@
     fn total(&self, links: usize) -> usize {
         let waiting = self.front_events * REQUEST + self.peer_events * NOTICE;
         let written = (self.commands + self.calls * links) * COMMAND + self.unread;
-        let settings = 2 * self.rules + self.buckets + READING * self.settings_file;
+        let settings = 2 * self.rules + self.buckets + READING * self.settings_file + self.fleet / 2 * 3;
         BARE + self.connections * (CONNECTION + self.unfinished)
             + waiting
             + written
@@ -91,8 +107,9 @@
     #[test]
     fn all_bounds_together_stay_below_the_memory_that_is_told() {
         for (memory_mb, sockets) in [(32.0, 384), (48.0, 512), (64.0, 384), (192.0, 512), (192.0, 1024)] {
-            for with_settings in [false, true] {
-                let room = Room::of(&Limits { cores: 0.1, memory_mb, sockets }, 4, with_settings);
+            for (settings, fleet) in [(false, false), (true, false), (true, true)] {
+                let room =
+                    Room::of(&Limits { cores: 0.1, memory_mb, sockets }, 4, Beside { settings, fleet });
                 assert!(room.total(4) < memory_mb as usize * (1 << 20), "{memory_mb} MB: {room:?}");
                 assert!(room.connections > sockets / 2, "dispatchers may open half of {sockets}: {room:?}");
             }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,14 +1,18 @@
 //! Starts a node from the file that `PROXY_CONFIG` names, and hands it the notice to leave, new configurations and
-//! new rules.
+//! new settings.
 
 use madderpoint_facts::Start;
+use madderpoint_fleet::fleet::Extensions;
+use madderpoint_fleet::seal::Keys;
 use madderpoint_node::classify::Sheet;
 use madderpoint_node::config::{self, Identity};
-use madderpoint_node::driver::{self, Notice};
+use madderpoint_node::driver::{self, Notice, Ours, Part, Reset};
 use madderpoint_node::log;
-use madderpoint_settings::{self as settings, Complaints, Known, Place, Translator};
+use madderpoint_node::room::Beside;
+use madderpoint_settings::{self as settings, Complaints, FleetSettings, Known, Place, Translator};
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook::iterator::Signals;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::thread;
@@ -16,6 +20,19 @@
 /// Stack of the thread that waits for signals; where it reads settings too, their expressions nest in each other.
 const STACK: usize = 128 * 1024;
 const STACK_TO_READ: usize = 1024 * 1024;
+/// The port of the fleet where none is set.
+const FLEET_PORT: u16 = 7946;
+/// What a file of keys may have.
+const KEY_FILE_MOST: u64 = 4096;
+
+/// How the node's log is written.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Logging {
+    /// As JSON lines.
+    pub json: bool,
+    /// With the steps of each invocation.
+    pub follow: bool,
+}
 
 /// The names and effects that a configuration's settings have.
 pub fn known(start: &Start) -> Known {
@@ -38,30 +55,121 @@
     settings::read(&name, &text, known)
 }
 
-/// What of a file the node takes up; a file without rules has an empty set, so that those before it end.
-fn sheet(path: &Path, known: &Known) -> Result<Box<Sheet>, Complaints> {
-    match read(path, known)?.rules {
-        Some(book) => Ok(Box::new(Sheet { rules: book.rules, buckets: book.buckets })),
-        None => Ok(Box::new(Sheet::default())),
+/// The keys of a fleet. A name that is no whole path is looked for beside the settings.
+pub fn keys(settings: &Path, fleet: &FleetSettings) -> Result<Keys, String> {
+    let path = settings.parent().unwrap_or(Path::new("")).join(&fleet.keys);
+    let wrong = |what: String| format!("fleet/@keys: {}: {what}", path.display());
+    let size = std::fs::metadata(&path).map_err(|e| wrong(e.to_string()))?.len();
+    if size > KEY_FILE_MOST {
+        return Err(wrong(format!("{size} bytes; expected {KEY_FILE_MOST} at most")));
+    }
+    let text = std::fs::read_to_string(&path).map_err(|e| wrong(e.to_string()))?;
+    Keys::read(&text).map_err(wrong)
+}
+
+/// How the node takes part in its fleet. What differs by node may be told by the environment.
+fn part(
+    file: &Path,
+    read: &Translator,
+    who: &Identity,
+    told: impl Fn(&str) -> Option<String>,
+) -> Result<Option<Box<Part>>, String> {
+    let Some(fleet) = &read.fleet else { return Ok(None) };
+    let address = |name: &str, set: Option<SocketAddr>| match told(name) {
+        Some(text) => text.parse().map(Some).map_err(|_| format!("{name}: {text:?} is no address")),
+        None => Ok(set),
+    };
+    let usual = SocketAddr::new(who.listen.ip(), FLEET_PORT);
+    let bind = address("MADDERPOINT_FLEET_BIND", fleet.bind)?.unwrap_or(usual);
+    let advertise = address("MADDERPOINT_FLEET_ADVERTISE", fleet.advertise)?.unwrap_or(bind);
+    if advertise.ip().is_unspecified() || advertise.port() == 0 {
+        return Err(format!(
+            "fleet/@advertise: nobody can reach {advertise}; expected an address of this node"
+        ));
+    }
+    let zone = told("MADDERPOINT_ZONE").or_else(|| fleet.zone.clone()).unwrap_or_default();
+    let settings = madderpoint_fleet::Settings {
+        fleet: fleet.name.clone(),
+        name: who.name.clone(),
+        zone,
+        address: advertise,
+        seeds: fleet.seeds.clone(),
+        keys: keys(file, fleet)?,
+        periods: fleet.periods,
+        program: fleet.program.clone().unwrap_or_else(|| env!("CARGO_PKG_VERSION").to_owned()),
+        settings: read.number,
+        bytes: 0,
+        extensions: Extensions::default(),
+    };
+    Ok(Some(Box::new(Part { bind, settings })))
+}
+
+/// The rules of a file; one without rules has an empty set, so that those before it end.
+fn sheet(read: &mut Translator) -> Box<Sheet> {
+    match read.rules.take() {
+        Some(book) => Box::new(Sheet { rules: book.rules, buckets: book.buckets }),
+        None => Box::new(Sheet::default()),
     }
 }
 
 fn with_room(who: &Identity) -> Known {
-    let room = driver::room(who, true);
+    let room = driver::room(who, Beside { settings: true, fleet: true });
     Known { bytes: room.rules, file_bytes: room.settings_file, ..known(&who.start) }
 }
 
+/// A new file of settings: all of it is taken or none.
+fn reread(file: &Path, who: &Identity, now: Option<&FleetSettings>, tell: impl Fn(Notice)) {
+    let read = read(file, &with_room(who)).map_err(|what| what.first());
+    let read = read.and_then(|read| match &read.fleet {
+        Some(fleet) => keys(file, fleet).map(|keys| (Some(keys), read)),
+        None => Ok((None, read)),
+    });
+    let (keys, mut read) = match read {
+        Ok(read) => read,
+        Err(what) => return log!("new settings not taken, those before stay: {what}"),
+    };
+    match (keys, &read.fleet, now) {
+        (Some(keys), Some(new), Some(now)) => {
+            let kept = [
+                ("name", new.name == now.name),
+                ("zone", new.zone == now.zone),
+                ("bind", new.bind == now.bind),
+                ("advertise", new.advertise == now.advertise),
+                ("program", new.program == now.program),
+            ];
+            let kept: Vec<&str> = kept.iter().filter(|(_, same)| !same).map(|(field, _)| *field).collect();
+            if !kept.is_empty() {
+                log!("new settings: until a restart the old {kept:?} of <fleet> hold");
+            }
+            let (seeds, periods, number) = (new.seeds.clone(), new.periods, read.number);
+            tell(Notice::Fleet(Box::new(Reset { keys, seeds, periods, number })));
+        }
+        (None, None, None) => {}
+        _ => log!("new settings: <fleet> comes and goes with a restart only"),
+    }
+    tell(Notice::Ruled(sheet(&mut read)));
+}
+
 /// Serves until the notice to leave has been carried out.
-pub fn serve(settings: Option<PathBuf>) -> Result<(), String> {
+pub fn serve(settings: Option<PathBuf>, logging: Logging) -> Result<(), String> {
     // First of all, so that neither signal ever ends the process by its default.
     let mut signals = Signals::new([SIGTERM, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let path = PathBuf::from(std::env::var_os("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?);
     let told = |name: &str| std::env::var(name).ok();
     let who = Arc::new(config::read(&path, told)?);
-    let rules = match &settings {
-        Some(file) => Some(sheet(file, &with_room(&who)).map_err(|e| format!("settings not taken:\n{e}"))?),
-        None => None,
-    };
+    if logging.json {
+        log::as_json(&who.name);
+    }
+    if logging.follow {
+        log::follow_invocations();
+    }
+    let (mut ours, mut fleet) = (Ours::default(), None);
+    if let Some(file) = &settings {
+        let mut read = read(file, &with_room(&who)).map_err(|e| format!("settings not taken:\n{e}"))?;
+        ours.fleet = part(file, &read, &who, told).map_err(|e| format!("settings not taken: {e}"))?;
+        ours.rules = Some(sheet(&mut read));
+        fleet = read.fleet;
+    }
     let first = Arc::clone(&who);
     let (notices, inbox) = crossbeam_channel::bounded(1);
     let stack = if settings.is_some() { STACK_TO_READ } else { STACK };
@@ -77,13 +185,10 @@
                 Err(what) => log!("new configuration not taken, the one before stays: {what}"),
             }
             if let Some(file) = &settings {
-                match sheet(file, &with_room(&first)) {
-                    Ok(sheet) => tell(Notice::Ruled(sheet)),
-                    Err(what) => log!("new settings not taken, those before stay: {}", what.first()),
-                }
+                reread(file, &first, fleet.as_ref(), tell);
             }
         }
     });
     listening.map_err(|e| format!("signals: {e}"))?;
-    driver::serve(&who, rules, inbox).map_err(|e| format!("listen {}: {e}", who.listen))
+    driver::serve(&who, ours, inbox).map_err(|e| format!("listen {}: {e}", who.listen))
 }
