--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -926,6 +926,9 @@
                     if self.settings.extensions.health && status == Status::Suspect {
                         self.health.suspected();
                     }
+                    if bump == u32::MAX {
+                        return self.outlive(at, news.birth, "its bumps are used up");
+                    }
                     self.bump = bump;
                     self.refute(at, status);
                 }
@@ -966,7 +969,8 @@
     fn outlive(&mut self, at: Moment, birth: u64, why: &str) {
         let was_mute = self.is_mute();
         self.contest = None;
-        self.epoch.birth = self.epoch.birth.max(birth) + 1;
+        self.epoch.birth = self.epoch.birth.max(birth).saturating_add(1);
+        self.bump = 0;
         self.say_anew(at);
         if was_mute {
             self.happened(at, Kind::NameBack, self.me, why.to_owned());
@@ -1064,8 +1068,13 @@
                 .is_none_or(|(_, turns)| regains % turns == 0)
         };
         let dead: Vec<Key> = dead.filter(|(_, entry)| due(entry.since)).map(|(key, _)| key).collect();
-        if let Some(key) = dead.choose(&mut self.rng).copied() {
-            self.ping(at, key, 0);
+        let Some(key) = dead.choose(&mut self.rng).copied() else { return };
+        self.ping(at, key, 0);
+        // Digests are of those who are present. That it left and did not die is known to some perhaps: one is told what is
+        // held here, and answers if it knows more.
+        if let (Some(other), Some(entry)) = (self.others(1).first().copied(), self.view.get(key)) {
+            let news = vec![entry.brief(key)];
+            self.send_to(at, other, kind::ENTRIES, 0, Key::NOBODY, news);
         }
     }
 
@@ -1274,10 +1283,6 @@
         }
         back.brief.sort_unstable();
         back.brief.dedup();
-        if self.is_mute() {
-            back.whole.retain(|key| *key != self.me);
-            back.brief.retain(|key| *key != self.me);
-        }
         self.send_entries(at, to, &back);
         if sender != Key::NOBODY
             && matches!(datagram.kind, kind::PING | kind::ACK | kind::GOSSIP)
--- /dev/null
+++ b/crates/fleet/tests/datagrams.rs
@@ -0,0 +1,237 @@
+//! What comes from outside: strangers, another fleet, later versions, and datagrams that are good by their MAC and make no
+//! sense. Nothing panics, nothing is believed without its MAC, and no answer goes to what was dropped.
+
+use madderpoint_fleet::fleet::Extensions;
+use madderpoint_fleet::member::{Details, Key, Life, Phase, Status};
+use madderpoint_fleet::seal::{Keys, Seal};
+use madderpoint_fleet::wire::{Datagram, News, Summary, kind};
+use madderpoint_fleet::{Fleet, Host, Moment, Nanos, Periods, Settings, Sight};
+use prost::Message;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::net::SocketAddr;
+
+const S: Nanos = 1_000_000_000;
+const UNIX: u64 = 1_800_000_000_000;
+
+#[derive(Default)]
+struct Sent(Vec<(SocketAddr, Vec<u8>)>);
+
+impl Host for Sent {
+    fn send(&mut self, to: SocketAddr, frame: &[u8]) {
+        assert!(frame.len() <= 1400);
+        self.0.push((to, frame.to_vec()));
+    }
+    fn log(&mut self, _: &'static str, _: &str) {}
+    fn sight(&mut self, _: &Sight) {}
+}
+
+fn keys(byte: u8) -> Keys {
+    Keys::new(&[vec![byte; 32]]).unwrap()
+}
+
+fn address(n: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, n], 7946))
+}
+
+fn node(fleet: &str, n: u8, key: u8) -> Fleet<Sent> {
+    let settings = Settings {
+        fleet: fleet.into(),
+        name: format!("n{n}"),
+        zone: "a".into(),
+        address: address(n),
+        seeds: vec![address(1)],
+        keys: keys(key),
+        periods: Periods::default(),
+        program: "0.1.0".into(),
+        settings: (1, 1),
+        bytes: 1 << 20,
+        extensions: Extensions::default(),
+    };
+    Fleet::new(settings, u64::from(n), at(0), Sent::default()).unwrap()
+}
+
+fn at(now: Nanos) -> Moment {
+    Moment { now: S + now, unix_ms: UNIX + now / 1_000_000 }
+}
+
+fn full(name: &str, n: u8, birth: u64, bump: u32, status: Status) -> News {
+    let told = Details::new(address(n), "a", Phase::Serving, "1", (1, 1), (0, 0), vec![]).unwrap();
+    News {
+        key: Key::of(name).0,
+        birth,
+        life: birth,
+        bump,
+        status: status as u32,
+        revision: 0,
+        name: name.into(),
+        told: told.raw().to_vec(),
+        by: 0,
+    }
+}
+
+fn no_invariant_failed(fleet: &Fleet<Sent>) {
+    assert!(fleet.counts().keys().all(|what| !what.starts_with("invariant")), "{:?}", fleet.counts());
+}
+
+#[test]
+fn what_is_dropped_is_counted_and_never_answered() {
+    let mut fleet = node("f", 2, 1);
+    let ping = Datagram {
+        from: 9,
+        kind: kind::PING,
+        news: vec![full("n9", 9, 1, 0, Status::Alive)],
+        ..Datagram::default()
+    };
+    let ping = ping.encode_to_vec();
+    let mut other = Seal::new("g", keys(1), Life(5), 600 * S, 9);
+    let mut wrong_key = Seal::new("f", keys(2), Life(6), 600 * S, 9);
+    let mut far = Seal::new("f", keys(1), Life(7), 600 * S, 9);
+    let frames = [
+        (b"hello".to_vec(), "datagrams that are none of a fleet"),
+        (other.seal(UNIX, &ping), "datagrams of another fleet"),
+        (wrong_key.seal(UNIX, &ping), "datagrams under an unknown key"),
+        (far.seal(UNIX + 3_600_000, &ping), "datagrams from a clock too far away"),
+        (far.seal(UNIX, b"\xff\xff\xff"), "datagrams that can't be read"),
+    ];
+    for (frame, what) in frames {
+        fleet.datagram(at(0), address(9), &frame);
+        assert_eq!(fleet.counts().get(what), Some(&1), "{:?}", fleet.counts());
+    }
+    assert!(fleet.host.0.is_empty() && fleet.view().counts().present() == 1);
+    let frame = far.seal(UNIX, &ping);
+    fleet.datagram(at(0), address(9), &frame);
+    assert_eq!((fleet.host.0.len(), fleet.view().counts().present()), (1, 2));
+    fleet.datagram(at(0), address(9), &frame);
+    assert_eq!(fleet.counts().get("datagrams that came before"), Some(&1));
+    assert_eq!(fleet.host.0.len(), 1);
+}
+
+#[test]
+fn a_flood_of_strangers_is_not_even_looked_at() {
+    let mut fleet = node("f", 2, 1);
+    for n in 0..20_000u32 {
+        fleet.datagram(at(0), address((n % 200) as u8), &[b'm', b'f', 1, 0, 1, 2, 3]);
+    }
+    assert!(fleet.counts()["datagrams beyond the rate"] >= 19_000, "{:?}", fleet.counts());
+}
+
+/// A later version adds a kind, fields, a status and a phase: what is known of it is used, the rest passed over or passed on.
+#[test]
+fn datagrams_of_a_later_version_are_read_as_far_as_they_are_known() {
+    let mut fleet = node("f", 2, 1);
+    let mut seal = Seal::new("f", keys(1), Life(7), 600 * S, 9);
+    let mut news = full("n9", 9, 1, 0, Status::Alive);
+    news.told.extend([0x18, 0x07, 0xfa, 0x01, 0x03, b'n', b'e', b'w']); // phase 7, and a field 31
+    let mut odd = full("n8", 8, 1, 0, Status::Alive);
+    odd.status = 9;
+    let datagram =
+        Datagram { from: news.key, kind: 77, news: vec![news.clone(), odd], ..Datagram::default() };
+    let mut message = datagram.encode_to_vec();
+    message.extend([0xaa, 0x06, 0x02, b'h', b'i']); // a field 101
+    fleet.datagram(at(0), address(9), &seal.seal(UNIX, &message));
+    assert_eq!(fleet.counts().get("datagrams of a kind that is not known"), Some(&1));
+    let entry = fleet.view().get(Key::of("n9")).unwrap();
+    assert_eq!((entry.details.phase, entry.details.raw()), (Phase::Serving, &news.told[..]));
+    assert!(fleet.view().get(Key::of("n8")).is_none());
+    // It goes on to others as it came.
+    fleet.host.0.clear();
+    let ask = Datagram { kind: kind::ENTRIES, wants: vec![news.key], ..Datagram::default() };
+    fleet.datagram(at(0), address(9), &seal.seal(UNIX, &ask.encode_to_vec()));
+    let (_, frame) = fleet.host.0.pop().unwrap();
+    assert!(frame.windows(news.told.len()).any(|w| w == news.told));
+}
+
+/// Good by their MAC, and nonsense: fields of any value, news of anybody in any standing, ranges that go backwards. The node
+/// lives, sends within its bounds, and holds on to its name.
+#[test]
+fn sealed_nonsense_is_survived() {
+    for seed in 0..30 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut fleet = node("f", 2, 1);
+        let mut seal = Seal::new("f", keys(1), Life(7), 600 * S, 9);
+        let mut now = 0;
+        for _ in 0..300 {
+            now += rng.random_range(0..300_000_000);
+            let mut news = Vec::new();
+            for _ in 0..rng.random_range(0..6) {
+                let n = rng.random_range(1..6u8);
+                let mut one =
+                    full(&format!("n{n}"), n, rng.random_range(0..4), rng.random_range(0..4), Status::Alive);
+                one.status = rng.random_range(0..6);
+                one.revision = rng.random_range(0..3);
+                if rng.random_bool(0.3) {
+                    one.told.truncate(rng.random_range(0..=one.told.len()));
+                }
+                if rng.random_bool(0.2) {
+                    one.name = String::new();
+                }
+                if rng.random_bool(0.1) {
+                    (one.birth, one.bump) = (u64::MAX - 1, u32::MAX);
+                }
+                news.push(one);
+            }
+            let any = |rng: &mut Pcg64Mcg| [0, 1, rng.random(), u64::MAX][rng.random_range(0..4)];
+            let summary = Summary {
+                from: any(&mut rng),
+                to: any(&mut rng),
+                digests: vec![3; rng.random_range(0..600)],
+            };
+            let datagram = Datagram {
+                from: [0, Key::of("n3").0, Key::of("n2").0][rng.random_range(0..3)],
+                kind: rng.random_range(0..12),
+                no: rng.random_range(0..5),
+                target: [0, Key::of("n2").0, Key::of("n4").0, rng.random()][rng.random_range(0..4)],
+                digest: rng.random(),
+                news,
+                pulses: vec![rng.random(); rng.random_range(0..70)],
+                summaries: if rng.random_bool(0.3) { vec![summary] } else { vec![] },
+                covered: vec![],
+                wants: vec![rng.random(), Key::of("n2").0],
+                report: None,
+                cursor: any(&mut rng),
+            };
+            let mut message = datagram.encode_to_vec();
+            if rng.random_bool(0.2) && !message.is_empty() {
+                let place = rng.random_range(0..message.len());
+                message[place] ^= 1 << rng.random_range(0..8);
+            }
+            if message.len() < 1300 {
+                fleet.datagram(at(now), address(9), &seal.seal(UNIX + now / 1_000_000, &message));
+            }
+            if fleet.next() <= at(now).now {
+                fleet.wake(at(now));
+            }
+        }
+        no_invariant_failed(&fleet);
+        // Either it holds its name, or it says that another has it.
+        let own = fleet.view().get(Key::of("n2")).unwrap();
+        let (_, life) = fleet.me();
+        assert!(own.epoch.life == life || fleet.is_mute(), "seed {seed}: {own:?}");
+    }
+}
+
+/// Every cut and every bit of a whole datagram: what is not whole is dropped, and changes nothing.
+#[test]
+fn every_cut_and_bit_of_a_datagram() {
+    let mut fleet = node("f", 2, 1);
+    let mut seal = Seal::new("f", keys(1), Life(7), 600 * S, 9);
+    let datagram = Datagram {
+        from: Key::of("n9").0,
+        kind: kind::PING,
+        news: vec![full("n9", 9, 1, 0, Status::Alive)],
+        ..Datagram::default()
+    };
+    let frame = seal.seal(UNIX, &datagram.encode_to_vec());
+    let mut now = 0;
+    for place in 0..frame.len() {
+        for bit in 0..8 {
+            let mut frame = frame.clone();
+            frame[place] ^= 1 << bit;
+            now += 10_000_000; // so that the rate does not hide what would be believed
+            fleet.datagram(at(now), address(9), &frame);
+        }
+        fleet.datagram(at(now), address(9), &frame[..place]);
+    }
+    assert_eq!((fleet.view().counts().present(), fleet.host.0.len()), (1, 0));
+}
--- a/crates/fleet/tests/simulated.rs
+++ b/crates/fleet/tests/simulated.rs
@@ -298,6 +298,26 @@
     assert!(sim.is_settled());
 }
 
+/// One leaves while a zone is cut off: those on the other side hold it for dead, and hear afterwards that it left.
+#[test]
+fn a_leave_that_a_partition_hid_is_heard_afterwards() {
+    for seed in 0..4 {
+        let mut sim = fleet(9, seed);
+        sim.run(3 * S);
+        sim.cut(|from, to| (from.zone == 0) != (to.zone == 0));
+        sim.run(2 * S);
+        sim.leave(4); // in zone 1
+        sim.run(20 * S);
+        sim.heal();
+        settles(&mut sim, 6 * S);
+        sim.run(25 * S);
+        for (node, fleet) in sim.up() {
+            let status = fleet.view().get(Key::of("n4")).unwrap().status();
+            assert_eq!(status, Status::Left, "seed {seed}, {}", node.name);
+        }
+    }
+}
+
 /// What others hang on an entry reaches all; an entry can't grow beyond its bound.
 #[test]
 fn parts_reach_all_and_an_entry_has_its_bound() {
--- /dev/null
+++ b/crates/standins/src/bin/madderpoint-rig.rs
@@ -0,0 +1,107 @@
+//! Plays timetables of faults against several processes of the program, on loopback.
+
+#![forbid(unsafe_code)]
+
+use clap::{Parser, Subcommand};
+use madderpoint_standins::rig::{self, Setting};
+use madderpoint_standins::script;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Several processes of the program, with faults between them.
+#[derive(Parser)]
+#[command(name = "madderpoint-rig", after_help = "Example: madderpoint-rig run examples/rig/partition.xml")]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play a timetable, and say whether all held.
+    Run {
+        /// The timetables.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// The program; the one beside this one if it is not told.
+        #[arg(long)]
+        exe: Option<PathBuf>,
+        /// How often each is played.
+        #[arg(long, default_value_t = 1)]
+        times: u32,
+        /// Take this seed, and with each further time the next one, in place of the timetable's.
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+    /// Check a timetable.
+    Check {
+        /// The timetables.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
+}
+
+fn read(file: &PathBuf) -> Result<script::Script, String> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+    script::read(&name, &text).map_err(|complaints| complaints.to_string())
+}
+
+fn run(files: &[PathBuf], exe: Option<PathBuf>, times: u32, seed: Option<u64>) -> Result<bool, String> {
+    let beside = std::env::current_exe().ok().and_then(|own| Some(own.parent()?.join("madderpoint")));
+    let exe = exe.or(beside).filter(|exe| exe.is_file()).ok_or("no program; name it by --exe")?;
+    let dir = std::env::temp_dir().join(format!("madderpoint-rig-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+    let mut good = true;
+    for file in files {
+        for time in 0..times {
+            let mut script = read(file)?;
+            script.seed = seed.map_or(script.seed, |seed| seed + u64::from(time));
+            let setting = Setting { exe: exe.clone(), dir: dir.clone(), more: String::new() };
+            let rig =
+                rig::Rig::start(script.clone(), setting).map_err(|e| format!("{}: {e}", file.display()))?;
+            let outcome = rig.play();
+            let word = if outcome.failures.is_empty() { "held" } else { "FAILED" };
+            println!("{}, seed {}: {word}", script.name, script.seed);
+            for (what, seconds) in &outcome.took {
+                println!("  {what}: {seconds:.2} s");
+            }
+            println!("  answers {:?}, datagrams {:?}", outcome.statuses, outcome.datagrams);
+            for failure in &outcome.failures {
+                println!("  {failure}");
+            }
+            for line in &outcome.record {
+                println!("    {line}");
+            }
+            good &= outcome.failures.is_empty();
+        }
+    }
+    let _ = std::fs::remove_dir_all(&dir);
+    Ok(good)
+}
+
+fn main() -> ExitCode {
+    let ended = match Line::parse().command {
+        Command::Run { files, exe, times, seed } => run(&files, exe, times, seed),
+        Command::Check { files } => files
+            .iter()
+            .try_for_each(|file| {
+                let script = read(file)?;
+                println!("{}: good; {} nodes, {} steps", file.display(), script.nodes, script.steps.len());
+                Ok(())
+            })
+            .map(|()| true)
+            .or_else(|what: String| {
+                eprint!("{what}");
+                Ok(false)
+            }),
+    };
+    match ended {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(what) => {
+            eprintln!("madderpoint-rig: {what}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,9 +3,15 @@
 
 #![forbid(unsafe_code)]
 
+pub mod backend;
 pub mod checker;
+pub mod faults;
 pub mod load;
 pub mod peers;
 pub mod program;
+pub mod record;
+pub mod relay;
+pub mod rig;
+pub mod script;
 pub mod wire;
 pub mod worker;
--- /dev/null
+++ b/crates/standins/src/rig.rs
@@ -0,0 +1,764 @@
+//! Several processes of the program, each with its kernel, back end and load, every link through a relay of ours; faults by a
+//! timetable; what must hold is looked at while it runs and over the joined record afterwards.
+
+use crate::backend::Backend;
+use crate::checker::{Checker, Statuses};
+use crate::faults::{Faults, Place};
+use crate::load::rid;
+use crate::peers::{nobody, unix_ms};
+use crate::record::Record;
+use crate::relay::{Datagrams, Stream};
+use crate::script::{Action, Ends, Links, Script};
+use crate::wire::{self, Answer};
+use crate::worker::Worker;
+use madderpoint_fleet::Status;
+use madderpoint_fleet::observer::{Holding, Observer};
+use madderpoint_fleet::seal::Keys;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rustix::process::{Pid, Signal, kill_process};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering::SeqCst};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+const KEY: [u8; 32] = [0x5a; 32];
+const FLEET: &str = "rig";
+/// The client timeout of the stand-in's settings, with some slack for a machine that is busy.
+const TIMEOUT: Duration = Duration::from_millis(3500);
+/// What a process may take to listen, and to end when it is told to.
+const START: Duration = Duration::from_secs(20);
+const END: Duration = Duration::from_secs(10);
+/// How long a node's answer to a look is waited for, and the time between looks.
+const LOOK: Duration = Duration::from_millis(40);
+const BETWEEN: Duration = Duration::from_millis(15);
+/// Lines of the joined record that a failure shows.
+const SHOWN: usize = 120;
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Where the program is, and where its files may be.
+#[derive(Clone, Debug)]
+pub struct Setting {
+    pub exe: PathBuf,
+    pub dir: PathBuf,
+    /// More of the settings' text, inside the element `<translator>`, after `<fleet>`.
+    pub more: String,
+}
+
+/// A process's state, shared with its load and the watcher.
+#[derive(Default)]
+struct State {
+    running: bool,
+    paused: bool,
+    /// Since when, and until when, what it does not answer is not held against it.
+    excused: Vec<(Instant, Option<Instant>)>,
+}
+
+struct Node {
+    place: Place,
+    bind: SocketAddr,
+    reached: SocketAddr,
+    worker: Worker,
+    kernel: Stream,
+    backend: Stream,
+    members: Stream,
+    front: Stream,
+    /// The name that it was started under.
+    name: String,
+    child: Option<Child>,
+    state: Arc<Mutex<State>>,
+    checker: Arc<Mutex<Checker>>,
+    load: Option<JoinHandle<()>>,
+}
+
+impl Node {
+    fn excuse(&self, until: Option<Instant>) {
+        lock(&self.state).excused.push((Instant::now(), until));
+    }
+
+    fn excuse_ends(&self) {
+        let now = Instant::now() + Duration::from_millis(500);
+        lock(&self.state)
+            .excused
+            .iter_mut()
+            .for_each(|(_, until)| *until = Some(until.map_or(now, |u| u.max(now))));
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+/// What a look found at each node, by its place.
+type Seen = Vec<Option<(Instant, Holding)>>;
+
+/// What came of a play.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// What did not hold.
+    pub failures: Vec<String>,
+    /// How long things took, in seconds, by step.
+    pub took: Vec<(String, f64)>,
+    /// Answers of all loads, by status.
+    pub statuses: Statuses,
+    /// What became of datagrams at the relay.
+    pub datagrams: BTreeMap<&'static str, u64>,
+    /// The end of the joined record, where something failed.
+    pub record: Vec<String>,
+}
+
+impl Outcome {
+    /// Panics with all that a failed test is to show.
+    pub fn expect_good(&self, script: &Script) -> &Outcome {
+        assert!(
+            self.failures.is_empty(),
+            "'{}', seed {}: {:#?}\n{:#?}\nthe record up to then:\n{}",
+            script.name,
+            script.seed,
+            self.failures,
+            script.steps,
+            self.record.join("\n")
+        );
+        self
+    }
+}
+
+/// A rig.
+pub struct Rig {
+    script: Script,
+    setting: Setting,
+    nodes: Vec<Node>,
+    faults: Arc<Faults>,
+    _datagrams: Datagrams,
+    record: Arc<Record>,
+    seen: Arc<(Mutex<Seen>, Condvar)>,
+    stop: Arc<AtomicBool>,
+    outcome: Outcome,
+    files: usize,
+}
+
+static RIGS: AtomicU8 = AtomicU8::new(1);
+
+/// An address of loopback that no other rig of this machine uses at this moment.
+fn own_address() -> IpAddr {
+    let pid = std::process::id();
+    let [_, _, high, low] = pid.to_be_bytes();
+    Ipv4Addr::new(127, 64 | (high & 63), low, RIGS.fetch_add(1, SeqCst).max(1)).into()
+}
+
+impl Rig {
+    /// Sets all up and starts the nodes.
+    pub fn start(script: Script, setting: Setting) -> std::io::Result<Rig> {
+        let ip = own_address();
+        let faults = Arc::new(Faults::new(script.seed));
+        let record = Arc::new(Record::default());
+        let places: Vec<(Place, SocketAddr)> = (0..script.nodes)
+            .map(|n| {
+                let place = Place { name: format!("n{n}"), zone: format!("z{}", n % script.zones.max(1)) };
+                (place, SocketAddr::new(ip, 7000 + n as u16))
+            })
+            .collect();
+        let datagrams = Datagrams::start(places.clone(), Arc::clone(&faults))?;
+        let mut nodes = Vec::new();
+        for (n, (place, bind)) in places.into_iter().enumerate() {
+            let (worker, backend) = (Worker::start(), Backend::start()?);
+            worker.calls(true);
+            let relay = |on, to| Stream::start(on, place.clone(), to, Arc::clone(&faults));
+            nodes.push(Node {
+                bind,
+                reached: datagrams.addresses[n],
+                kernel: relay(Links::Kernel, worker.address)?,
+                backend: relay(Links::Backend, backend.address)?,
+                members: relay(Links::Members, members()?)?,
+                front: relay(Links::Load, nobody())?,
+                worker,
+                name: place.name.clone(),
+                place,
+                child: None,
+                state: Arc::default(),
+                checker: Arc::default(),
+                load: None,
+            });
+        }
+        let seen = Arc::new((Mutex::new(vec![None; nodes.len()]), Condvar::new()));
+        let mut rig = Rig {
+            script,
+            setting,
+            nodes,
+            faults,
+            _datagrams: datagrams,
+            record,
+            seen,
+            stop: Arc::default(),
+            outcome: Outcome::default(),
+            files: 0,
+        };
+        for n in 0..rig.nodes.len() {
+            if !rig.script.absent.contains(&rig.nodes[n].place.name) {
+                rig.start_node(n, None, None)?;
+            }
+        }
+        rig.watch()?;
+        Ok(rig)
+    }
+
+    fn file(&mut self, kind: &str, text: &str) -> std::io::Result<PathBuf> {
+        self.files += 1;
+        let name = format!("rig-{}-{}-{}.{kind}", std::process::id(), self.nodes[0].bind.ip(), self.files);
+        let path = self.setting.dir.join(name);
+        std::fs::write(&path, text)?;
+        Ok(path)
+    }
+
+    fn start_node(&mut self, n: usize, name: Option<&str>, program: Option<&str>) -> std::io::Result<()> {
+        let key: String = KEY.iter().map(|b| format!("{b:02x}")).collect();
+        let keys = self.file("keys", &key)?;
+        let seeds: String =
+            self.nodes.iter().take(3).map(|node| format!("<seed address=\"{}\"/>", node.reached)).collect();
+        let periods: String =
+            self.script.periods.iter().map(|(name, value)| format!(" {name}=\"{value}\"")).collect();
+        let program = program.map_or_else(String::new, |program| format!(" program=\"{program}\""));
+        let settings = format!(
+            "<translator version=\"1\" number=\"1\"><fleet name=\"{FLEET}\" keys=\"{}\"{program}>{seeds}<periods{periods}/>\
+             </fleet>{}</translator>",
+            keys.display(),
+            self.setting.more
+        );
+        let settings = self.file("xml", &settings)?;
+        let node = &self.nodes[n];
+        node.worker.node_starts();
+        let own = name.unwrap_or(&node.place.name).to_owned();
+        let config =
+            crate::program::told(node.kernel.address, node.backend.address, node.members.address, 1024);
+        let config = self.file("json", &config.replace("\"n3\"", &format!("\"{own}\"")))?;
+        let mut child = Command::new(&self.setting.exe)
+            .args(["serve", "--log", "json", "--settings"])
+            .arg(settings)
+            .env("PROXY_CONFIG", config)
+            .env("MADDERPOINT_ZONE", &self.nodes[n].place.zone)
+            .env("MADDERPOINT_FLEET_BIND", self.nodes[n].bind.to_string())
+            .env("MADDERPOINT_FLEET_ADVERTISE", self.nodes[n].reached.to_string())
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let Some(stderr) = child.stderr.take() else { return Err(ErrorKind::BrokenPipe.into()) };
+        let (record, who) = (Arc::clone(&self.record), self.nodes[n].place.name.clone());
+        let (listens, listening) = std::sync::mpsc::channel();
+        thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                if let Some((_, rest)) = line.split_once("listening on ") {
+                    let address = rest.split('"').next().unwrap_or_default();
+                    let _ = listens.send(address.parse::<SocketAddr>());
+                }
+                record.line(&who, &line);
+            }
+        });
+        let listen = listening.recv_timeout(START);
+        let node = &mut self.nodes[n];
+        node.child = Some(child);
+        let Ok(Ok(listen)) = listen else {
+            let tail: Vec<String> =
+                self.record.joined().iter().rev().take(5).map(ToString::to_string).collect();
+            return Err(std::io::Error::other(format!("{} did not listen: {tail:?}", node.place.name)));
+        };
+        *lock(&node.front.to) = listen;
+        node.name = own;
+        {
+            let mut state = lock(&node.state);
+            (state.running, state.paused) = (true, false);
+        }
+        node.excuse_ends();
+        self.record.note(&node.place.name, "rig", format!("started as {} on {listen}", node.name));
+        if node.load.is_none() && self.script.load > 0 {
+            let load = Load {
+                front: node.front.address,
+                every: Duration::from_secs(1) / self.script.load as u32,
+                state: Arc::clone(&node.state),
+                checker: Arc::clone(&node.checker),
+                stop: Arc::clone(&self.stop),
+            };
+            node.load = Some(thread::spawn(move || load.run()));
+        }
+        Ok(())
+    }
+
+    /// Looks at what every node holds, one after the other, as often as that goes.
+    fn watch(&self) -> std::io::Result<()> {
+        let (seen, stop) = (Arc::clone(&self.seen), Arc::clone(&self.stop));
+        let nodes: Vec<(SocketAddr, Arc<Mutex<State>>)> =
+            self.nodes.iter().map(|node| (node.bind, Arc::clone(&node.state))).collect();
+        let socket = UdpSocket::bind((nodes[0].0.ip(), 0))?;
+        socket.set_read_timeout(Some(LOOK))?;
+        let seed = (u64::from(std::process::id()) << 8) | u64::from(RIGS.load(SeqCst));
+        thread::Builder::new().name("watch".into()).spawn(move || {
+            let keys = || Keys::new(&[KEY.to_vec()]).expect("a key of 32 bytes");
+            let begun = Instant::now();
+            let mut observers: Vec<Observer> = (0..nodes.len())
+                .map(|n| Observer::new(FLEET, keys(), (seed << 8) | (n as u64 + 1), 600_000_000_000))
+                .collect();
+            while !stop.load(SeqCst) {
+                for (n, (at, state)) in nodes.iter().enumerate() {
+                    let up = {
+                        let state = lock(state);
+                        state.running && !state.paused
+                    };
+                    let holding = if up { look(&socket, *at, &mut observers[n], begun) } else { None };
+                    if !up || holding.is_some() {
+                        lock(&seen.0)[n] = holding.map(|holding| (Instant::now(), holding));
+                    }
+                }
+                seen.1.notify_all();
+                thread::sleep(BETWEEN);
+            }
+        })?;
+        Ok(())
+    }
+
+    fn node(&self, name: &str) -> usize {
+        self.nodes.iter().position(|node| node.place.name == name).unwrap_or(0)
+    }
+
+    /// Plays the timetable to its end.
+    pub fn play(mut self) -> Outcome {
+        let begun = Instant::now();
+        let steps = std::mem::take(&mut self.script.steps);
+        for (at, step) in steps.iter().enumerate() {
+            thread::sleep((begun + step.at).saturating_duration_since(Instant::now()));
+            self.record.note("rig", "step", format!("{:?}", step.action));
+            self.act(at, &step.action);
+        }
+        self.script.steps = steps;
+        thread::sleep((begun + self.script.time).saturating_duration_since(Instant::now()));
+        self.end()
+    }
+
+    fn fail(&mut self, what: String) {
+        self.record.note("rig", "FAILED", what.clone());
+        self.outcome.failures.push(what);
+    }
+
+    fn act(&mut self, at: usize, action: &Action) {
+        match action {
+            Action::Link { faulty, time } => {
+                if faulty.on != Links::Fleet {
+                    let until = time.map(|time| Instant::now() + time + Duration::from_secs(1));
+                    for node in &self.nodes {
+                        if faulty.from.has(&node.place.name, &node.place.zone) {
+                            node.excuse(until);
+                        }
+                    }
+                }
+                self.faults.put(faulty.clone(), *time);
+            }
+            Action::Heal => {
+                self.faults.heal();
+                self.nodes.iter().filter(|node| lock(&node.state).running).for_each(Node::excuse_ends);
+            }
+            Action::Kill(node) => {
+                let n = self.node(node);
+                self.nodes[n].excuse(None);
+                lock(&self.nodes[n].state).running = false;
+                if let Some(mut child) = self.nodes[n].child.take() {
+                    let _ = child.kill();
+                    let _ = child.wait();
+                }
+            }
+            Action::Stop(node) => {
+                let n = self.node(node);
+                self.nodes[n].excuse(None);
+                self.stop_node(n);
+            }
+            Action::Pause { node, time } => {
+                let n = self.node(node);
+                self.nodes[n].excuse(Some(Instant::now() + *time + Duration::from_secs(1)));
+                lock(&self.nodes[n].state).paused = true;
+                self.nodes[n].signal(Signal::STOP);
+                let pid = self.nodes[n].child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
+                let (state, time) = (Arc::clone(&self.nodes[n].state), *time);
+                let (record, name) = (Arc::clone(&self.record), node.clone());
+                thread::spawn(move || {
+                    thread::sleep(time);
+                    if let Some(pid) = pid {
+                        let _ = kill_process(pid, Signal::CONT);
+                    }
+                    lock(&state).paused = false;
+                    record.note(&name, "rig", "goes on");
+                });
+            }
+            Action::Hup(node) => {
+                let n = self.node(node);
+                self.nodes[n].signal(Signal::HUP);
+            }
+            Action::Start { node, name, program } => {
+                let n = self.node(node);
+                if let Err(e) = self.start_node(n, name.as_deref(), program.as_deref()) {
+                    self.fail(format!("step {at}: {e}"));
+                }
+            }
+            Action::Stranger { to, a_second, time } => self.stranger(to, *a_second, *time),
+            Action::Settled { within, sides } => {
+                let begun = Instant::now();
+                match self.wait(begun + *within, |rig, seen| rig.unsettled(seen, *sides)) {
+                    Ok(()) => self.took(format!("settled, step {at}"), begun),
+                    Err(what) => self.fail(format!("step {at}: not settled within {within:?}: {what}")),
+                }
+            }
+            Action::Sees { node, other, held, within } => {
+                let (begun, n) = (Instant::now(), self.node(node));
+                let sees = |rig: &Rig, seen: &Seen| rig.unlike(seen, n, other, held);
+                match self.wait(begun + *within, sees) {
+                    Ok(()) => self.took(format!("{node} holds {other} for {held}, step {at}"), begun),
+                    Err(what) => self.fail(format!("step {at}: not so within {within:?}: {what}")),
+                }
+            }
+        }
+    }
+
+    fn took(&mut self, what: String, begun: Instant) {
+        self.record.note("rig", "took", format!("{what}: {} ms", begun.elapsed().as_millis()));
+        self.outcome.took.push((what, begun.elapsed().as_secs_f64()));
+    }
+
+    /// Waits until a look finds nothing wrong; else gives what the last one found.
+    fn wait(&self, until: Instant, wrong: impl Fn(&Rig, &Seen) -> Option<String>) -> Result<(), String> {
+        let mut seen = lock(&self.seen.0);
+        loop {
+            let Some(what) = wrong(self, &seen) else { return Ok(()) };
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(what);
+            }
+            let waited = self.seen.1.wait_timeout(seen, left.min(Duration::from_millis(200)));
+            seen = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn is_up(&self, n: usize) -> bool {
+        let state = lock(&self.nodes[n].state);
+        state.running && !state.paused
+    }
+
+    /// Nodes that are up, in groups that hear each other, if by way of others.
+    fn groups(&self) -> Vec<Vec<usize>> {
+        let mut left: Vec<usize> = (0..self.nodes.len()).filter(|&n| self.is_up(n)).collect();
+        let mut groups = Vec::new();
+        while let Some(first) = left.pop() {
+            let (mut group, mut at) = (vec![first], 0);
+            while at < group.len() {
+                let here = &self.nodes[group[at]].place;
+                let hears = |n: &usize| {
+                    let there = &self.nodes[*n].place;
+                    !self.faults.is_cut(here, there) && !self.faults.is_cut(there, here)
+                };
+                let (found, rest): (Vec<usize>, Vec<usize>) = left.into_iter().partition(hears);
+                group.extend(found);
+                left = rest;
+                at += 1;
+            }
+            groups.push(group);
+        }
+        groups
+    }
+
+    /// What keeps the fleet from being settled in so many groups.
+    fn unsettled(&self, seen: &Seen, sides: usize) -> Option<String> {
+        let groups = self.groups();
+        if groups.len() != sides {
+            return Some(format!("{} groups that hear each other, {sides} wanted", groups.len()));
+        }
+        for group in groups {
+            let names: BTreeSet<&str> = group.iter().map(|&n| self.nodes[n].name.as_str()).collect();
+            let mut digest = None;
+            for n in group {
+                let name = &self.nodes[n].place.name;
+                let Some((_, holding)) = &seen[n] else { return Some(format!("{name} was not seen yet")) };
+                let there = holding.members.values().filter(|member| member.status.is_present());
+                let there: BTreeSet<&str> = there.map(|member| member.name.as_str()).collect();
+                if there != names {
+                    return Some(format!("{name} holds {there:?} for there, and {names:?} are"));
+                }
+                if *digest.get_or_insert(holding.digest) != holding.digest {
+                    return Some(format!("{name} holds another digest than its group"));
+                }
+            }
+        }
+        None
+    }
+
+    /// What keeps a node from holding another so.
+    fn unlike(&self, seen: &Seen, n: usize, other: &str, held: &str) -> Option<String> {
+        let name = &self.nodes[n].place.name;
+        let Some((_, holding)) = &seen[n] else { return Some(format!("{name} was not seen yet")) };
+        let found = match held {
+            "mute" | "heard" => if holding.report.mute { "mute" } else { "heard" }.to_owned(),
+            "unsure" | "sure" => if holding.report.unsure_ms > 0 { "unsure" } else { "sure" }.to_owned(),
+            _ => {
+                let member = holding.members.values().find(|member| member.name == other);
+                match member {
+                    None => "unknown".to_owned(),
+                    Some(m) if held == "draining" && m.status == Status::Alive => m.phase.word().to_owned(),
+                    Some(m) if held.contains('.') => m.program.clone(),
+                    Some(m) => m.status.word().to_owned(),
+                }
+            }
+        };
+        (found != held).then(|| format!("{name} holds {other} for {found}, not {held}"))
+    }
+
+    fn stranger(&self, to: &Ends, a_second: u64, time: Duration) {
+        let targets: Vec<SocketAddr> = self
+            .nodes
+            .iter()
+            .filter(|node| to.has(&node.place.name, &node.place.zone))
+            .map(|node| node.reached)
+            .collect();
+        let (seed, record) = (self.script.seed, Arc::clone(&self.record));
+        thread::spawn(move || {
+            let Ok(socket) = UdpSocket::bind("127.0.0.1:0") else { return };
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let (begun, mut sent) = (Instant::now(), 0u64);
+            while begun.elapsed() < time {
+                let due = (begun.elapsed().as_secs_f64() * a_second as f64) as u64;
+                for _ in sent..due {
+                    let mut frame: Vec<u8> = (0..rng.random_range(1..200)).map(|_| rng.random()).collect();
+                    if rng.random_bool(0.5) {
+                        frame.splice(..0, *b"mf\x01"); // looks like one of ours at its beginning
+                    }
+                    let _ = socket.send_to(&frame, targets[rng.random_range(0..targets.len())]);
+                }
+                sent = due;
+                thread::sleep(Duration::from_millis(5));
+            }
+            record.note("stranger", "rig", format!("sent {sent} datagrams"));
+        });
+    }
+
+    fn stop_node(&mut self, n: usize) {
+        let Some(mut child) = self.nodes[n].child.take() else { return };
+        let name = self.nodes[n].place.name.clone();
+        if let Some(pid) = Pid::from_raw(child.id() as i32) {
+            let _ = kill_process(pid, Signal::CONT);
+            let _ = kill_process(pid, Signal::TERM);
+        }
+        let until = Instant::now() + END;
+        let ended = loop {
+            match child.try_wait() {
+                Ok(Some(status)) => break Some(status),
+                Ok(None) if Instant::now() < until => thread::sleep(Duration::from_millis(5)),
+                _ => break None,
+            }
+        };
+        lock(&self.nodes[n].state).running = false;
+        match ended {
+            Some(status) if status.success() => {}
+            Some(status) => self.fail(format!("{name} ended with {status}")),
+            None => {
+                let _ = child.kill();
+                let _ = child.wait();
+                self.fail(format!("{name} did not end within {END:?} after the notice to leave"));
+            }
+        }
+    }
+
+    /// Stops all and looks at the whole of it.
+    fn end(mut self) -> Outcome {
+        for n in 0..self.nodes.len() {
+            let died = match self.nodes[n].child.as_mut().map(Child::try_wait) {
+                Some(Ok(Some(status))) => Some(status),
+                _ => None,
+            };
+            if let Some(status) = died {
+                self.fail(format!("{} ended by itself with {status}", self.nodes[n].place.name));
+            }
+        }
+        self.stop.store(true, SeqCst);
+        for node in &mut self.nodes {
+            if let Some(load) = node.load.take() {
+                let _ = load.join();
+            }
+        }
+        self.faults.heal();
+        (0..self.nodes.len()).for_each(|n| self.stop_node(n));
+        for node in &self.nodes {
+            let checker = std::mem::take(&mut *lock(&node.checker));
+            match checker.verdict(&node.worker.started(), TIMEOUT) {
+                Ok(statuses) => {
+                    for (status, n) in statuses {
+                        *self.outcome.statuses.entry(status).or_default() += n;
+                    }
+                }
+                Err(wrong) => {
+                    let more = wrong.len().saturating_sub(5);
+                    let first: Vec<String> = wrong.into_iter().take(5).collect();
+                    self.outcome.failures.push(format!("{}: {first:?} and {more} more", node.place.name));
+                }
+            }
+        }
+        let joined = self.record.joined();
+        for line in &joined {
+            if line.what.contains("panicked") || line.what.contains("invariant:") {
+                self.outcome.failures.push(line.to_string());
+            }
+        }
+        self.outcome.datagrams = self.faults.counts().into_iter().collect();
+        if !self.outcome.failures.is_empty() {
+            let first = joined.iter().position(|line| line.part == "FAILED").unwrap_or(joined.len());
+            let from = first.saturating_sub(SHOWN);
+            self.outcome.record =
+                joined[from..joined.len().min(first + 10)].iter().map(ToString::to_string).collect();
+        }
+        std::mem::take(&mut self.outcome)
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        self.stop.store(true, SeqCst);
+        for node in &mut self.nodes {
+            if let Some(mut child) = node.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+/// A membership service that takes every report.
+fn members() -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut buffer = [0; 1024];
+            let _ = stream.set_read_timeout(Some(Duration::from_millis(300)));
+            let _ = stream.read(&mut buffer);
+            let _ = stream.write_all(b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    Ok(address)
+}
+
+/// One look: all pages of what a node holds, or nothing if it does not answer.
+fn look(socket: &UdpSocket, at: SocketAddr, observer: &mut Observer, begun: Instant) -> Option<Holding> {
+    let unix = || unix_ms().parse::<u64>().unwrap_or(0);
+    let mut buffer = [0; 2048];
+    for _ in 0..64 {
+        let question = observer.question(unix());
+        socket.send_to(&question, at).ok()?;
+        loop {
+            let (n, from) = socket.recv_from(&mut buffer).ok()?;
+            let now = begun.elapsed().as_nanos() as u64;
+            match observer.datagram(now, unix(), &buffer[..n]) {
+                Ok((_, Some(holding))) if from == at => return Some(holding),
+                Ok((true, None)) if from == at => break,
+                _ => {} // late, from another look
+            }
+        }
+    }
+    None
+}
+
+/// Requests to one node, one after the other, through the relay.
+struct Load {
+    front: SocketAddr,
+    every: Duration,
+    state: Arc<Mutex<State>>,
+    checker: Arc<Mutex<Checker>>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Load {
+    fn run(&self) {
+        let mut stream: Option<TcpStream> = None;
+        let mut next = Instant::now();
+        let mut turn = 0usize;
+        while !self.stop.load(SeqCst) {
+            next = (next + self.every).max(Instant::now());
+            thread::sleep(next.saturating_duration_since(Instant::now()));
+            let is_up = lock(&self.state).running;
+            if !is_up {
+                stream = None;
+                continue;
+            }
+            turn += 1;
+            let path = ["/call/read", "/call/book", "/call/pay"][turn % 3];
+            let kept = stream.take().or_else(|| TcpStream::connect(self.front).ok());
+            let Some(connected) = kept else { continue };
+            stream = self.ask(connected, path);
+        }
+    }
+
+    /// Sends one and waits for its answer; gives the connection back if it can be used again.
+    fn ask(&self, mut stream: TcpStream, path: &str) -> Option<TcpStream> {
+        let (id, begun) = (rid(), Instant::now());
+        let arrived = unix_ms();
+        let bytes = wire::request(1, &wire::call(path, &id, &arrived), b"body");
+        stream.set_nodelay(true).ok()?;
+        stream.set_read_timeout(Some(Duration::from_millis(100))).ok()?;
+        // A connection that the node closed while it was idle is no loss: nothing was read from it.
+        if stream.write_all(&bytes).is_err() {
+            return None;
+        }
+        lock(&self.checker).sent(&id, None);
+        let (mut come, mut open, mut buffer) = (Vec::new(), BTreeMap::new(), [0; 8192]);
+        loop {
+            match stream.read(&mut buffer) {
+                Ok(0) => break,
+                Ok(n) => come.extend_from_slice(&buffer[..n]),
+                Err(e)
+                    if matches!(
+                        e.kind(),
+                        ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
+                    ) => {}
+                Err(_) => break,
+            }
+            let answers: Vec<Answer> = wire::answers(&mut come, &mut open);
+            if let Some(answer) = answers.first() {
+                let mut checker = lock(&self.checker);
+                if self.is_excused(begun) && begun.elapsed() > TIMEOUT {
+                    checker.left(&id);
+                } else {
+                    checker.answered(&id, answer, false);
+                }
+                return Some(stream);
+            }
+            if begun.elapsed() > TIMEOUT + Duration::from_secs(1) {
+                break;
+            }
+        }
+        // Without an answer: lost, unless the node was killed, stood still or was cut off; or it had closed the connection
+        // as idle at the very moment, and then nothing ran.
+        let crossed = come.is_empty() && begun.elapsed() < Duration::from_millis(50);
+        if self.is_excused(begun) || crossed {
+            lock(&self.checker).left(&id);
+        }
+        None
+    }
+
+    fn is_excused(&self, begun: Instant) -> bool {
+        let state = lock(&self.state);
+        let covers = |until: &Option<Instant>| until.is_none_or(|until| until > begun);
+        state.excused.iter().any(|(_, until)| covers(until))
+    }
+}
+
+/// Reads and plays a timetable.
+pub fn play(file: &Path, setting: Setting) -> Result<(Script, Outcome), String> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+    let script = crate::script::read(&name, &text).map_err(|complaints| complaints.to_string())?;
+    let rig = Rig::start(script.clone(), setting).map_err(|e| format!("{name}: {e}"))?;
+    Ok((script, rig.play()))
+}
--- /dev/null
+++ b/crates/standins/src/script.rs
@@ -0,0 +1,323 @@
+//! Timetables: which fault is put where and when, and what must hold then. Files in XML, checked by a schema as our settings
+//! are.
+
+use madderpoint_rules::time;
+use madderpoint_settings::schema::Schema;
+use madderpoint_settings::xml::Element;
+use madderpoint_settings::{Complaint, Complaints, Place, xml};
+use std::time::Duration;
+
+/// The schema, as it lies beside this package.
+pub const SCHEMA: &str = include_str!("../script.xsd");
+/// Nodes of one rig, at most.
+pub const NODES_MAX: usize = 64;
+
+/// Which links.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Links {
+    /// Between nodes.
+    #[default]
+    Fleet,
+    /// Between dispatchers and a node, a node and its kernel, its back end, the membership service.
+    Load,
+    Kernel,
+    Backend,
+    Members,
+}
+
+/// One end of links.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Ends {
+    #[default]
+    All,
+    Node(String),
+    Zone(String),
+    NotZone(String),
+}
+
+impl Ends {
+    fn read(text: &str) -> Ends {
+        match text {
+            "all" => Ends::All,
+            text => match (text.strip_prefix("zone:"), text.strip_prefix("not-zone:")) {
+                (Some(zone), _) => Ends::Zone(zone.to_owned()),
+                (_, Some(zone)) => Ends::NotZone(zone.to_owned()),
+                _ => Ends::Node(text.to_owned()),
+            },
+        }
+    }
+
+    /// Whether a node of this name and zone is meant.
+    pub fn has(&self, name: &str, zone: &str) -> bool {
+        match self {
+            Ends::All => true,
+            Ends::Node(node) => node == name,
+            Ends::Zone(of) => of == zone,
+            Ends::NotZone(of) => of != zone,
+        }
+    }
+}
+
+/// What is wrong with a link.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Fault {
+    /// Nothing passes; or it waits until the fault is over.
+    pub cut: bool,
+    pub hold: bool,
+    /// Shares of datagrams that are lost, doubled, damaged, and overtaken by later ones.
+    pub loss: f64,
+    pub double: f64,
+    pub damage: f64,
+    pub reorder: f64,
+    pub delay: Duration,
+    pub jitter: Duration,
+    pub bytes_a_second: Option<u64>,
+}
+
+/// Links with a fault.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Faulty {
+    pub on: Links,
+    pub from: Ends,
+    pub to: Ends,
+    /// The other way too.
+    pub both: bool,
+    pub fault: Fault,
+}
+
+/// What is done, or must hold.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Link {
+        faulty: Faulty,
+        time: Option<Duration>,
+    },
+    Heal,
+    Kill(String),
+    /// SIGTERM; it must end well.
+    Stop(String),
+    Pause {
+        node: String,
+        time: Duration,
+    },
+    Hup(String),
+    /// Starts a node, under another's name, or as another version of the program.
+    Start {
+        node: String,
+        name: Option<String>,
+        program: Option<String>,
+    },
+    Stranger {
+        to: Ends,
+        a_second: u64,
+        time: Duration,
+    },
+    Settled {
+        within: Duration,
+        sides: usize,
+    },
+    Sees {
+        node: String,
+        other: String,
+        held: String,
+        within: Duration,
+    },
+}
+
+/// A step of a timetable.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    pub at: Duration,
+    pub action: Action,
+}
+
+/// A timetable.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Script {
+    pub name: String,
+    pub seed: u64,
+    pub nodes: usize,
+    pub zones: usize,
+    /// Nodes that are not started with the others.
+    pub absent: Vec<String>,
+    /// Requests a second to each node.
+    pub load: u64,
+    pub time: Duration,
+    /// Periods of the fleet, as its settings have them.
+    pub periods: Vec<(String, String)>,
+    pub steps: Vec<Step>,
+}
+
+fn text<'e>(element: &'e Element, name: &str) -> Option<&'e str> {
+    element.get(name).map(|text| text.value.as_str())
+}
+
+fn span(element: &Element, name: &str) -> Option<Duration> {
+    let nanos = time::span(text(element, name)?)?;
+    u64::try_from(nanos).ok().map(Duration::from_nanos)
+}
+
+fn share(element: &Element, name: &str) -> f64 {
+    text(element, name).and_then(|text| text.parse().ok()).unwrap_or(0.0)
+}
+
+fn number(element: &Element, name: &str) -> Option<u64> {
+    text(element, name)?.parse().ok()
+}
+
+fn is(element: &Element, name: &str) -> bool {
+    text(element, name) == Some("yes")
+}
+
+fn action(element: &Element) -> Option<Action> {
+    let node = || text(element, "node").unwrap_or_default().to_owned();
+    let time = || span(element, "for");
+    let ends = |name| text(element, name).map_or(Ends::All, Ends::read);
+    Some(match element.name.as_str() {
+        "link" => {
+            let fault = Fault {
+                cut: is(element, "cut"),
+                hold: is(element, "hold"),
+                loss: share(element, "loss"),
+                double: share(element, "double"),
+                damage: share(element, "damage"),
+                reorder: share(element, "reorder"),
+                delay: span(element, "delay").unwrap_or_default(),
+                jitter: span(element, "jitter").unwrap_or_default(),
+                bytes_a_second: number(element, "bytes-a-second"),
+            };
+            let on = match text(element, "on") {
+                Some("load") => Links::Load,
+                Some("kernel") => Links::Kernel,
+                Some("backend") => Links::Backend,
+                Some("members") => Links::Members,
+                _ => Links::Fleet,
+            };
+            let faulty = Faulty { on, from: ends("from"), to: ends("to"), both: is(element, "both"), fault };
+            Action::Link { faulty, time: time() }
+        }
+        "heal" => Action::Heal,
+        "kill" => Action::Kill(node()),
+        "stop" => Action::Stop(node()),
+        "pause" => Action::Pause { node: node(), time: time().unwrap_or(Duration::from_secs(1)) },
+        "hup" => Action::Hup(node()),
+        "start" => Action::Start {
+            node: node(),
+            name: text(element, "as").map(str::to_owned),
+            program: text(element, "program").map(str::to_owned),
+        },
+        "stranger" => {
+            Action::Stranger { to: ends("to"), a_second: number(element, "a-second")?, time: time()? }
+        }
+        "settled" => Action::Settled {
+            within: span(element, "within")?,
+            sides: number(element, "sides").map_or(1, |n| n as usize),
+        },
+        "sees" => Action::Sees {
+            node: node(),
+            other: text(element, "other")?.to_owned(),
+            held: text(element, "held")?.to_owned(),
+            within: span(element, "within")?,
+        },
+        _ => return None,
+    })
+}
+
+/// Reads a timetable's text; tells all that is wrong with its lines.
+pub fn read(file: &str, whole: &str) -> Result<Script, Complaints> {
+    let complaints = |all| Complaints::new(file, whole, all);
+    let root = xml::read(whole).map_err(|e| complaints(vec![e]))?;
+    let at = |place, what: String, expected: &str| Complaint {
+        place,
+        field: "script".into(),
+        what,
+        expected: expected.into(),
+    };
+    let schema = Schema::read(SCHEMA).map_err(|e| complaints(vec![at(Place::Whole, e, "a schema")]))?;
+    let mut wrong = schema.check(&root);
+    if !wrong.is_empty() {
+        return Err(complaints(wrong));
+    }
+    let words =
+        |name| text(&root, name).map_or(Vec::new(), |t| t.split_whitespace().map(str::to_owned).collect());
+    let mut script = Script {
+        name: text(&root, "name").unwrap_or_default().to_owned(),
+        seed: number(&root, "seed").unwrap_or(1),
+        nodes: number(&root, "nodes").unwrap_or(1) as usize,
+        zones: number(&root, "zones").unwrap_or(1) as usize,
+        absent: words("absent"),
+        load: number(&root, "load").unwrap_or(0),
+        time: span(&root, "time").unwrap_or_default(),
+        periods: Vec::new(),
+        steps: Vec::new(),
+    };
+    if script.nodes > NODES_MAX {
+        wrong.push(at(Place::At(root.at), format!("{} nodes", script.nodes), "64 at most"));
+    }
+    if let Some(periods) = root.one("periods") {
+        script.periods = periods.attributes.iter().map(|a| (a.name.clone(), a.value.value.clone())).collect();
+    }
+    let known = |name: &str| {
+        name.strip_prefix('n').and_then(|n| n.parse::<usize>().ok()).is_some_and(|n| n < script.nodes)
+    };
+    for step in root.all("step").filter_map(|step| step.children.first()) {
+        let (time, action) = (span(step, "at"), action(step));
+        let (Some(time), Some(action)) = (time, action) else {
+            wrong.push(at(
+                Place::At(step.at),
+                format!("<{}> can't be read", step.name),
+                "what the schema shows",
+            ));
+            continue;
+        };
+        let named = ["node", "other"].into_iter().filter_map(|name| text(step, name));
+        if let Some(stranger) = named.into_iter().find(|name| !known(name)) {
+            let most = format!("n0 to n{}", script.nodes - 1);
+            wrong.push(at(Place::At(step.at), format!("there is no node {stranger}"), &most));
+        }
+        script.steps.push(Step { at: time, action });
+    }
+    script.steps.sort_by_key(|step| step.at);
+    if wrong.is_empty() { Ok(script) } else { Err(complaints(wrong)) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_timetable_is_read_in_the_order_of_its_times() {
+        let text = r#"<script name="x" seed="3" nodes="4" zones="2" load="9" time="5s">
+            <periods probe="200ms"/>
+            <step><settled at="3s" within="1s"/></step>
+            <step><link at="1s" for="2s" from="zone:z0" to="not-zone:z0" both="yes" cut="yes"/></step>
+            <step><link at="1s" on="kernel" from="n1" loss="0.25" delay="20ms"/></step>
+        </script>"#;
+        let script = read("t.xml", text).unwrap();
+        assert_eq!((script.nodes, script.zones, script.steps.len()), (4, 2, 3));
+        let Action::Link { faulty, time } = &script.steps[0].action else { panic!("{script:?}") };
+        assert_eq!((faulty.both, faulty.fault.cut, *time), (true, true, Some(Duration::from_secs(2))));
+        assert!(faulty.from.has("n2", "z0") && !faulty.to.has("n2", "z0") && faulty.to.has("n3", "z1"));
+        let Action::Link { faulty, .. } = &script.steps[1].action else { panic!("{script:?}") };
+        assert_eq!((faulty.on, faulty.fault.loss), (Links::Kernel, 0.25));
+        assert_eq!(script.steps[2].at, Duration::from_secs(3));
+    }
+
+    #[test]
+    fn what_a_timetable_can_not_say_is_told_with_its_line() {
+        let script =
+            |inner: &str| format!("<script name=\"x\" seed=\"3\" nodes=\"4\" time=\"5s\">\n{inner}</script>");
+        for (inner, told) in [
+            (
+                "<step><kill at=\"1s\" node=\"n4\"/></step>",
+                "t.xml:2:8: script: there is no node n4; expected n0 to n3",
+            ),
+            ("<step><kill at=\"1\" node=\"n1\"/></step>", "does not fit"),
+            ("<step><explode at=\"1s\"/></step>", "<explode>"),
+            ("<step><link at=\"1s\" loss=\"2\"/></step>", "expected a share from 0 to 1"),
+        ] {
+            let shown = read("t.xml", &script(inner)).unwrap_err().to_string().to_lowercase();
+            assert!(shown.contains(&told.to_lowercase()), "{inner}: {shown}");
+        }
+    }
+}
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -3,13 +3,16 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::Value;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Duration;
 
+/// Notices that are kept, as the protocol has it.
+const NOTICES_KEPT: usize = 4000;
+
 /// A command to run, as it came.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Started {
@@ -24,9 +27,14 @@
     /// Runs that wait to be let go on, and whether new ones do.
     held: Vec<String>,
     holds: bool,
+    /// Whether runs call below before they end; and those that wait for a reply, by id with their route.
+    calls: bool,
+    calling: HashMap<String, String>,
     /// How many runs end as ERROR, by route.
     errors: HashMap<String, usize>,
     notices: u64,
+    /// What was said of runs, by number, for a link that missed it.
+    told: VecDeque<(u64, String)>,
     link: Option<TcpStream>,
 }
 
@@ -71,7 +79,13 @@
         let (lock, changed) = &*self.state;
         let mut state = lock.lock().unwrap();
         match command["t"].as_str() {
-            Some("OPEN") => state.say(r#"{"t":"BOOTED","status":"WARM","time_ms":9000}"#),
+            Some("OPEN") => {
+                state.say(r#"{"t":"BOOTED","status":"WARM","time_ms":9000}"#);
+                let last = command["no"].as_u64().unwrap_or(0);
+                let missed: Vec<String> =
+                    state.told.iter().filter(|(no, _)| *no > last).map(|(_, line)| line.clone()).collect();
+                missed.iter().for_each(|line| state.say(line));
+            }
             Some("SYSINFO") => {
                 let line = format!(r#"{{"t":"INFO","mark":{},"v":[0.1,0.1]}}"#, command["mark"]);
                 state.say(&line);
@@ -87,17 +101,27 @@
                 if state.started.iter().all(|s| s.rid != started.rid) {
                     if state.holds {
                         state.held.push(started.rid.clone());
+                    } else if state.calls {
+                        state.call(&started.rid, &started.route);
                     } else {
                         state.end(&started.rid, &started.route);
                     }
                     state.started.push(started);
                 }
             }
+            Some("IODONE" | "NOIO") => {
+                let rid = command["rid"].as_str().unwrap_or_default();
+                if let Some(route) = state.calling.remove(rid) {
+                    state.end(rid, &route);
+                }
+            }
             Some("PREEMPT") => {
                 let rid = command["rid"].as_str().unwrap_or_default().to_owned();
                 if let Some(at) = state.held.iter().position(|held| *held == rid) {
                     state.held.remove(at);
                     state.reap(&rid, "STOPPED");
+                } else if state.calling.remove(&rid).is_some() {
+                    state.reap(&rid, "STOPPED");
                 }
             }
             _ => {}
@@ -117,6 +141,20 @@
         }
     }
 
+    /// The node starts anew: notices count from 1 again, and what ran for the one before is over.
+    pub fn node_starts(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        state.notices = 0;
+        state.told.clear();
+        state.held.clear();
+        state.calling.clear();
+    }
+
+    /// From here on runs call below, once each, or not.
+    pub fn calls(&self, calls: bool) {
+        self.state.0.lock().unwrap().calls = calls;
+    }
+
     /// The next runs of a route end as ERROR, so many of them.
     pub fn fail(&self, route: &str, times: usize) {
         self.state.0.lock().unwrap().errors.insert(route.to_owned(), times);
@@ -150,6 +188,23 @@
         }
     }
 
+    fn call(&mut self, rid: &str, route: &str) {
+        self.calling.insert(rid.to_owned(), route.to_owned());
+        let body = STANDARD.encode(b"call");
+        self.notice(|no| format!(r#"{{"t":"IOREQ","no":{no},"rid":"{rid}","b64":"{body}"}}"#));
+    }
+
+    /// Says something of a run, and keeps it for a link that misses it.
+    fn notice(&mut self, line: impl FnOnce(u64) -> String) {
+        self.notices += 1;
+        let line = line(self.notices);
+        self.say(&line);
+        self.told.push_back((self.notices, line));
+        if self.told.len() > NOTICES_KEPT {
+            self.told.pop_front();
+        }
+    }
+
     fn end(&mut self, rid: &str, route: &str) {
         let fails = self.errors.get_mut(route).is_some_and(|left| {
             let fails = *left > 0;
@@ -160,11 +215,11 @@
     }
 
     fn reap(&mut self, rid: &str, status: &str) {
-        self.notices += 1;
         let body = STANDARD.encode(result(rid));
-        let no = self.notices;
-        self.say(&format!(
-            r#"{{"t":"REAP","no":{no},"rid":"{rid}","status":"{status}","time_ms":1,"b64":"{body}"}}"#
-        ));
+        self.notice(|no| {
+            format!(
+                r#"{{"t":"REAP","no":{no},"rid":"{rid}","status":"{status}","time_ms":1,"b64":"{body}"}}"#
+            )
+        });
     }
 }
