--- /dev/null
+++ b/crates/fleet/src/fleet/spread.rs
@@ -0,0 +1,199 @@
+//! Spreading: news in rounds, views that are compared, the dead and the seeds tried again; and all that is sent.
+
+use super::*;
+
+impl<H: Host> Fleet<H> {
+    pub(super) fn others(&mut self, most: usize) -> Vec<Key> {
+        let (view, me) = (&self.view, self.me);
+        let there = |key: Key| key != me && view.get(key).is_some_and(|e| e.status().is_present());
+        self.round.some(&mut self.rng, most, there)
+    }
+
+    pub(super) fn spread(&mut self, at: Moment) {
+        let unsettled = at.now < self.unsettled_until;
+        if self.is_mute() || self.gossip.is_empty() && !unsettled {
+            return;
+        }
+        let crowded = self.gossip.len() > NEWS_FIT;
+        let others = self.others(FANOUT);
+        for key in &others {
+            self.send_to(at, *key, kind::GOSSIP, 0, Key::NOBODY, Vec::new());
+        }
+        if crowded && let Some(key) = others.first() {
+            self.compare(at, *key);
+        }
+    }
+
+    /// Looks for one of the dead. If it is there it says so, and then views are compared: so two halves of a healed
+    /// partition find each other.
+    pub(super) fn regain(&mut self, at: Moment) {
+        self.regains += 1;
+        if !self.settings.extensions.regain || self.is_mute() || self.leaving || self.view.counts().dead == 0
+        {
+            return;
+        }
+        let dead = self.view.iter().filter(|(_, entry)| entry.status() == Status::Dead);
+        let (now, regains) = (at.now, self.regains);
+        let due = |since: Nanos| {
+            let age = now.saturating_sub(since);
+            REGAIN_LATER
+                .iter()
+                .rev()
+                .find(|(after, _)| age >= *after)
+                .is_none_or(|(_, turns)| regains % turns == 0)
+        };
+        let mut dead: Vec<Key> = dead.filter(|(_, entry)| due(entry.since)).map(|(key, _)| key).collect();
+        // The more are dead the more are tried: it is not likely that so many died by themselves.
+        let tries = (1 + dead.len() / REGAIN_MORE).min(REGAIN_MOST);
+        dead.shuffle(&mut self.rng);
+        dead.truncate(tries);
+        for key in &dead {
+            self.ping(at, *key, 0);
+        }
+        let Some(key) = dead.first().copied() else { return };
+        // Digests are of those who are present. That it left and did not die is known to some perhaps: one is told what is
+        // held here, and answers if it knows more.
+        if let (Some(other), Some(entry)) = (self.others(1).first().copied(), self.view.get(key)) {
+            let news = vec![entry.brief(key)];
+            self.send_to(at, other, kind::ENTRIES, 0, Key::NOBODY, news);
+        }
+    }
+
+    pub(super) fn places(&self) -> Vec<SocketAddr> {
+        let all = self.settings.seeds.iter().chain(&self.contacts).copied();
+        all.filter(|place| *place != self.settings.address).collect()
+    }
+
+    /// Tries the seeds: often while alone, else now and then those where nobody is known to be.
+    pub(super) fn seek(&mut self, at: Moment) {
+        let alone = self.view.counts().present() <= 1;
+        self.timers.seek = at.now + if alone { SEEK_ALONE } else { SEEK };
+        if self.is_mute() || self.leaving {
+            return;
+        }
+        let mut places = self.places();
+        if !alone {
+            let known = self.view.iter().filter(|(_, entry)| entry.status().is_present());
+            let known: Vec<SocketAddr> = known.map(|(_, entry)| entry.details.address).collect();
+            places.retain(|place| !known.contains(place));
+        }
+        places.shuffle(&mut self.rng);
+        for place in places.into_iter().take(if alone { SEEK_AT_ONCE } else { 1 }) {
+            let news = self.own(true).into_iter().collect();
+            let ping = Datagram { from: self.me.0, kind: kind::PING, news, ..Datagram::default() };
+            self.send(at, place, ping);
+        }
+    }
+
+    /// Begins to compare views with a member.
+    pub(super) fn compare(&mut self, at: Moment, with: Key) {
+        if !self.settings.extensions.reconcile
+            || at.now < self.compared + COMPARE_GAP
+            || !self.comparing.open(at.now)
+        {
+            return;
+        }
+        self.compared = at.now;
+        let Some(to) = self.view.get(with).map(|entry| entry.details.address) else { return };
+        let summaries = vec![reconcile::summary(&self.view)];
+        self.count("comparisons begun", 1);
+        let datagram = Datagram { from: self.from(), kind: kind::SUMMARY, summaries, ..Datagram::default() };
+        let bytes = self.send(at, to, datagram);
+        self.comparing.spend(bytes);
+    }
+
+    pub(super) fn from(&self) -> u64 {
+        if self.is_mute() { 0 } else { self.me.0 }
+    }
+
+    // ---- Sending ----
+
+    pub(super) fn send_to(&mut self, at: Moment, to: Key, kind: u32, no: u32, target: Key, news: Vec<News>) {
+        if let Some(address) = self.view.get(to).map(|entry| entry.details.address) {
+            let datagram =
+                Datagram { from: self.from(), kind, no, target: target.0, news, ..Datagram::default() };
+            self.send(at, address, datagram);
+        }
+    }
+
+    /// Sends a datagram, filled up with news and pulses; gives its size.
+    pub(super) fn send(&mut self, at: Moment, to: SocketAddr, mut datagram: Datagram) -> usize {
+        if datagram.from != 0 || datagram.kind == kind::PAGE {
+            datagram.digest = self.view.digest();
+        }
+        let mut pack = Pack::new(datagram);
+        let spreads = matches!(pack.datagram.kind, kind::PING | kind::ACK | kind::GOSSIP);
+        if spreads && !self.is_mute() && self.spreading.open(at.now) {
+            let before = pack.size;
+            let Fleet { gossip, view, suspicions, .. } = self;
+            gossip.take(view.counts().present(), |key| {
+                let Some(entry) = view.get(key) else { return true };
+                // Standing alone is enough for most; who lacks the rest asks for it.
+                let told = entry.epoch.birth > 0 && entry.standing.status == Status::Alive;
+                let news = if told { entry.full(key) } else { entry.brief(key) };
+                pack.news(News { by: suspicions.latest(key).unwrap_or_default().0, ..news })
+            });
+            self.spreading.spend(pack.size - before);
+        }
+        if spreads && pack.datagram.from != 0 {
+            pack.datagram.pulses = self.pulses();
+        }
+        let message = pack.datagram.encode_to_vec();
+        if message.len() > MESSAGE_MAX {
+            debug_assert!(false, "a datagram of kind {} has its bound", pack.datagram.kind);
+            self.count("invariant: datagrams beyond their bound", 1);
+            return 0;
+        }
+        let frame = self.seal.seal(at.unix_ms, &message);
+        self.host.send(to, &frame);
+        frame.len()
+    }
+
+    pub(super) fn pulses(&mut self) -> Vec<u8> {
+        let mut pulses = Vec::with_capacity((PULSES + 1) * PULSE);
+        let mut push = |key: Key, pulse: Pulse| {
+            pulses.extend_from_slice(&((key.0 >> 32) as u32).to_be_bytes());
+            pulses.extend_from_slice(&pulse.no.to_be_bytes());
+            pulses.extend_from_slice(&[pulse.room, pulse.load]);
+        };
+        if self.pulse.no > 0 {
+            push(self.me, self.pulse);
+        }
+        let some = self.recent.iter().rev().take(PULSES);
+        some.filter_map(|key| Some((*key, self.view.get(*key)?.pulse)))
+            .for_each(|(key, pulse)| push(key, pulse));
+        pulses
+    }
+
+    /// Sends entries, and asks for others, in as many datagrams as that takes and the rate allows.
+    pub(super) fn send_entries(&mut self, at: Moment, to: SocketAddr, differences: &Differences) {
+        let mut wants = differences.wants.clone();
+        wants.sort_unstable();
+        wants.dedup();
+        let mut news: Vec<News> = Vec::new();
+        let entries = |keys: &[Key], view: &View, full: bool| -> Vec<News> {
+            let known = keys.iter().filter_map(|key| Some((*key, view.get(*key)?)));
+            known.map(|(key, entry)| if full { entry.full(key) } else { entry.brief(key) }).collect()
+        };
+        news.extend(entries(&differences.brief, &self.view, false));
+        news.extend(entries(&differences.whole, &self.view, true));
+        if news.is_empty() && wants.is_empty() {
+            return;
+        }
+        let from = self.from();
+        let mut news = news.into_iter().peekable();
+        let mut wants = wants.chunks(WANTS);
+        loop {
+            let wants = wants.next().unwrap_or_default().iter().map(|key| key.0).collect::<Vec<_>>();
+            if news.peek().is_none() && wants.is_empty() || !self.comparing.open(at.now) {
+                return;
+            }
+            let mut pack = Pack::new(Datagram { from, kind: kind::ENTRIES, wants, ..Datagram::default() });
+            while let Some(next) = news.next_if(|next| pack.fits(field(next.encoded_len()))) {
+                pack.news(next);
+            }
+            let bytes = self.send(at, to, pack.datagram);
+            self.comparing.spend(bytes);
+        }
+    }
+}
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -36,6 +36,12 @@
         }
     }
 
+    /// Nothing is to be spread any more of those for whom this does not hold.
+    pub fn retain(&mut self, mut holds: impl FnMut(Key) -> bool) {
+        let gone: Vec<Key> = self.places.keys().copied().filter(|key| !holds(*key)).collect();
+        gone.into_iter().for_each(|key| self.drop_news(key));
+    }
+
     pub fn len(&self) -> usize {
         self.queue.len()
     }
