--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -400,6 +400,7 @@
             counts: BTreeMap::new(),
         };
         fleet.announce(at)?;
+        fleet.look(at);
         fleet.promised = fleet.next().max(at.now);
         Ok(fleet)
     }
--- a/crates/fleet/src/sim.rs
+++ b/crates/fleet/src/sim.rs
@@ -141,6 +141,9 @@
 /// Whether nothing passes from one member to another.
 type Cut = Box<dyn Fn(&Node, &Node) -> bool>;
 
+/// What is lost between two members beside the plan's share, and how much later the rest comes.
+type Rough = Box<dyn Fn(&Node, &Node) -> (f64, Nanos)>;
+
 /// A simulated fleet.
 pub struct Sim {
     pub plan: Plan,
@@ -153,6 +156,7 @@
     keys: HashMap<Key, usize>,
     /// Between which nodes nothing passes: by number of the sender and of the receiver.
     cut: Cut,
+    rough: Rough,
     interner: Interner,
     starts: u64,
     /// When somebody first held a member for dead that was down, from its end on; the second number tells when all did.
@@ -203,6 +207,7 @@
             places: nodes.iter().enumerate().map(|(n, node)| (node.address, n)).collect(),
             keys: nodes.iter().enumerate().map(|(n, node)| (node.key, n)).collect(),
             cut: Box::new(|_, _| false),
+            rough: Box::new(|_, _| (0.0, 0)),
             interner: Interner::default(),
             starts: 0,
             detected: BTreeMap::new(),
@@ -300,9 +305,15 @@
         self.cut = Box::new(cut);
     }
 
+    /// Roughens links: what share is lost, and how much later the rest comes, given sender and receiver.
+    pub fn roughen(&mut self, rough: impl Fn(&Node, &Node) -> (f64, Nanos) + 'static) {
+        self.rough = Box::new(rough);
+    }
+
     /// All links are whole again.
     pub fn heal(&mut self) {
         self.cut(|_, _| false);
+        self.roughen(|_, _| (0.0, 0));
     }
 
     fn stall(&mut self, n: usize) {
@@ -335,12 +346,13 @@
             self.nodes[n].bytes += frame.len() as u64 + 28; // with the heads of UDP and IP
             self.nodes[n].datagrams += 1;
             let Some(&to) = self.places.get(&to) else { continue };
-            let lost = self.rng.random_bool(self.plan.loss);
+            let (share, late) = (self.rough)(&self.nodes[n], &self.nodes[to]);
+            let lost = self.rng.random_bool(self.plan.loss) || share > 0.0 && self.rng.random_bool(share);
             if lost || (self.cut)(&self.nodes[n], &self.nodes[to]) {
                 continue;
             }
             let (least, most) = self.plan.latency;
-            let due = self.now + self.rng.random_range(least..=most);
+            let due = self.now + late + self.rng.random_range(least..=most);
             self.push(due, to, What::Deliver { from: self.nodes[n].address, frame });
         }
         for (kind, key) in changed {
@@ -440,6 +452,11 @@
         holds(self).then(|| self.now - begun)
     }
 
+    /// Whether nothing passes from one member to another.
+    pub fn is_cut(&self, from: &Node, to: &Node) -> bool {
+        (self.cut)(from, to)
+    }
+
     /// Those that are up.
     pub fn up(&self) -> impl Iterator<Item = (&Node, &Fleet<Out>)> {
         self.nodes.iter().filter_map(|node| Some((node, node.fleet.as_ref()?)))
@@ -474,3 +491,57 @@
         (bytes as f64 / members, datagrams as f64 / members)
     }
 }
+
+/// The plainest way, to measure against: everybody tells everybody that it is there, and who is not heard for some periods is
+/// held for dead.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Heartbeats {
+    /// Bytes and datagrams a second that each member sends.
+    pub bytes: f64,
+    pub datagrams: f64,
+    /// Deaths of those that were there, as often as some member held one for dead.
+    pub false_deaths: u64,
+    /// How long until the first and until all held a crashed one for dead, in seconds, on average.
+    pub found: f64,
+    pub agreed: f64,
+}
+
+/// Bytes of a heartbeat: the frame with name and number, and the heads of UDP and IP.
+const HEARTBEAT: usize = crate::seal::OVERHEAD + 42 + 28;
+
+/// Plays heartbeats for so long, with a crash at the end; who is silent for `missed` periods is held for dead.
+pub fn heartbeats(
+    members: usize,
+    loss: f64,
+    period: Nanos,
+    missed: u32,
+    time: Nanos,
+    seed: u64,
+) -> Heartbeats {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let rounds = time / period;
+    let mut silent = vec![0u32; members * members];
+    let mut false_deaths = 0;
+    for _ in 0..rounds {
+        for from in 0..members {
+            for to in (0..members).filter(|&to| to != from) {
+                let at = &mut silent[from * members + to];
+                *at = if loss > 0.0 && rng.random_bool(loss) { *at + 1 } else { 0 };
+                false_deaths += u64::from(*at == missed);
+            }
+        }
+    }
+    // A crash: each has the periods that it had missed already, and its own phase.
+    let left: Vec<f64> = (1..members)
+        .map(|to| f64::from(missed - silent[to].min(missed)) - rng.random_range(0.0..1.0))
+        .map(|periods| periods.max(0.0) * period as f64 / SECOND as f64)
+        .collect();
+    let datagrams = (members - 1) as f64 * SECOND as f64 / period as f64;
+    Heartbeats {
+        bytes: datagrams * HEARTBEAT as f64,
+        datagrams,
+        false_deaths,
+        found: left.iter().copied().fold(f64::INFINITY, f64::min),
+        agreed: left.iter().copied().fold(0.0, f64::max),
+    }
+}
--- a/crates/node/src/cli/fleet.rs
+++ b/crates/node/src/cli/fleet.rs
@@ -4,11 +4,12 @@
 use crate::serve;
 use clap::Subcommand;
 use madderpoint_fleet::observer::{Holding, Observer, Shown};
-use madderpoint_fleet::sim::{Plan, Sim};
+use madderpoint_fleet::sim::{self, Plan, Sim};
 use madderpoint_fleet::wire::DATAGRAM_MAX;
 use madderpoint_fleet::{Nanos, Status};
 use madderpoint_rules::time;
 use madderpoint_settings::Known;
+use madderpoint_settings::script::{self, Action, Faulty, Script};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
@@ -62,9 +63,9 @@
         after_help = "Example: madderpoint fleet simulate --members 300 --loss 0.05 --seeds 3 --time 10m"
     )]
     Simulate {
-        /// How many members.
-        #[arg(long, default_value_t = 300)]
-        members: usize,
+        /// How many members; 300 if neither this nor a timetable tells.
+        #[arg(long)]
+        members: Option<usize>,
         /// Share of datagrams that are lost.
         #[arg(long, default_value_t = 0.0)]
         loss: f64,
@@ -91,6 +92,13 @@
         /// What is left out, to measure what it is worth: health, confirm, reconcile, regain.
         #[arg(long, value_delimiter = ',')]
         without: Vec<String>,
+        /// In place of all that: a timetable, as the rig plays them against processes, in simulated time. `--members` takes the
+        /// place of its number of nodes if it is larger.
+        #[arg(long, value_name = "FILE")]
+        script: Option<PathBuf>,
+        /// The plainest way instead, to compare with: heartbeats from all to all, and so many missed for a death.
+        #[arg(long, value_name = "MISSED")]
+        heartbeats: Option<u32>,
         /// Shown as a line of text for each seed, or as a line of JSON.
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
@@ -114,8 +122,12 @@
                 seed,
                 seeds,
                 without,
+                script,
+                heartbeats,
                 format,
             } => {
+                let told = members;
+                let members = told.unwrap_or(300);
                 if !(1..=20_000).contains(&members)
                     || !(0.0..1.0).contains(&loss)
                     || !(0.0..=1.0).contains(&slow)
@@ -136,7 +148,34 @@
                         }
                     }
                 }
+                if let Some(file) = &script {
+                    let text =
+                        std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+                    return match script::read(&file.display().to_string(), &text) {
+                        Ok(script) => Ok(play(&script, told.unwrap_or(0), loss, slow)),
+                        Err(complaints) => {
+                            eprint!("{complaints}");
+                            Ok(false)
+                        }
+                    };
+                }
                 let (time, cut) = (span(&time)?, span(&cut)?);
+                if let Some(missed) = heartbeats {
+                    for seed in seed..seed.saturating_add(seeds) {
+                        let h = sim::heartbeats(members.max(2), loss, S, missed.max(1), time, seed);
+                        println!(
+                            "heartbeats, members {members} loss {loss} seed {seed}: {:.0} B/s and {:.0} datagrams/s each, {} \
+                             times one that is there held for dead in {} s; crash found in {:.1} s, by all in {:.1} s",
+                            h.bytes,
+                            h.datagrams,
+                            h.false_deaths,
+                            time / S,
+                            h.found,
+                            h.agreed
+                        );
+                    }
+                    return Ok(true);
+                }
                 for seed in seed..seed.saturating_add(seeds) {
                     let measured = simulate(Plan { seed, ..plan.clone() }, time, crashes, cut);
                     match format {
@@ -404,3 +443,157 @@
         text(&m["real_s"])
     );
 }
+
+/// The faults that hold at a moment, by when they end.
+type InForce = Vec<(Faulty, Option<Nanos>)>;
+
+/// Has the simulated links follow the faults in force.
+fn relink(sim: &mut Sim, faults: &InForce) {
+    let meant = |faulty: &Faulty, from: &sim::Node, to: &sim::Node| {
+        let (from_zone, to_zone) = (format!("z{}", from.zone), format!("z{}", to.zone));
+        let one_way = faulty.from.has(&from.name, &from_zone) && faulty.to.has(&to.name, &to_zone);
+        let back = faulty.from.has(&to.name, &to_zone) && faulty.to.has(&from.name, &from_zone);
+        one_way || faulty.both && back
+    };
+    let cuts: Vec<Faulty> =
+        faults.iter().map(|f| f.0.clone()).filter(|f| f.fault.cut || f.fault.hold).collect();
+    let rough: Vec<Faulty> = faults.iter().map(|f| f.0.clone()).collect();
+    sim.cut(move |from, to| cuts.iter().any(|faulty| meant(faulty, from, to)));
+    sim.roughen(move |from, to| {
+        let here = rough.iter().filter(|faulty| meant(faulty, from, to));
+        here.fold((0.0, 0), |(loss, late), faulty| {
+            (1.0 - (1.0 - loss) * (1.0 - faulty.fault.loss), late + faulty.fault.delay.as_nanos() as Nanos)
+        })
+    });
+}
+
+/// Whether so many groups that hear each other each hold one digest and just each other.
+fn in_groups(sim: &Sim, sides: usize) -> bool {
+    let mut left: Vec<usize> = (0..sim.nodes.len()).filter(|&n| sim.nodes[n].fleet.is_some()).collect();
+    let mut groups = 0;
+    while let Some(first) = left.pop() {
+        groups += 1;
+        let (mut group, mut at) = (vec![first], 0);
+        while at < group.len() {
+            let here = &sim.nodes[group[at]];
+            let (found, rest): (Vec<usize>, Vec<usize>) = left
+                .into_iter()
+                .partition(|&n| !sim.is_cut(here, &sim.nodes[n]) && !sim.is_cut(&sim.nodes[n], here));
+            group.extend(found);
+            left = rest;
+            at += 1;
+        }
+        let views = || group.iter().filter_map(|&n| sim.nodes[n].fleet.as_ref()).map(|fleet| fleet.view());
+        let Some(digest) = views().next().map(|view| view.digest()) else { continue };
+        let whole = |view: &madderpoint_fleet::view::View| {
+            let holds = |&n: &usize| view.get(sim.nodes[n].key).is_some_and(|e| e.status().is_present());
+            view.digest() == digest && view.counts().present() == group.len() && group.iter().all(holds)
+        };
+        if !views().all(whole) {
+            return false;
+        }
+    }
+    groups == sides
+}
+
+/// What must come to hold.
+type Holds = Box<dyn Fn(&Sim) -> bool>;
+
+/// Plays a timetable against a simulated fleet; says what held.
+fn play(script: &Script, members: usize, loss: f64, slow: f64) -> bool {
+    let members = members.max(script.nodes);
+    let mut plan = Plan { members, zones: script.zones, loss, slow, seed: script.seed, ..Plan::default() };
+    for (name, value) in &script.periods {
+        let Ok(time) = span(value) else { continue };
+        match name.as_str() {
+            "probe" => plan.periods.probe = time,
+            "answer" => plan.periods.answer = time,
+            "gossip" => plan.periods.gossip = time,
+            "regain" => plan.periods.regain = time,
+            _ => {}
+        }
+    }
+    let mut sim = Sim::new(plan);
+    (0..members).filter(|n| !script.absent.contains(&format!("n{n}"))).for_each(|n| sim.start(n));
+    let (begun, mut faults, mut good) = (sim.now, InForce::new(), true);
+    let number = |name: &str| name.trim_start_matches('n').parse::<usize>().unwrap_or(0).min(members - 1);
+    // Faults end at their times, whatever is waited for meanwhile.
+    let run_to = |sim: &mut Sim, faults: &mut InForce, until: Nanos| {
+        while let Some(ends) = faults.iter().filter_map(|f| f.1).filter(|ends| *ends <= until).min() {
+            sim.run(ends.saturating_sub(sim.now));
+            faults.retain(|f| f.1 != Some(ends));
+            relink(sim, faults);
+        }
+        sim.run(until.saturating_sub(sim.now));
+    };
+    for step in &script.steps {
+        let due = begun + step.at.as_nanos() as Nanos;
+        run_to(&mut sim, &mut faults, due);
+        let wanted: Option<(Nanos, Holds)> = match &step.action {
+            Action::Link { faulty, time } => {
+                let ends = time.map(|time| sim.now + time.as_nanos() as Nanos);
+                faults.push((faulty.clone(), ends));
+                relink(&mut sim, &faults);
+                None
+            }
+            Action::Heal => {
+                faults.clear();
+                sim.heal();
+                None
+            }
+            Action::Kill(node) => {
+                sim.crash(number(node));
+                None
+            }
+            Action::Stop(node) => {
+                sim.leave(number(node));
+                None
+            }
+            Action::Pause { node, time } => {
+                sim.pause(number(node), time.as_nanos() as Nanos);
+                None
+            }
+            Action::Start { node, .. } => {
+                sim.start(number(node));
+                None
+            }
+            Action::Settled { within, sides } => {
+                let sides = *sides;
+                Some((within.as_nanos() as Nanos, Box::new(move |sim| in_groups(sim, sides))))
+            }
+            Action::Sees { node, other, held, within } => {
+                let (n, key, held) = (number(node), sim.nodes[number(other)].key, held.clone());
+                let sees = move |sim: &Sim| {
+                    let view = sim.nodes[n].fleet.as_ref().map(|fleet| fleet.view());
+                    let found =
+                        view.map(|view| view.get(key).map_or("unknown", |entry| entry.status().word()));
+                    found == Some(held.as_str())
+                };
+                Some((within.as_nanos() as Nanos, Box::new(sees)))
+            }
+            Action::Hup(_) | Action::Stranger { .. } => {
+                println!("{:>8.2} s  {:?}: only the rig plays that", step.at.as_secs_f64(), step.action);
+                None
+            }
+        };
+        let Some((within, holds)) = wanted else {
+            println!("{:>8.2} s  {:?}", step.at.as_secs_f64(), step.action);
+            continue;
+        };
+        let (from, until) = (sim.now, sim.now + within);
+        while !holds(&sim) && sim.now < until {
+            let next = (sim.now + 20 * MS).min(until);
+            run_to(&mut sim, &mut faults, next);
+        }
+        let held = holds(&sim);
+        good &= held;
+        let word = if held { "held" } else { "DID NOT HOLD" };
+        println!(
+            "{:>8.2} s  {:?}: {word} after {:.2} s",
+            step.at.as_secs_f64(),
+            step.action,
+            (sim.now - from) as f64 / 1e9
+        );
+    }
+    good
+}
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -119,3 +119,66 @@
         play(&script).expect_good(&script);
     }
 }
+
+fn call(arguments: &[&str]) -> (Option<i32>, String) {
+    let output =
+        std::process::Command::new(env!("CARGO_BIN_EXE_madderpoint")).args(arguments).output().unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8(text).unwrap())
+}
+
+/// The timetables of processes are played in simulated time too, at any size; what does not hold is said there as well.
+#[test]
+fn timetables_are_played_in_simulated_time() {
+    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/rig");
+    for (name, members, good) in [
+        ("partition-and-crash.xml", "5", true),
+        ("partition-and-crash.xml", "60", true),
+        ("cold-and-seeds.xml", "6", true),
+        ("replaced.xml", "10", false), // it asks for versions, which a simulated fleet has one of
+        ("not-so.xml", "3", false),
+    ] {
+        let file = format!("{examples}/{name}");
+        let (code, text) = call(&["fleet", "simulate", "--script", &file, "--members", members]);
+        assert_eq!(code, Some(i32::from(!good)), "{name}: {text}");
+        assert!(text.contains("held after"), "{text}");
+    }
+    let (code, text) =
+        call(&["fleet", "simulate", "--members", "20", "--time", "10s", "--crashes", "1", "--cut", "10s"]);
+    assert!(code == Some(0) && text.contains("0 false deaths"), "{text}");
+    let (code, text) = call(&["fleet", "simulate", "--members", "0"]);
+    assert!(code == Some(2) && text.contains("members: 1 to 20000"), "{text}");
+}
+
+/// A node that runs is asked by the keyed protocol; one that is not there, or has other keys, is told of.
+#[test]
+fn a_running_node_shows_what_it_holds() {
+    use madderpoint_standins::peers::nobody;
+    use madderpoint_standins::program::{Node, Program, told};
+    let program = Program { exe: env!("CARGO_BIN_EXE_madderpoint"), dir: env!("CARGO_TARGET_TMPDIR") };
+    let settings = |key: &str| {
+        let keys = program.file("keys", &key.repeat(32));
+        let bind = std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let text = format!(
+            "<translator version=\"1\" number=\"7\"><fleet name=\"f\" keys=\"{}\" zone=\"z9\" bind=\"{bind}\"/></translator>",
+            keys.display()
+        );
+        (program.file("xml", &text).display().to_string(), bind.to_string())
+    };
+    let (good, at) = settings("07");
+    let _node = Node::started(program, &told(nobody(), nobody(), nobody(), 1024), &["--settings", &good]);
+    let (code, text) = call(&["fleet", "show", "--settings", &good, "--at", &at, "--format", "json"]);
+    assert_eq!(code, Some(0), "{text}");
+    let shown: serde_json::Value = serde_json::from_str(&text).unwrap();
+    let own = &shown["members"][0];
+    assert_eq!(
+        (&shown["size"], &own["name"], &own["zone"], &own["settings"]),
+        (&1.into(), &"n3".into(), &"z9".into(), &7.into())
+    );
+    let (code, text) =
+        call(&["fleet", "watch", "--settings", &good, "--at", &at, "--times", "2", "--every", "50ms"]);
+    assert!(code == Some(0) && text.contains("1 members"), "{text}");
+    let (wrong, _) = settings("08");
+    let (code, text) = call(&["fleet", "show", "--settings", &wrong, "--at", &at]);
+    assert!(code == Some(2) && text.contains("no answer"), "{text}");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod rulebook;
 pub mod schema;
+pub mod script;
 pub mod xml;
 
 pub use fleet::FleetSettings;
--- a/crates/standins/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -1,14 +1,14 @@
 //! Timetables: which fault is put where and when, and what must hold then. Files in XML, checked by a schema as our settings
-//! are.
+//! are; played by the rig against processes, and by `fleet simulate` against a simulated fleet.
 
+use crate::schema::Schema;
+use crate::xml::Element;
+use crate::{Complaint, Complaints, Place, xml};
 use madderpoint_rules::time;
-use madderpoint_settings::schema::Schema;
-use madderpoint_settings::xml::Element;
-use madderpoint_settings::{Complaint, Complaints, Place, xml};
 use std::time::Duration;
 
 /// The schema, as it lies beside this package.
-pub const SCHEMA: &str = include_str!("../script.xsd");
+pub(crate) const SCHEMA: &str = include_str!("../script.xsd");
 /// Nodes of one rig, at most.
 pub const NODES_MAX: usize = 64;
 
@@ -18,20 +18,27 @@
     /// Between nodes.
     #[default]
     Fleet,
-    /// Between dispatchers and a node, a node and its kernel, its back end, the membership service.
+    /// Dispatchers and a node.
     Load,
+    /// A node and its kernel.
     Kernel,
+    /// A node and its back end.
     Backend,
+    /// A node and the membership service.
     Members,
 }
 
 /// One end of links.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum Ends {
+    /// Any node.
     #[default]
     All,
+    /// This node.
     Node(String),
+    /// Any in this zone.
     Zone(String),
+    /// Any that is not in this zone.
     NotZone(String),
 }
 
@@ -61,31 +68,43 @@
 /// What is wrong with a link.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Fault {
-    /// Nothing passes; or it waits until the fault is over.
+    /// Nothing passes.
     pub cut: bool,
+    /// What comes waits until the fault is over.
     pub hold: bool,
-    /// Shares of datagrams that are lost, doubled, damaged, and overtaken by later ones.
+    /// The share that is lost.
     pub loss: f64,
+    /// The share that comes twice.
     pub double: f64,
+    /// The share with a bit that is wrong.
     pub damage: f64,
+    /// The share that is overtaken by what comes later.
     pub reorder: f64,
+    /// How much later all of it comes.
     pub delay: Duration,
+    /// How much later than that, by chance.
     pub jitter: Duration,
+    /// What passes in a second.
     pub bytes_a_second: Option<u64>,
 }
 
 /// Links with a fault.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Faulty {
+    /// Which kind.
     pub on: Links,
+    /// From where.
     pub from: Ends,
+    /// To where.
     pub to: Ends,
     /// The other way too.
     pub both: bool,
+    /// What is wrong.
     pub fault: Fault,
 }
 
-/// What is done, or must hold.
+/// What is done, or must hold; `docs/operators/rig.md` has a table of them.
+#[allow(missing_docs)]
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     Link {
@@ -127,24 +146,32 @@
 /// A step of a timetable.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Step {
+    /// When, from the start.
     pub at: Duration,
+    /// What.
     pub action: Action,
 }
 
 /// A timetable.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Script {
+    /// What it shows.
     pub name: String,
+    /// Chance on the links.
     pub seed: u64,
+    /// How many nodes.
     pub nodes: usize,
+    /// How many zones.
     pub zones: usize,
     /// Nodes that are not started with the others.
     pub absent: Vec<String>,
     /// Requests a second to each node.
     pub load: u64,
+    /// How long it takes.
     pub time: Duration,
     /// Periods of the fleet, as its settings have them.
     pub periods: Vec<(String, String)>,
+    /// The steps, in the order of their times.
     pub steps: Vec<Step>,
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,8 @@
 
 #![forbid(unsafe_code)]
 
+pub use madderpoint_settings::script;
+
 pub mod backend;
 pub mod checker;
 pub mod faults;
@@ -12,6 +14,5 @@
 pub mod record;
 pub mod relay;
 pub mod rig;
-pub mod script;
 pub mod wire;
 pub mod worker;
