--- /dev/null
+++ b/crates/shared/src/shared.rs
@@ -0,0 +1,415 @@
+//! A node's part in what is shared: a method for each thing that happens, acting through a small [`Host`]. Some nodes are
+//! arbiters, by name; one of these lends; all borrow.
+
+use crate::allot::Demand;
+use crate::lease::{Arbiter, Candidate};
+use crate::purse::{Budget, Purse};
+use crate::treasury::{Part, Treasury};
+use crate::{MILLISECOND, Nanos, SECOND, Who};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+
+/// What a part of the shared state does to the world. None of it may wait.
+pub trait Host {
+    /// Send to a node, by the key of its name.
+    fn send(&mut self, to: u64, message: Message);
+    /// Write a line to the log.
+    fn log(&mut self, line: &str);
+}
+
+/// What nodes tell each other.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message {
+    /// To an arbiter: give me your word, in this round.
+    Want { no: u64 },
+    /// An arbiter gives it, or tells who has it.
+    Word { no: u64, given: bool, holder: Option<Who>, left: Nanos },
+    /// What was given in this round is given back.
+    GiveBack { no: u64 },
+    /// To the one who lends: I hold these parts and want so much, by budget. The stamp is the asker's time.
+    Ask { stamp: Nanos, zone: u32, wants: Vec<Want> },
+    /// Parts, by budget; the stamp of the question comes back.
+    Lend { stamp: Nanos, parts: Vec<(usize, Part)> },
+    /// I do not lend; that one does, as far as I know.
+    Elsewhere { lender: Option<Who> },
+    /// I leave: all of it is back.
+    Leave,
+}
+
+/// What is asked of one budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Want {
+    pub budget: usize,
+    /// The book and the number of the part that it holds.
+    pub holds: (u64, u64),
+    pub units: u32,
+    pub value: f64,
+}
+
+/// What a node is told.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub me: Who,
+    pub zone: u32,
+    /// Keys of those who arbitrate, the same on all nodes; an odd number, three or five.
+    pub arbiters: Vec<u64>,
+    pub budgets: Vec<Budget>,
+    /// How long an arbiter's word holds, and how long a part does.
+    pub term: Nanos,
+    pub part: Nanos,
+    /// Between two questions of a borrower.
+    pub ask: Nanos,
+    /// Borrowers that one who lends keeps accounts for.
+    pub most: usize,
+}
+
+impl Settings {
+    /// Usual times: recovery after the death of the one who lends takes about two terms.
+    pub fn usual(me: Who, arbiters: Vec<u64>, budgets: Vec<Budget>) -> Settings {
+        let (term, part, ask) = (3 * SECOND, 1500 * MILLISECOND, 300 * MILLISECOND);
+        Settings { me, zone: 0, arbiters, budgets, term, part, ask, most: 4096 }
+    }
+}
+
+/// A wake that is so late shows that the node stood still: an arbiter may not know what happened meanwhile.
+const STOOD_STILL: Nanos = SECOND;
+
+/// A node's part.
+pub struct Shared<H: Host> {
+    pub host: H,
+    settings: Settings,
+    rng: Pcg64Mcg,
+    arbiter: Option<(Arbiter, Candidate)>,
+    /// Books by budget, while this node lends.
+    books: Option<Vec<Treasury>>,
+    purses: Vec<Purse>,
+    values: Vec<f64>,
+    lender: Option<Who>,
+    next_round: Nanos,
+    next_ask: Nanos,
+    /// When the one who lends answered last.
+    answered: Nanos,
+    promised: Nanos,
+    left: bool,
+    /// Whether a round is under way by which it may come to lend.
+    tries: bool,
+    counts: BTreeMap<&'static str, u64>,
+}
+
+impl<H: Host> Shared<H> {
+    /// A node that has just started.
+    pub fn new(settings: Settings, seed: u64, now: Nanos, host: H) -> Shared<H> {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let arbiters = settings.arbiters.len();
+        let is_arbiter = settings.arbiters.contains(&settings.me.key);
+        let purses: Vec<Purse> = settings.budgets.iter().map(|b| Purse::new(now, b.clone())).collect();
+        let next_ask = now + rng.random_range(0..settings.ask.max(1));
+        let values = vec![1.0; purses.len()];
+        let next_round = now + rng.random_range(0..settings.term / 4);
+        Shared {
+            host,
+            rng,
+            arbiter: is_arbiter
+                .then(|| (Arbiter::new(now, settings.term), Candidate::new(arbiters, settings.term))),
+            books: None,
+            purses,
+            values,
+            lender: None,
+            next_round,
+            next_ask,
+            answered: now,
+            promised: Nanos::MAX,
+            left: false,
+            tries: false,
+            counts: BTreeMap::new(),
+            settings,
+        }
+    }
+
+    fn count(&mut self, what: &'static str) {
+        *self.counts.entry(what).or_default() += 1;
+    }
+
+    /// How often what happened.
+    pub fn counts(&self) -> &BTreeMap<&'static str, u64> {
+        &self.counts
+    }
+
+    /// Whether this node lends now.
+    pub fn lends(&self, now: Nanos) -> bool {
+        self.books.is_some() && self.arbiter.as_ref().is_some_and(|(_, candidate)| now < candidate.until())
+    }
+
+    /// Who lends, as far as is known here.
+    pub fn lender(&self) -> Option<Who> {
+        self.lender
+    }
+
+    /// The ends of the budgets.
+    pub fn purses(&mut self) -> &mut [Purse] {
+        &mut self.purses
+    }
+
+    /// How much a unit of a budget is worth to this node.
+    pub fn set_value(&mut self, budget: usize, value: f64) {
+        if let Some(at) = self.values.get_mut(budget) {
+            *at = value;
+        }
+    }
+
+    /// Whether one more call may be made under a budget; else when it is worth to ask again.
+    pub fn take(&mut self, now: Nanos, budget: usize) -> Result<(), Nanos> {
+        self.purses.get_mut(budget).map_or(Ok(()), |purse| purse.take(now))
+    }
+
+    /// A call in hand under a budget is over.
+    pub fn over(&mut self, budget: usize) {
+        if let Some(purse) = self.purses.get_mut(budget) {
+            purse.over();
+        }
+    }
+
+    /// Other limits hold from now on, in the same order.
+    pub fn rebudget(&mut self, budgets: Vec<Budget>) {
+        for (purse, budget) in self.purses.iter_mut().zip(&budgets) {
+            purse.rebudget(budget.clone());
+        }
+        for (books, budget) in self.books.iter_mut().flatten().zip(&budgets) {
+            books.resize(budget.pool());
+        }
+        self.settings.budgets = budgets;
+    }
+
+    /// When it wants to be woken.
+    pub fn next(&self) -> Nanos {
+        if self.arbiter.is_some() { self.next_ask.min(self.next_round) } else { self.next_ask }
+    }
+
+    /// An arbiter that stood still begins anew: its name may have been taken, and its word given, meanwhile.
+    fn noticed(&mut self, now: Nanos) {
+        let late = now.saturating_sub(self.promised);
+        self.promised = self.next().max(now);
+        if late >= STOOD_STILL {
+            self.count("times it stood still");
+            if let Some((arbiter, candidate)) = &mut self.arbiter {
+                *arbiter = Arbiter::new(now, self.settings.term);
+                candidate.resign();
+            }
+            self.books = None;
+        }
+    }
+
+    /// Does what is due.
+    pub fn wake(&mut self, now: Nanos) {
+        self.noticed(now);
+        if self.arbiter.is_some() && now >= self.next_round {
+            self.round(now);
+        }
+        if now >= self.next_ask {
+            self.next_ask = now + self.settings.ask;
+            self.ask(now);
+        }
+        self.promised = self.next().max(now);
+    }
+
+    /// Who lends renews the words that it has; who does not tries to get them where nobody is known to lend.
+    fn round(&mut self, now: Nanos) {
+        let term = self.settings.term;
+        let lends = self.lends(now);
+        let Some((arbiter, candidate)) = &mut self.arbiter else { return };
+        if !lends && self.books.take().is_some() {
+            candidate.resign();
+            self.host.log("lends no more: no majority of the arbiters answers");
+            self.lender = None;
+        }
+        let known = arbiter.holder(now).filter(|holder| *holder != self.settings.me);
+        if !lends && known.is_some() {
+            self.lender = known;
+            self.next_round = now + term / 4;
+            return;
+        }
+        if !lends && self.tries {
+            // No majority in its time: all that was given goes back, so that three who each have their own word don't wait for
+            // each other for ever.
+            self.tries = false;
+            let no = candidate.no;
+            arbiter.give_back(self.settings.me, no);
+            candidate.resign();
+            self.next_round = now + self.rng.random_range(0..term / 3);
+            return self.tell_arbiters(Message::GiveBack { no });
+        }
+        self.tries = !lends;
+        let no = candidate.begin(now);
+        self.next_round = now + if lends { term / 4 } else { term / 10 };
+        for key in self.settings.arbiters.clone() {
+            if key == self.settings.me.key {
+                self.want(now, self.settings.me, no);
+            } else {
+                self.host.send(key, Message::Want { no });
+            }
+        }
+    }
+
+    fn tell_arbiters(&mut self, message: Message) {
+        let me = self.settings.me.key;
+        for key in self.settings.arbiters.iter().filter(|key| **key != me) {
+            self.host.send(*key, message.clone());
+        }
+    }
+
+    /// Somebody, perhaps this node, wants this arbiter's word.
+    fn want(&mut self, now: Nanos, from: Who, no: u64) {
+        let me = self.settings.me;
+        let Some((arbiter, _)) = &mut self.arbiter else { return };
+        let asked = arbiter.ask(now, from, no);
+        let (given, left) = (asked.is_ok(), asked.err().flatten().unwrap_or(0));
+        let holder = arbiter.holder(now);
+        if from == me {
+            return self.word(now, me, no, given);
+        }
+        self.host.send(from.key, Message::Word { no, given, holder, left });
+    }
+
+    fn word(&mut self, now: Nanos, from: Who, no: u64, given: bool) {
+        let place = self.settings.arbiters.iter().position(|key| *key == from.key);
+        let (Some(place), true, Some((_, candidate))) = (place, given, &mut self.arbiter) else { return };
+        if !candidate.given(no, place) || self.books.is_some() {
+            return;
+        }
+        let Settings { part, most, .. } = self.settings;
+        let id = self.rng.random();
+        let books =
+            self.settings.budgets.iter().map(|b| Treasury::new(now, id, b.pool(), part, b.lag(), most));
+        self.books = Some(books.collect());
+        self.lender = Some(self.settings.me);
+        self.count("times it began to lend");
+        self.host.log("lends: a majority of the arbiters gave their word; parts from before end first");
+    }
+
+    /// Asks the one who lends, or an arbiter who that is.
+    fn ask(&mut self, now: Nanos) {
+        if self.left {
+            return;
+        }
+        if now > self.answered + 2 * self.settings.term && self.lender.take().is_some() {
+            self.count("times nobody who lends answered");
+        }
+        let wants: Vec<Want> = self
+            .purses
+            .iter_mut()
+            .zip(&self.values)
+            .enumerate()
+            .map(|(budget, (purse, value))| Want {
+                budget,
+                holds: purse.holds(),
+                units: purse.wants(now),
+                value: *value,
+            })
+            .collect();
+        let to = match self.lender {
+            Some(lender) => lender.key,
+            None if self.settings.arbiters.is_empty() => return,
+            None => self.settings.arbiters[self.rng.random_range(0..self.settings.arbiters.len())],
+        };
+        let zone = self.settings.zone;
+        if to == self.settings.me.key {
+            return self.asked(now, self.settings.me, now, zone, &wants);
+        }
+        self.host.send(to, Message::Ask { stamp: now, zone, wants });
+    }
+
+    fn asked(&mut self, now: Nanos, from: Who, stamp: Nanos, zone: u32, wants: &[Want]) {
+        let me = self.settings.me;
+        if !self.lends(now) {
+            let lender = self.lender.filter(|lender| *lender != me);
+            if from != me {
+                self.host.send(from.key, Message::Elsewhere { lender });
+            }
+            return;
+        }
+        let until = self.arbiter.as_ref().map_or(0, |(_, candidate)| candidate.until());
+        let books = self.books.iter_mut().flatten();
+        let parts: Vec<(usize, Part)> = books
+            .enumerate()
+            .filter_map(|(budget, books)| {
+                let want = wants.iter().find(|want| want.budget == budget)?;
+                let demand = Demand { zone, wants: want.units, value: want.value };
+                Some((budget, books.ask(now, from, want.holds, demand, until)?))
+            })
+            .collect();
+        if from == me {
+            return self.lent(now, stamp, &parts);
+        }
+        self.host.send(from.key, Message::Lend { stamp, parts });
+    }
+
+    fn lent(&mut self, now: Nanos, stamp: Nanos, parts: &[(usize, Part)]) {
+        if self.left {
+            return; // what it gave back is not its own any more, whatever is under way
+        }
+        if stamp > now {
+            return self.count("parts that were not asked for");
+        }
+        self.answered = now;
+        for (budget, part) in parts {
+            if let Some(purse) = self.purses.get_mut(*budget) {
+                purse.lend(now, stamp, *part);
+            }
+        }
+    }
+
+    /// A message came.
+    pub fn message(&mut self, now: Nanos, from: Who, message: Message) {
+        self.noticed(now);
+        match message {
+            Message::Want { no } => self.want(now, from, no),
+            Message::Word { no, given, holder, .. } => {
+                if let Some(holder) = holder.filter(|_| !given) {
+                    self.lender = Some(holder);
+                }
+                self.word(now, from, no, given);
+            }
+            Message::GiveBack { no } => {
+                if let Some((arbiter, _)) = &mut self.arbiter {
+                    arbiter.give_back(from, no);
+                }
+            }
+            Message::Ask { stamp, zone, wants } => self.asked(now, from, stamp, zone, &wants),
+            Message::Lend { stamp, parts } => {
+                self.lender = Some(from);
+                self.lent(now, stamp, &parts);
+            }
+            Message::Elsewhere { lender } => {
+                self.lender = lender;
+                if lender.is_some() {
+                    self.next_ask = self.next_ask.min(now + 10 * MILLISECOND);
+                }
+            }
+            Message::Leave => {
+                self.books.iter_mut().flatten().for_each(|books| books.give_back(from));
+            }
+        }
+        self.promised = self.next().max(now);
+    }
+
+    /// The node leaves: what it was lent is back at once, and its word too.
+    pub fn leave(&mut self, now: Nanos) {
+        let in_hand = self.purses.iter().any(|purse| purse.in_hand() > 0);
+        self.left = true;
+        self.purses.iter_mut().for_each(|purse| purse.drop_part(now));
+        if let (Some(lender), false) = (self.lender, in_hand) {
+            self.host.send(lender.key, Message::Leave);
+        }
+        if self.books.take().is_some() {
+            let no = self.arbiter.as_ref().map_or(0, |(_, candidate)| candidate.no);
+            self.tell_arbiters(Message::GiveBack { no });
+        }
+        self.arbiter = None;
+    }
+
+    /// The books of a budget, while this node lends.
+    pub fn books(&self, budget: usize) -> Option<&Treasury> {
+        self.books.as_ref()?.get(budget)
+    }
+}
--- /dev/null
+++ b/crates/shared/src/treasury.rs
@@ -0,0 +1,246 @@
+//! The books of who lends: what is out, to whom, until when. A unit is lent again only when its borrower said that it holds a
+//! later and smaller part, or when the earlier one has ended by the lender's clock, with the drift added and, where units stay
+//! in use beyond their end, the longest use.
+
+use crate::allot::{Demand, allot};
+use crate::{Nanos, Who};
+use std::collections::BTreeMap;
+
+/// Parts of one borrower that may still be in use at once; a borrower that never answers gets no more.
+const PARTS: usize = 16;
+
+/// A part that was lent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Lent {
+    no: u64,
+    units: u32,
+    /// After this nothing of it is in use any more.
+    gone: Nanos,
+}
+
+/// What is known of a borrower.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Account {
+    lent: Vec<Lent>,
+    demand: Demand,
+    heard: Nanos,
+}
+
+impl Account {
+    /// Units that may be in use.
+    fn out(&self, now: Nanos) -> u32 {
+        self.lent.iter().filter(|lent| lent.gone > now).map(|lent| lent.units).max().unwrap_or(0)
+    }
+}
+
+/// What is lent of one budget.
+#[derive(Clone, Debug)]
+pub struct Treasury {
+    /// Tells these books from all others: numbers of parts are each book's own.
+    id: u64,
+    /// Units there are, beside everybody's floor.
+    units: u32,
+    accounts: BTreeMap<Who, Account>,
+    next: u64,
+    /// How long a part holds for its borrower, and how long after its end units may be in use yet.
+    term: Nanos,
+    lag: Nanos,
+    /// Units that were out under whoever lent before, until then.
+    before: Nanos,
+    most: usize,
+}
+
+/// What is lent to one that asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    pub book: u64,
+    pub no: u64,
+    pub units: u32,
+    /// Counted from when the borrower asked, by its own clock.
+    pub term: Nanos,
+}
+
+impl Treasury {
+    /// Books that are begun now. Whoever lent before may have parts out for a term and the lag.
+    pub fn new(now: Nanos, id: u64, units: u32, term: Nanos, lag: Nanos, most: usize) -> Treasury {
+        let before = now + longer(term) + lag;
+        Treasury { id, units, accounts: BTreeMap::new(), next: 0, term, lag, before, most }
+    }
+
+    /// Units that may be in use by all together.
+    pub fn out(&self, now: Nanos) -> u32 {
+        let out = self.accounts.values().map(|account| account.out(now)).sum();
+        if now < self.before { self.units.max(out) } else { out }
+    }
+
+    /// Another limit holds from now on. Less than what is out is kept by lending nothing until enough has come back.
+    pub fn resize(&mut self, units: u32) {
+        self.units = units;
+    }
+
+    /// A borrower asks: of the parts of this book it holds none but this one any more, and wants so much. It gets what there
+    /// is for it now.
+    pub fn ask(
+        &mut self,
+        now: Nanos,
+        who: Who,
+        (book, holds): (u64, u64),
+        demand: Demand,
+        lender_until: Nanos,
+    ) -> Option<Part> {
+        // What it holds of another book says nothing of what it may still get of this one.
+        let holds = if book == self.id { holds } else { 0 };
+        if !self.accounts.contains_key(&who) && self.accounts.len() >= self.most {
+            return None;
+        }
+        let account = self.accounts.entry(who).or_default();
+        account.lent.retain(|lent| lent.no >= holds && lent.gone > now);
+        (account.demand, account.heard) = (demand, now);
+        self.forget(now);
+        if now < self.before {
+            return None;
+        }
+        let (term, gone) = (self.term, now + longer(self.term) + self.lag);
+        // Nothing is out when the next one who lends begins his books: he waits for a term, and these end before.
+        if now + self.term > lender_until {
+            return None;
+        }
+        let target = self.target(who);
+        let others: u32 = self.accounts.iter().filter(|(w, _)| **w != who).map(|(_, a)| a.out(now)).sum();
+        let free = self.units.saturating_sub(others);
+        let account = self.accounts.get_mut(&who)?;
+        if account.lent.len() >= PARTS {
+            return None;
+        }
+        let units = target.min(free);
+        self.next += 1;
+        account.lent.push(Lent { no: self.next, units, gone });
+        debug_assert!(others + units <= self.units.max(others), "no unit is lent twice");
+        Some(Part { book: self.id, no: self.next, units, term })
+    }
+
+    /// A borrower gives all back: it leaves.
+    pub fn give_back(&mut self, who: Who) {
+        self.accounts.remove(&who);
+    }
+
+    fn forget(&mut self, now: Nanos) {
+        let silent = 4 * (self.term + self.lag);
+        self.accounts.retain(|_, account| account.out(now) > 0 || now < account.heard + silent);
+    }
+
+    /// What one should have, given what all want.
+    fn target(&self, who: Who) -> u32 {
+        let demands: Vec<Demand> = self.accounts.values().map(|account| account.demand.clone()).collect();
+        let place = self.accounts.keys().position(|w| *w == who);
+        place.and_then(|at| allot(self.units, &demands).get(at).copied()).unwrap_or(0)
+    }
+
+    /// Those who have an account.
+    pub fn borrowers(&self) -> usize {
+        self.accounts.len()
+    }
+}
+
+/// A time that has surely passed by another clock when it has passed by this one.
+fn longer(time: Nanos) -> Nanos {
+    time + time / crate::DRIFT + time / crate::DRIFT / crate::DRIFT + 1
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TERM: Nanos = 1000;
+
+    fn who(key: u64) -> Who {
+        Who { key, life: key }
+    }
+
+    fn wants(wants: u32) -> Demand {
+        Demand { zone: 0, wants, value: 1.0 }
+    }
+
+    fn begun() -> Treasury {
+        Treasury::new(0, 7, 100, TERM, 0, 64)
+    }
+
+    const LATER: Nanos = 5000;
+    const LONG: Nanos = 1 << 40;
+
+    #[test]
+    fn nothing_is_lent_until_what_was_out_before_is_gone() {
+        let mut books = begun();
+        assert_eq!((books.ask(500, who(1), (0, 0), wants(9), LONG), books.out(500)), (None, 100));
+        assert!(books.ask(1100, who(1), (0, 0), wants(9), LONG).is_some());
+    }
+
+    #[test]
+    fn a_unit_moves_only_when_its_holder_said_that_it_let_go_or_its_time_is_over() {
+        let mut books = begun();
+        let first = books.ask(LATER, who(1), (0, 0), wants(100), LONG).unwrap();
+        assert_eq!(first.units, 100);
+        // Another one comes and wants half: there is nothing yet.
+        assert_eq!(books.ask(LATER, who(2), (0, 0), wants(100), LONG).unwrap().units, 0);
+        // The first one hears that it has half now, but has not said so.
+        let second = books.ask(LATER + 100, who(1), (7, first.no), wants(100), LONG).unwrap();
+        assert_eq!(second.units, 50);
+        assert_eq!(books.ask(LATER + 200, who(2), (0, 0), wants(100), LONG).unwrap().units, 0);
+        // It holds the second part and no other.
+        let _ = books.ask(LATER + 300, who(1), (7, second.no), wants(100), LONG);
+        assert_eq!(books.ask(LATER + 300, who(2), (0, 0), wants(100), LONG).unwrap().units, 50);
+        // It is heard of no more: its units come back after their time, and not before.
+        let ends = LATER + 300 + longer(TERM);
+        assert_eq!(books.ask(ends - 1, who(2), (0, 0), wants(100), LONG).unwrap().units, 50);
+        assert_eq!(books.ask(ends, who(2), (0, 0), wants(100), LONG).unwrap().units, 50); // the first one is still owed its half
+        assert_eq!(books.ask(ends + 5 * TERM, who(2), (0, 0), wants(100), LONG).unwrap().units, 100);
+    }
+
+    /// A number of another book is no word about this one: what is under way to the borrower stays lent.
+    #[test]
+    fn what_is_held_of_another_book_frees_nothing() {
+        let mut books = begun();
+        assert_eq!(books.ask(LATER, who(1), (0, 0), wants(100), LONG).unwrap().units, 100);
+        let _ = books.ask(LATER + 1, who(2), (0, 0), wants(100), LONG);
+        let _ = books.ask(LATER + 2, who(1), (3, 99), wants(100), LONG);
+        assert_eq!(books.ask(LATER + 3, who(2), (3, 99), wants(100), LONG).unwrap().units, 0);
+    }
+
+    /// Calls in hand at the end of a part go on for a while: their units are not lent again before.
+    #[test]
+    fn units_in_use_beyond_the_end_of_a_part_come_back_after_their_lag() {
+        let mut books = Treasury::new(0, 7, 100, TERM, 500, 64);
+        let _ = books.ask(LATER, who(1), (0, 0), wants(100), LONG);
+        let ends = LATER + longer(TERM);
+        assert_eq!(books.ask(ends + 499, who(2), (0, 0), wants(100), LONG).unwrap().units, 0);
+        assert!(books.ask(ends + 500, who(2), (0, 0), wants(100), LONG).unwrap().units >= 50);
+    }
+
+    #[test]
+    fn one_that_returns_under_its_name_is_another_borrower() {
+        let mut books = begun();
+        let old = books.ask(LATER, who(1), (0, 0), wants(100), LONG).unwrap();
+        assert_eq!(old.units, 100);
+        let new = Who { key: 1, life: 77 };
+        assert_eq!(books.ask(LATER + 10, new, (0, 0), wants(100), LONG).unwrap().units, 0);
+    }
+
+    #[test]
+    fn a_smaller_limit_lends_nothing_until_enough_came_back_and_no_part_outlives_the_lender() {
+        let mut books = begun();
+        let part = books.ask(LATER, who(1), (0, 0), wants(100), LONG).unwrap();
+        books.resize(30);
+        assert_eq!(books.ask(LATER + 1, who(2), (0, 0), wants(30), LONG).unwrap().units, 0);
+        assert_eq!(books.ask(LATER + 2, who(1), (7, part.no), wants(100), LONG).unwrap().units, 15);
+        assert_eq!(books.ask(LATER + 3, who(1), (7, part.no), wants(100), LATER + 500), None);
+    }
+
+    #[test]
+    fn accounts_are_bounded_and_those_long_silent_forgotten() {
+        let mut books = Treasury::new(0, 7, 100, TERM, 0, 3);
+        let lent = (1..=5).filter(|n| books.ask(LATER, who(*n), (0, 0), wants(1), LONG).is_some()).count();
+        assert_eq!((lent, books.borrowers()), (3, 3));
+        let _ = books.ask(LATER + 20 * TERM, who(1), (0, 0), wants(1), LONG);
+        assert_eq!(books.borrowers(), 1);
+    }
+}
--- /dev/null
+++ b/crates/shared/tests/budgets.rs
@@ -0,0 +1,225 @@
+//! The hard cases of a budget that a fleet shares, over simulated time: never over the limit, and what is unused is used again
+//! soon.
+
+use madderpoint_shared::sim::{Load, Plan, Sim, Way};
+use madderpoint_shared::{Budget, Kind, Nanos};
+
+const MS: Nanos = 1_000_000;
+const S: Nanos = 1000 * MS;
+
+fn budget(limit: u32, floor: u32, nodes_most: u32) -> Budget {
+    Budget { name: "below".into(), limit, floor, nodes_most, kind: Kind::Rate { burst: 50 * MS } }
+}
+
+fn plan(nodes: usize, seed: u64) -> Plan {
+    Plan {
+        nodes,
+        zones: 3,
+        way: Way::Leases,
+        budget: budget(1000, 2, nodes as u32 + 10),
+        loss: 0.02,
+        latency: (MS / 2, 5 * MS),
+        drift: 0.005,
+        sight: 5 * S,
+        seed,
+    }
+}
+
+fn full() -> Load {
+    Box::new(|_, _| 200.0)
+}
+
+/// Never over, at any moment: units that all hold together, and the calls that the service below counted.
+fn run_within(sim: &mut Sim, time: Nanos) {
+    for _ in 0..time / (20 * MS) {
+        sim.run(20 * MS);
+        let (spendable, limit) = (sim.spendable(), sim.plan.budget.limit);
+        assert!(spendable <= limit, "seed {}: {spendable} at {} ms", sim.plan.seed, sim.now / MS);
+    }
+    assert!(sim.measured.worst_over <= 0.0, "seed {}: {:?}", sim.plan.seed, sim.measured.worst_over);
+    assert!(sim.lenders_most <= 1, "seed {}: {} lend at once", sim.plan.seed, sim.lenders_most);
+}
+
+/// The share of the limit that was used in the last seconds.
+fn used(sim: &mut Sim, seconds: u64) -> f64 {
+    let before = sim.measured.made;
+    run_within(sim, seconds * S);
+    (sim.measured.made - before) as f64 / seconds as f64 / f64::from(sim.plan.budget.limit)
+}
+
+#[test]
+fn with_all_well_nearly_all_of_it_is_used_and_moves_to_where_it_is_needed() {
+    for seed in 0..3 {
+        let mut sim = Sim::new(plan(10, seed), full());
+        run_within(&mut sim, 10 * S);
+        assert!(used(&mut sim, 5) > 0.9, "seed {seed}: even demand");
+        // All of it at two nodes.
+        sim.load(Box::new(|n, _| if n < 2 { 800.0 } else { 1.0 }));
+        run_within(&mut sim, 2 * S);
+        let skewed = used(&mut sim, 5);
+        assert!(skewed > 0.9, "seed {seed}: {skewed} under skewed demand");
+        // It moves to another one; within a second or so most of it has followed.
+        sim.load(Box::new(|n, _| if n == 7 { 1200.0 } else { 1.0 }));
+        run_within(&mut sim, 1500 * MS);
+        let moved = used(&mut sim, 2);
+        assert!(moved > 0.85, "seed {seed}: {moved} after it moved");
+    }
+}
+
+/// Thirds that each hear only themselves, each with full demand: one of them may lend, the others fall to their floors.
+#[test]
+fn a_partition_in_thirds_stays_within_the_limit() {
+    for seed in 0..4 {
+        let mut sim = Sim::new(plan(12, seed), full());
+        run_within(&mut sim, 10 * S);
+        sim.cut(|a, b| a % 3 != b % 3);
+        run_within(&mut sim, 20 * S);
+        let floors: Vec<u32> = (0..12).map(|n| sim.units(n)).collect();
+        assert!(floors.iter().all(|units| *units >= 2), "{floors:?}");
+        sim.cut(|_, _| false);
+        run_within(&mut sim, 8 * S);
+        assert!(used(&mut sim, 3) > 0.9, "seed {seed}: after the heal");
+    }
+}
+
+/// Two of three arbiters on one side: that side lends on, the other one has its floors.
+#[test]
+fn the_side_with_most_arbiters_goes_on() {
+    let mut sim = Sim::new(plan(9, 1), full());
+    run_within(&mut sim, 10 * S);
+    sim.cut(|a, b| (a < 2 || a > 6) != (b < 2 || b > 6));
+    run_within(&mut sim, 12 * S);
+    assert!(used(&mut sim, 3) > 0.75, "four nodes try 800 a second");
+    assert!((2..7).all(|n| sim.units(n) == 2));
+}
+
+/// Cut one way: the one who lends is not heard, and hears; the other way round as well.
+#[test]
+fn a_cut_one_way_gives_nothing_twice() {
+    for seed in 0..4 {
+        for lender_is_heard in [true, false] {
+            let mut sim = Sim::new(plan(8, seed), full());
+            run_within(&mut sim, 10 * S);
+            sim.cut(move |a, b| if lender_is_heard { b < 3 && a >= 3 } else { a < 3 && b >= 3 });
+            run_within(&mut sim, 12 * S);
+            sim.cut(|_, _| false);
+            run_within(&mut sim, 8 * S);
+            assert!(used(&mut sim, 3) > 0.9, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn pauses_crashes_and_cold_returns_by_seed_stay_within_the_limit() {
+    for seed in 0..25u64 {
+        let mut sim = Sim::new(Plan { loss: [0.0, 0.05, 0.3][seed as usize % 3], ..plan(9, seed) }, full());
+        run_within(&mut sim, 9 * S);
+        for step in 0..12 {
+            let n = ((seed * 5 + step * 7) % 9) as usize;
+            match (seed + step) % 5 {
+                0 => sim.pause(n, (1 + step % 6) * S),
+                1 => sim.crash(n),
+                2 => {
+                    sim.crash(n);
+                    sim.start(n);
+                }
+                3 => sim.cut(move |a, b| (a % 2 == n % 2) != (b % 2 == n % 2)),
+                _ => {
+                    sim.cut(|_, _| false);
+                    sim.start(n);
+                }
+            }
+            run_within(&mut sim, (300 + 170 * (step % 7)) * MS);
+        }
+        sim.cut(|_, _| false);
+        (0..9).for_each(|n| sim.start(n));
+        run_within(&mut sim, 10 * S);
+        if sim.plan.loss < 0.1 {
+            assert!(used(&mut sim, 3) > 0.85, "seed {seed}: all cold at once, and back");
+        }
+    }
+}
+
+/// Half of the fleet is replaced while the limit is fully used.
+#[test]
+fn half_the_fleet_is_replaced_with_the_limit_fully_used() {
+    let mut sim = Sim::new(plan(20, 3), full());
+    run_within(&mut sim, 10 * S);
+    for n in 0..10 {
+        sim.crash(n * 2);
+        run_within(&mut sim, 100 * MS);
+        sim.start(n * 2);
+        run_within(&mut sim, 200 * MS);
+    }
+    run_within(&mut sim, 8 * S);
+    assert!(used(&mut sim, 3) > 0.9);
+}
+
+/// Calls in hand, which stay in use beyond the end of a part.
+#[test]
+fn calls_in_hand_are_never_more_than_the_limit() {
+    for seed in 0..6 {
+        let kind = Kind::InHand { longest: 400 * MS };
+        let budget = Budget { name: "in hand".into(), limit: 120, floor: 2, nodes_most: 12, kind };
+        let mut sim = Sim::new(Plan { budget, ..plan(9, seed) }, full());
+        run_within(&mut sim, 10 * S);
+        for step in 0..8u64 {
+            let n = ((seed + step * 4) % 9) as usize;
+            match step % 4 {
+                0 => sim.pause(n, 2 * S),
+                1 => sim.cut(move |a, b| (a == n) != (b == n)),
+                2 => sim.cut(|_, _| false),
+                _ => {
+                    sim.crash(n);
+                    sim.start(n);
+                }
+            }
+            run_within(&mut sim, 1300 * MS);
+        }
+        run_within(&mut sim, 8 * S);
+        let before = sim.measured.made;
+        run_within(&mut sim, 4 * S);
+        // 120 in hand of 250 ms each on average are some 480 a second.
+        let a_second = (sim.measured.made - before) / 4;
+        assert!(a_second > 300, "seed {seed}: {a_second}");
+    }
+}
+
+/// A limit is changed on half of the nodes: the smaller of both holds once the one who lends has it and parts have ended.
+#[test]
+fn a_limit_that_changes_on_half_of_the_nodes_stays_within_the_larger() {
+    let mut sim = Sim::new(plan(8, 5), full());
+    run_within(&mut sim, 10 * S);
+    let smaller = budget(400, 2, 18);
+    sim.rebudget(0..4, &smaller);
+    run_within(&mut sim, 4 * S);
+    sim.rebudget(4..8, &smaller);
+    sim.plan.budget = smaller;
+    sim.run(2 * S);
+    assert!(sim.spendable() <= 400);
+}
+
+/// More nodes than the limit has units, and floors that may be none.
+#[test]
+fn more_nodes_than_units() {
+    let budget = Budget { floor: 0, ..budget(10, 0, 100) };
+    let mut sim = Sim::new(Plan { budget, ..plan(40, 2) }, Box::new(|_, _| 5.0));
+    run_within(&mut sim, 20 * S);
+    assert!(sim.measured.made > 50, "{}", sim.measured.made);
+}
+
+/// The plain ways go over where a part of the fleet hears nothing, or use little: the record can tell.
+#[test]
+fn the_record_tells_the_plain_ways_apart() {
+    let play = |way| {
+        let mut sim = Sim::new(Plan { way, ..plan(12, 1) }, full());
+        sim.run(10 * S);
+        sim.cut(|a, b| a % 3 != b % 3);
+        sim.run(15 * S);
+        sim.measured.clone()
+    };
+    let (even, counter, leases) = (play(Way::EvenByView), play(Way::Counter), play(Way::Leases));
+    assert!(even.worst_over > 500.0, "{even:?}");
+    assert!(leases.worst_over <= 0.0 && counter.worst_over <= 0.0);
+    assert!(counter.by_node[1] < leases.by_node[1] / 2 + counter.by_node[0], "{counter:?}");
+}
