A view's digests from kept hashes, and no look at all entries while nobody is dead

Cause: simulated at 1,000 members an event took 22 us, against 3 us at 300: each look at the size of the fleet, four a second, went through all entries, and each comparison hashed them again. Change: an entry keeps its hash; the entries are gone through only while somebody is dead.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -298,6 +298,8 @@
     pub pulse_at: crate::Nanos,
     /// When its status here became what it is.
     pub since: crate::Nanos,
+    /// What it adds to digests while it is present; kept, as hashing a thousand entries for each comparison took most of it.
+    pub(crate) stamp: u64,
 }
 
 impl Entry {
@@ -305,16 +307,16 @@
         self.standing.status
     }
 
-    /// What it adds to the digest of a view while it is present. Suspicion adds nothing, for it passes.
-    pub(crate) fn stamp(&self, key: Key) -> u64 {
-        hash(&[
+    /// Works out what it adds to digests. Suspicion adds nothing, for it passes.
+    pub(crate) fn restamp(&mut self, key: Key) {
+        self.stamp = hash(&[
             &key.0.to_le_bytes(),
             &self.epoch.birth.to_le_bytes(),
             &self.epoch.life.0.to_le_bytes(),
             &self.standing.bump.to_le_bytes(),
             &self.revision.to_le_bytes(),
             &self.details.hash().to_le_bytes(),
-        ])
+        ]);
     }
 
     /// The news of it without name and details, for those who have them.
--- a/crates/fleet/src/sight.rs
+++ b/crates/fleet/src/sight.rs
@@ -1,6 +1,7 @@
 //! What decisions see of the fleet: how many there are, and how far that can be trusted. A node that lately lost sight of
 //! many cannot tell whether they are gone or it is cut off itself, and says so; the size it goes by falls slowly.
 
+use crate::member::{Entry, Status};
 use crate::view::{Counts, View};
 use crate::{Nanos, SECOND};
 use std::sync::Arc;
@@ -86,13 +87,14 @@
 impl Sizer {
     /// Looks at the view; to be called several times a second.
     pub fn look(&mut self, now: Nanos, view: &View, own_zone: &Arc<str>, doubt: u32, mute: bool) -> Sight {
-        let recent = view.iter().filter(|(_, entry)| {
-            entry.status() == crate::member::Status::Dead && now.saturating_sub(entry.since) < HOLD
-        });
         let (mut lost, mut lost_here) = (0, 0);
-        for (_, entry) in recent {
-            lost += 1;
-            lost_here += usize::from(entry.details.zone == *own_zone);
+        if view.counts().dead > 0 {
+            let is_recent =
+                |entry: &Entry| entry.status() == Status::Dead && now.saturating_sub(entry.since) < HOLD;
+            for (_, entry) in view.iter().filter(|(_, entry)| is_recent(entry)) {
+                lost += 1;
+                lost_here += usize::from(entry.details.zone == *own_zone);
+            }
         }
         let (fleet, zone) = (view.counts(), view.zone(own_zone));
         self.judge(now, fleet, lost, doubt);
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -172,7 +172,7 @@
     /// The number of those who are present in a range of keys, and their digest.
     pub fn sum(&self, range: RangeInclusive<u64>) -> (usize, u64) {
         let present = self.range(range).filter(|(_, entry)| entry.status().is_present());
-        present.fold((0, 0), |(n, sum), (key, entry)| (n + 1, sum.wrapping_add(entry.stamp(key))))
+        present.fold((0, 0), |(n, sum), (_, entry)| (n + 1, sum.wrapping_add(entry.stamp)))
     }
 
     /// The digests of `slices` equal slices of all keys, from those that are kept; a power of two, 256 at most.
@@ -204,7 +204,7 @@
             self.bytes -= size;
         }
         if entry.status().is_present() {
-            let stamp = entry.stamp(key);
+            let stamp = entry.stamp;
             let sum = &mut self.sums[slice(key)];
             if coming {
                 *sum = sum.wrapping_add(stamp);
@@ -221,6 +221,7 @@
         let Some(mut entry) = self.entries.remove(&key) else { return };
         self.count(key, &entry, false);
         with(&mut entry);
+        entry.restamp(key);
         self.count(key, &entry, true);
         self.entries.insert(key, entry);
     }
@@ -308,6 +309,7 @@
                 pulse: Pulse::default(),
                 pulse_at: 0,
                 since: now,
+                stamp: 0,
             };
         });
         Merged::Changed(change)
@@ -333,7 +335,7 @@
                 return Merged::Full;
             }
         }
-        let entry = Entry {
+        let mut entry = Entry {
             name: news.name.as_str().into(),
             epoch,
             standing,
@@ -342,7 +344,9 @@
             pulse: Pulse::default(),
             pulse_at: 0,
             since: now,
+            stamp: 0,
         };
+        entry.restamp(key);
         self.count(key, &entry, true);
         self.entries.insert(key, entry);
         Merged::Changed(Change { after: standing.status, digest: true, ..Change::default() })
--- a/crates/shared/tests/budgets.rs
+++ b/crates/shared/tests/budgets.rs
@@ -87,7 +87,7 @@
 fn the_side_with_most_arbiters_goes_on() {
     let mut sim = Sim::new(plan(9, 1), full());
     run_within(&mut sim, 10 * S);
-    sim.cut(|a, b| (a < 2 || a > 6) != (b < 2 || b > 6));
+    sim.cut(|a, b| (2..7).contains(&a) != (2..7).contains(&b));
     run_within(&mut sim, 12 * S);
     assert!(used(&mut sim, 3) > 0.75, "four nodes try 800 a second");
     assert!((2..7).all(|n| sim.units(n) == 2));
