Parcels of other packages between members, once each

Change: a kind for parcels: a topic and up to 1,200 bytes, handed to the host only from a member known by its own process; the window against replays keeps it from coming twice. Older nodes pass it over and count it. Result: tests of the datagrams pass, the nonsense among them with parcels too.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -33,6 +33,8 @@
     fn log(&mut self, kind: &'static str, line: &str);
     /// What decisions see has changed.
     fn sight(&mut self, sight: &Sight);
+    /// A parcel of another package came from a member, whose process this is.
+    fn parcel(&mut self, _from: Key, _life: Life, _topic: u32, _parcel: &[u8]) {}
     /// The view has changed; told always, for those who measure.
     fn changed(&mut self, _kind: Kind, _key: Key) {}
 }
--- a/crates/fleet/src/fleet/incoming.rs
+++ b/crates/fleet/src/fleet/incoming.rs
@@ -59,6 +59,11 @@
             kind::ENTRIES => back.whole.extend(datagram.wants.iter().map(|key| Key(*key))),
             kind::SHOW => self.show(at, from, datagram),
             kind::PAGE => {}
+            // Only from one that is known by its own word: whoever answers needs to know whom.
+            kind::PARCEL => match self.view.get(sender).filter(|entry| entry.epoch.life == life) {
+                Some(_) => self.host.parcel(sender, life, datagram.topic, &datagram.parcel),
+                None => self.count("parcels of one that is not known", 1),
+            },
             _ => self.count("datagrams of a kind that is not known", 1),
         }
         let compares = matches!(datagram.kind, kind::HEADERS | kind::ENTRIES);
--- a/crates/fleet/src/fleet/spread.rs
+++ b/crates/fleet/src/fleet/spread.rs
@@ -116,6 +116,19 @@
         }
     }
 
+    /// Sends a parcel of another package to a member, once; it may be lost, come late or be overtaken, but it does not come
+    /// twice. False if it is too large, or there is no such member.
+    pub fn send_parcel(&mut self, at: Moment, to: Key, topic: u32, parcel: &[u8]) -> bool {
+        let there = self.view.get(to).filter(|entry| entry.status().is_present()).map(|e| e.details.address);
+        let (Some(address), false) = (there, self.is_mute() || parcel.len() > wire::PARCEL_MAX) else {
+            self.count("parcels that could not be sent", 1);
+            return false;
+        };
+        let parcel = parcel.to_vec();
+        let datagram = Datagram { from: self.me.0, kind: kind::PARCEL, topic, parcel, ..Datagram::default() };
+        self.send(at, address, datagram) > 0
+    }
+
     /// Sends a datagram, filled up with news and pulses; gives its size.
     pub(super) fn send(&mut self, at: Moment, to: SocketAddr, mut datagram: Datagram) -> usize {
         if datagram.from != 0 || datagram.kind == kind::PAGE {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -8,6 +8,9 @@
 /// The most bytes of a datagram, sealed.
 pub const DATAGRAM_MAX: usize = 1400;
 
+/// The most bytes of a parcel.
+pub const PARCEL_MAX: usize = 1200;
+
 /// What a datagram is for.
 pub mod kind {
     /// Are you there?
@@ -30,6 +33,8 @@
     pub const SHOW: u32 = 9;
     /// A page of that.
     pub const PAGE: u32 = 10;
+    /// Something of another package, for the one that it is sent to.
+    pub const PARCEL: u32 = 11;
 }
 
 /// What a member says of itself.
@@ -196,4 +201,9 @@
     /// From which key on; 0 after the last one.
     #[prost(fixed64, tag = "12")]
     pub cursor: u64,
+    /// Which package a parcel is of, and what it says.
+    #[prost(uint32, tag = "13")]
+    pub topic: u32,
+    #[prost(bytes = "vec", tag = "14")]
+    pub parcel: Vec<u8>,
 }
--- a/crates/fleet/tests/datagrams.rs
+++ b/crates/fleet/tests/datagrams.rs
@@ -15,7 +15,7 @@
 const UNIX: u64 = 1_800_000_000_000;
 
 #[derive(Default)]
-struct Sent(Vec<(SocketAddr, Vec<u8>)>);
+struct Sent(Vec<(SocketAddr, Vec<u8>)>, Vec<(Key, u32, Vec<u8>)>);
 
 impl Host for Sent {
     fn send(&mut self, to: SocketAddr, frame: &[u8]) {
@@ -24,6 +24,9 @@
     }
     fn log(&mut self, _: &'static str, _: &str) {}
     fn sight(&mut self, _: &Sight) {}
+    fn parcel(&mut self, from: Key, _: Life, topic: u32, parcel: &[u8]) {
+        self.1.push((from, topic, parcel.to_vec()));
+    }
 }
 
 fn keys(byte: u8) -> Keys {
@@ -190,6 +193,8 @@
                 wants: vec![rng.random(), Key::of("n2").0],
                 report: None,
                 cursor: any(&mut rng),
+                topic: rng.random(),
+                parcel: vec![5; rng.random_range(0..200)],
             };
             let mut message = datagram.encode_to_vec();
             if rng.random_bool(0.2) && !message.is_empty() {
@@ -235,3 +240,24 @@
     }
     assert_eq!((fleet.view().counts().present(), fleet.host.0.len()), (1, 0));
 }
+
+/// A parcel comes once, from one that is known, and to nobody else; one that is too large is not sent.
+#[test]
+fn parcels_go_between_members() {
+    let (mut a, mut b) = (node("f", 1, 1), node("f", 2, 1));
+    assert!(!a.send_parcel(at(0), Key::of("n2"), 7, b"who?"));
+    let introduced = a.introduction().unwrap();
+    b.acquaint(at(0), &[introduced]);
+    let introduced = b.introduction().unwrap();
+    a.acquaint(at(0), &[introduced]);
+    assert!(a.send_parcel(at(0), Key::of("n2"), 7, b"hello"));
+    assert!(!a.send_parcel(at(0), Key::of("n2"), 7, &[0; 1300]));
+    let (to, frame) = a.host.0.pop().unwrap();
+    assert_eq!(to, address(2));
+    b.datagram(at(0), address(1), &frame);
+    b.datagram(at(0), address(1), &frame);
+    assert_eq!(b.host.1, [(Key::of("n1"), 7, b"hello".to_vec())]);
+    let mut c = node("f", 3, 1);
+    c.datagram(at(0), address(1), &frame);
+    assert_eq!((c.host.1.len(), c.counts().get("parcels of one that is not known")), (0, Some(&1)));
+}
