Test of the fleet's keys changed by reload, and of bad files that change nothing

Need: keys, seeds and periods are taken up by SIGHUP, and nothing showed it on sockets. Change: a test: one key, then two bad files of keys, then a new key beside the old one, then settings that are wrong.

--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -182,3 +182,43 @@
     let (code, text) = call(&["fleet", "show", "--settings", &wrong, "--at", &at]);
     assert!(code == Some(2) && text.contains("no answer"), "{text}");
 }
+
+/// SIGHUP takes up other keys; a file of keys that can't be read, or settings that are wrong, leave those before in force.
+#[test]
+fn keys_change_by_reload_and_a_bad_file_changes_nothing() {
+    use madderpoint_standins::peers::nobody;
+    use madderpoint_standins::program::{Node, Program, told};
+    let program = Program { exe: env!("CARGO_BIN_EXE_madderpoint"), dir: env!("CARGO_TARGET_TMPDIR") };
+    let bind = std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let settings = |keys: &std::path::Path| {
+        let keys = keys.display();
+        let text = format!(
+            "<translator version=\"1\"><fleet name=\"f\" keys=\"{keys}\" bind=\"{bind}\"/></translator>"
+        );
+        program.file("xml", &text)
+    };
+    let (old, new) = ("07".repeat(32), "08".repeat(32));
+    let keys = program.file("keys", &old);
+    let own = settings(&keys);
+    let (by_old, by_new) = (settings(&program.file("keys", &old)), settings(&program.file("keys", &new)));
+    let show = |settings: &std::path::Path| {
+        call(&["fleet", "show", "--settings", settings.to_str().unwrap(), "--at", &bind]).0
+    };
+    let config = told(nobody(), nobody(), nobody(), 1024);
+    let mut node = Node::started(program, &config, &["--settings", own.to_str().unwrap()]);
+    assert_eq!((show(&by_old), show(&by_new)), (Some(0), Some(2)));
+    for (text, told) in [("zz", "no key"), ("", "0 keys")] {
+        std::fs::write(&keys, text).unwrap();
+        node.signal("-HUP");
+        assert!(node.logged("new settings not taken").contains(told));
+    }
+    assert_eq!(show(&by_old), Some(0));
+    std::fs::write(&keys, format!("{new}\n{old}\n")).unwrap(); // both are valid, the new one seals
+    node.signal("-HUP");
+    node.logged("rules: 0 in force");
+    assert_eq!(show(&by_new), Some(0));
+    std::fs::write(&own, "<translator version=\"1\"><fleet/></translator>").unwrap();
+    node.signal("-HUP");
+    assert!(node.logged("new settings not taken").contains("'name' is missing"));
+    assert_eq!(show(&by_new), Some(0));
+}
