Counts that a fleet adds up, merged in any order and any number of times

Change: counts in crates/shared: each process's own sums, of which the larger holds; windows of 10 s; those who are gone in one sum, out of which one comes again that was only cut off.

--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 pub mod allot;
+pub mod counts;
 pub mod lease;
 pub mod purse;
 pub mod shared;
@@ -15,6 +16,7 @@
 pub mod treasury;
 
 pub use allot::{Demand, allot};
+pub use counts::Counts;
 pub use purse::{Budget, Kind, Purse};
 pub use shared::{Host, Message, Settings, Shared};
 
