Judgements on services below: own tries first, others' words by zones, load back in steps

Change: crates/shared judges a service by a node's own tries, grows careful by what others say, told apart by number and zones, lets few of the fleet try what is down, and brings load back in steps that nobody runs ahead of. Not yet in the node.

--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod allot;
 pub mod counts;
+pub mod judge;
 pub mod lease;
 pub mod purse;
 pub mod shared;
@@ -17,6 +18,7 @@
 
 pub use allot::{Demand, allot};
 pub use counts::Counts;
+pub use judge::{Evidence, Judge, Mode};
 pub use purse::{Budget, Kind, Purse};
 pub use shared::{Host, Message, Settings, Shared};
 
