--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod shared;
 pub mod sim;
 pub mod treasury;
+pub mod wire;
 
 pub use allot::{Demand, allot};
 pub use counts::Counts;
