The ends of budgets apart from who lends, so that a node's core can own its own

Need: calls are allowed where requests are, in the core's thread, and lending lives in the fleet's; neither may wait for the other. Change: Ends holds a node's purses; Shared asks its host what is wanted and hands it what was lent.

--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -20,8 +20,9 @@
 pub use allot::{Demand, allot};
 pub use counts::Counts;
 pub use judge::{Evidence, Judge, Mode};
-pub use purse::{Budget, Kind, Purse};
-pub use shared::{Host, Message, Settings, Shared};
+pub use purse::{Budget, Ends, Kind, Purse};
+pub use shared::{Host, Message, Settings, Shared, Want};
+pub use treasury::Part;
 
 /// Whole nanoseconds from any fixed point.
 pub type Nanos = u64;
--- a/crates/shared/src/purse.rs
+++ b/crates/shared/src/purse.rs
@@ -1,5 +1,6 @@
 //! A node's end of a budget: its floor, which was always its own, and the part that it was lent; what it may spend now.
 
+use crate::shared::Want;
 use crate::treasury::Part;
 use crate::{Nanos, SECOND, shorter};
 
@@ -227,6 +228,94 @@
     }
 }
 
+/// All ends of one node.
+#[derive(Clone, Debug)]
+pub struct Ends {
+    purses: Vec<Purse>,
+    values: Vec<f64>,
+}
+
+impl Ends {
+    /// Of a node that has just started.
+    pub fn new(now: Nanos, budgets: &[Budget]) -> Ends {
+        let purses: Vec<Purse> = budgets.iter().map(|budget| Purse::new(now, budget.clone())).collect();
+        Ends { values: vec![1.0; purses.len()], purses }
+    }
+
+    /// The end of each budget, in their order.
+    pub fn purses(&mut self) -> &mut [Purse] {
+        &mut self.purses
+    }
+
+    /// Other limits hold from now on, in the same order.
+    pub fn rebudget(&mut self, budgets: &[Budget]) {
+        self.purses.iter_mut().zip(budgets).for_each(|(purse, budget)| purse.rebudget(budget.clone()));
+    }
+
+    /// How much a unit of a budget is worth to this node.
+    pub fn set_value(&mut self, budget: usize, value: f64) {
+        if let Some(at) = self.values.get_mut(budget) {
+            *at = value;
+        }
+    }
+
+    /// Whether one more call may be made under all budgets; else when it is worth to ask again. What one allowed and another
+    /// did not is given back where it can be: calls in hand are asked first.
+    pub fn take(&mut self, now: Nanos) -> Result<(), Nanos> {
+        let in_hand = |purse: &Purse| matches!(purse.budget.kind, Kind::InHand { .. });
+        let (mut taken, mut refused) = (0, None);
+        for first in [true, false] {
+            for purse in self.purses.iter_mut().filter(|purse| in_hand(purse) == first) {
+                match purse.take(now) {
+                    Ok(()) => taken += 1,
+                    Err(pause) => refused = Some(refused.map_or(pause, |r: Nanos| r.max(pause))),
+                }
+            }
+            if refused.is_some() {
+                break;
+            }
+        }
+        let Some(pause) = refused else { return Ok(()) };
+        // Those in hand come first in the order of asking, so that what was taken of them is what to give back.
+        for purse in self.purses.iter_mut().filter(|purse| in_hand(purse)).take(taken) {
+            purse.over();
+        }
+        Err(pause)
+    }
+
+    /// A call that was allowed is over.
+    pub fn over(&mut self) {
+        self.purses.iter_mut().for_each(Purse::over);
+    }
+
+    /// What is wanted of each, and held.
+    pub fn wants(&mut self, now: Nanos) -> Vec<Want> {
+        let ends = self.purses.iter_mut().zip(&self.values).enumerate();
+        ends.map(|(budget, (purse, value))| Want {
+            budget,
+            holds: purse.holds(),
+            units: purse.wants(now),
+            value: *value,
+        })
+        .collect()
+    }
+
+    /// Parts came that were asked for then.
+    pub fn lent(&mut self, now: Nanos, asked: Nanos, parts: &[(usize, Part)]) {
+        for (budget, part) in parts {
+            if let Some(purse) = self.purses.get_mut(*budget) {
+                purse.lend(now, asked, *part);
+            }
+        }
+    }
+
+    /// Nothing that was lent is used from here on; whether nothing is in hand.
+    pub fn let_go(&mut self, now: Nanos) -> bool {
+        self.purses.iter_mut().for_each(|purse| purse.drop_part(now));
+        self.purses.iter().all(|purse| purse.in_hand == 0)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -318,6 +407,26 @@
         assert_eq!((purse.units(TERM), purse.holds()), (80, (2, 1)));
     }
 
+    /// A call needs room under all budgets; what one gave and another refused is given back.
+    #[test]
+    fn a_call_is_allowed_under_all_budgets_or_takes_nothing() {
+        let in_hand = Budget { kind: Kind::InHand { longest: SECOND }, ..rate(40, 4, 10) };
+        let mut ends = Ends::new(0, &[rate(20, 2, 10), in_hand]);
+        let now = SECOND;
+        let allowed = (0..9).filter(|_| ends.take(now).is_ok()).count();
+        assert_eq!(
+            (allowed, ends.purses()[1].in_hand()),
+            (1, 1),
+            "of a rate of 2 a second one call is saved"
+        );
+        ends.over();
+        let later = (2..40).filter(|tenths| ends.take(now + tenths * SECOND / 10).is_ok()).count();
+        assert_eq!((later, ends.purses()[1].in_hand()), (4, 4), "four in hand");
+        assert!(!ends.let_go(9 * SECOND));
+        (0..4).for_each(|_| ends.over());
+        assert!(ends.let_go(9 * SECOND));
+    }
+
     #[test]
     fn one_that_returns_cold_has_saved_nothing() {
         let mut purse = Purse::new(7 * SECOND, rate(100, 10, 10));
--- a/crates/shared/src/shared.rs
+++ b/crates/shared/src/shared.rs
@@ -3,7 +3,7 @@
 
 use crate::allot::Demand;
 use crate::lease::{Arbiter, Candidate};
-use crate::purse::{Budget, Purse};
+use crate::purse::Budget;
 use crate::treasury::{Part, Treasury};
 use crate::{MILLISECOND, Nanos, SECOND, Who};
 use rand::{RngExt, SeedableRng};
@@ -16,6 +16,12 @@
     fn send(&mut self, to: u64, message: Message);
     /// Write a line to the log.
     fn log(&mut self, line: &str);
+    /// What this node's ends of the budgets want, and what they hold; with the time of this node at which that was so.
+    fn wants(&mut self, now: Nanos) -> (Nanos, Vec<Want>);
+    /// Parts came that were asked for then.
+    fn lent(&mut self, now: Nanos, asked: Nanos, parts: &[(usize, Part)]);
+    /// The node leaves: its ends hold nothing from here on. Whether nothing of it is in hand any more.
+    fn let_go(&mut self, now: Nanos) -> bool;
 }
 
 /// What nodes tell each other.
@@ -83,8 +89,6 @@
     arbiter: Option<(Arbiter, Candidate)>,
     /// Books by budget, while this node lends.
     books: Option<Vec<Treasury>>,
-    purses: Vec<Purse>,
-    values: Vec<f64>,
     lender: Option<Who>,
     next_round: Nanos,
     next_ask: Nanos,
@@ -103,9 +107,7 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let arbiters = settings.arbiters.len();
         let is_arbiter = settings.arbiters.contains(&settings.me.key);
-        let purses: Vec<Purse> = settings.budgets.iter().map(|b| Purse::new(now, b.clone())).collect();
         let next_ask = now + rng.random_range(0..settings.ask.max(1));
-        let values = vec![1.0; purses.len()];
         let next_round = now + rng.random_range(0..settings.term / 4);
         Shared {
             host,
@@ -113,8 +115,6 @@
             arbiter: is_arbiter
                 .then(|| (Arbiter::new(now, settings.term), Candidate::new(arbiters, settings.term))),
             books: None,
-            purses,
-            values,
             lender: None,
             next_round,
             next_ask,
@@ -146,35 +146,8 @@
         self.lender
     }
 
-    /// The ends of the budgets.
-    pub fn purses(&mut self) -> &mut [Purse] {
-        &mut self.purses
-    }
-
-    /// How much a unit of a budget is worth to this node.
-    pub fn set_value(&mut self, budget: usize, value: f64) {
-        if let Some(at) = self.values.get_mut(budget) {
-            *at = value;
-        }
-    }
-
-    /// Whether one more call may be made under a budget; else when it is worth to ask again.
-    pub fn take(&mut self, now: Nanos, budget: usize) -> Result<(), Nanos> {
-        self.purses.get_mut(budget).map_or(Ok(()), |purse| purse.take(now))
-    }
-
-    /// A call in hand under a budget is over.
-    pub fn over(&mut self, budget: usize) {
-        if let Some(purse) = self.purses.get_mut(budget) {
-            purse.over();
-        }
-    }
-
     /// Other limits hold from now on, in the same order.
     pub fn rebudget(&mut self, budgets: Vec<Budget>) {
-        for (purse, budget) in self.purses.iter_mut().zip(&budgets) {
-            purse.rebudget(budget.clone());
-        }
         for (books, budget) in self.books.iter_mut().flatten().zip(&budgets) {
             books.resize(budget.pool());
         }
@@ -295,18 +268,10 @@
         if now > self.answered + 2 * self.settings.term && self.lender.take().is_some() {
             self.count("times nobody who lends answered");
         }
-        let wants: Vec<Want> = self
-            .purses
-            .iter_mut()
-            .zip(&self.values)
-            .enumerate()
-            .map(|(budget, (purse, value))| Want {
-                budget,
-                holds: purse.holds(),
-                units: purse.wants(now),
-                value: *value,
-            })
-            .collect();
+        let (stamp, wants) = self.host.wants(now);
+        if wants.is_empty() {
+            return;
+        }
         let to = match self.lender {
             Some(lender) => lender.key,
             None if self.settings.arbiters.is_empty() => return,
@@ -314,9 +279,9 @@
         };
         let zone = self.settings.zone;
         if to == self.settings.me.key {
-            return self.asked(now, self.settings.me, now, zone, &wants);
+            return self.asked(now, self.settings.me, stamp, zone, &wants);
         }
-        self.host.send(to, Message::Ask { stamp: now, zone, wants });
+        self.host.send(to, Message::Ask { stamp, zone, wants });
     }
 
     fn asked(&mut self, now: Nanos, from: Who, stamp: Nanos, zone: u32, wants: &[Want]) {
@@ -352,11 +317,7 @@
             return self.count("parts that were not asked for");
         }
         self.answered = now;
-        for (budget, part) in parts {
-            if let Some(purse) = self.purses.get_mut(*budget) {
-                purse.lend(now, stamp, *part);
-            }
-        }
+        self.host.lent(now, stamp, parts);
     }
 
     /// A message came.
@@ -395,10 +356,9 @@
 
     /// The node leaves: what it was lent is back at once, and its word too.
     pub fn leave(&mut self, now: Nanos) {
-        let in_hand = self.purses.iter().any(|purse| purse.in_hand() > 0);
         self.left = true;
-        self.purses.iter_mut().for_each(|purse| purse.drop_part(now));
-        if let (Some(lender), false) = (self.lender, in_hand) {
+        let let_go = self.host.let_go(now);
+        if let (Some(lender), true) = (self.lender, let_go) {
             self.host.send(lender.key, Message::Leave);
         }
         if self.books.take().is_some() {
--- a/crates/shared/src/sim.rs
+++ b/crates/shared/src/sim.rs
@@ -2,8 +2,9 @@
 //! crash, pause and return, clocks that drift; and a service below that keeps the record. Beside the machines of this package
 //! two plain ways are played: an even part by the number of nodes in sight, and a central counter.
 
-use crate::purse::{Budget, Kind};
-use crate::shared::{Host, Message, Settings, Shared};
+use crate::purse::{Budget, Ends, Kind};
+use crate::shared::{Host, Message, Settings, Shared, Want};
+use crate::treasury::Part;
 use crate::{MILLISECOND, Nanos, SECOND, Who};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -40,14 +41,25 @@
 /// Tries a second of a node at a time.
 pub type Load = Box<dyn Fn(usize, Nanos) -> f64>;
 
-#[derive(Default)]
-struct Out(Vec<(u64, Message)>);
+struct Out {
+    sent: Vec<(u64, Message)>,
+    ends: Ends,
+}
 
 impl Host for Out {
     fn send(&mut self, to: u64, message: Message) {
-        self.0.push((to, message));
+        self.sent.push((to, message));
     }
     fn log(&mut self, _: &str) {}
+    fn wants(&mut self, now: Nanos) -> (Nanos, Vec<Want>) {
+        (now, self.ends.wants(now))
+    }
+    fn lent(&mut self, now: Nanos, asked: Nanos, parts: &[(usize, Part)]) {
+        self.ends.lent(now, asked, parts);
+    }
+    fn let_go(&mut self, now: Nanos) -> bool {
+        self.ends.let_go(now)
+    }
 }
 
 struct Node {
@@ -165,7 +177,8 @@
         let seed = self.plan.seed.wrapping_mul(7919).wrapping_add(self.lives);
         let now = self.clock(n);
         let node = &mut self.nodes[n];
-        node.shared = Some(Shared::new(settings, seed, now, Out::default()));
+        let ends = Ends::new(now, &settings.budgets);
+        node.shared = Some(Shared::new(settings, seed, now, Out { sent: Vec::new(), ends }));
         (node.life, node.owed, node.saved, node.up_since) = (self.lives, 0.0, 0.0, self.now);
         self.changed();
     }
@@ -203,6 +216,7 @@
         for node in &mut self.nodes[nodes] {
             if let Some(shared) = &mut node.shared {
                 shared.rebudget(vec![budget.clone()]);
+                shared.host.ends.rebudget(std::slice::from_ref(budget));
             }
         }
     }
@@ -210,7 +224,7 @@
     fn carry(&mut self, n: usize) {
         let from = Who { key: n as u64 + 1, life: self.nodes[n].life };
         let Some(shared) = &mut self.nodes[n].shared else { return };
-        for (to, message) in std::mem::take(&mut shared.host.0) {
+        for (to, message) in std::mem::take(&mut shared.host.sent) {
             self.measured.messages += 1;
             let to = to as usize - 1;
             if self.rng.random_bool(self.plan.loss) || (self.cut)(n, to) {
@@ -276,7 +290,7 @@
             if self.nodes[n].life == life
                 && let Some(shared) = &mut self.nodes[n].shared
             {
-                shared.over(0);
+                shared.host.ends.over();
             }
         }
     }
@@ -304,7 +318,9 @@
     fn may(&mut self, n: usize) -> bool {
         let now = self.clock(n);
         match self.plan.way {
-            Way::Leases => self.nodes[n].shared.as_mut().is_some_and(|shared| shared.take(now, 0).is_ok()),
+            Way::Leases => {
+                self.nodes[n].shared.as_mut().is_some_and(|shared| shared.host.ends.take(now).is_ok())
+            }
             Way::EvenByView => {
                 // Whom it saw some time ago, but for those whom it can't hear.
                 let then = self.now.saturating_sub(self.plan.sight);
@@ -370,7 +386,7 @@
         for n in 0..self.nodes.len() {
             let now = self.clock(n);
             if let Some(shared) = &mut self.nodes[n].shared {
-                sum += shared.purses()[0].units(now);
+                sum += shared.host.ends.purses()[0].units(now);
             }
         }
         sum
@@ -379,7 +395,7 @@
     /// Units of one node now.
     pub fn units(&mut self, n: usize) -> u32 {
         let now = self.clock(n);
-        self.nodes[n].shared.as_mut().map_or(0, |shared| shared.purses()[0].units(now))
+        self.nodes[n].shared.as_mut().map_or(0, |shared| shared.host.ends.purses()[0].units(now))
     }
 }
 
