A limit on calls below for the whole fleet, kept through a partition, a crash and a pause

Change: <calls-budget> and <arbiter> in <fleet>: ends of the budgets in the core's thread, lending in the fleet's, parcels between; a call without room never ran. The rig's back ends keep one record over all nodes and fail a play that is over; the kernel stand-in ends a run at its call once the request is over, as the protocol has it (without that four given-up runs held all places of a node). Off without the elements.

--- a/crates/node/src/company.rs
+++ b/crates/node/src/company.rs
@@ -2,18 +2,24 @@
 //! with no fleet at all, and nothing waits for it.
 
 use madderpoint::Advert;
+use madderpoint::Nanos;
 use madderpoint_fleet::{Phase, Sight};
+use madderpoint_shared::Want;
 
 /// Runs that succeeded before a node that started cold counts as warm.
 const WARM_AFTER: u32 = 64;
 
 /// What a node says of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Word {
     /// What it is about.
     Phase(Phase),
     /// Its room (what it advertises, of 255) and its load (invocations in hand, 255 at most).
     Pulse { room: u8, load: u8 },
+    /// What it wants of the budgets, and holds, at this time.
+    Wants { at: Nanos, wants: Vec<Want> },
+    /// It holds nothing of the budgets any more; whether none of it is in hand.
+    LetGo(bool),
 }
 
 /// The node among others.
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -16,6 +16,7 @@
 use madderpoint_facts::Start;
 use madderpoint_fleet::Sight;
 use madderpoint_rules::Verdict;
+use madderpoint_shared::{Budget, Ends, Part};
 use std::cell::RefCell;
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -24,6 +25,8 @@
 const WRITE_OUT: Nanos = 150_000_000;
 /// Between two words to the fleet about room and load.
 const PULSE: Nanos = 1_000_000_000;
+/// Between two words about what is wanted of the fleet's budgets.
+const WANTS: Nanos = 250_000_000;
 
 /// What happened.
 #[derive(Debug)]
@@ -60,6 +63,10 @@
     Ruled(Box<Sheet>),
     /// What is seen of the fleet.
     Fleet(Box<Sight>),
+    /// Parts of the fleet's budgets, by their places, which were asked for at that time.
+    Lent(Nanos, Vec<(usize, Part)>),
+    /// Limits of the fleet's budgets that hold from now on.
+    Rebudget(Vec<Budget>),
 }
 
 /// A reading of the clocks.
@@ -93,12 +100,16 @@
         Core { desk, start, seed, stop_after, limit_bytes: room.buckets, choice: None, company: None }
     }
 
-    /// Takes part in a fleet from now on.
-    pub fn join_fleet(&mut self, now: Nanos) {
+    /// Takes part in a fleet from now on, and shares these budgets with it.
+    pub fn join_fleet(&mut self, now: Nanos, budgets: &[Budget]) {
         self.company = Some(Company::default());
         let mut desk = self.desk.borrow_mut();
         desk.now = now;
         desk.set_timer(PULSE, Timer::Pulse);
+        if !budgets.is_empty() {
+            desk.budgets = Some(Box::new(Ends::new(now, budgets)));
+            desk.set_timer(WANTS, Timer::Wants);
+        }
     }
 
     /// What is seen of the fleet, if there is one and its part has said anything.
@@ -157,6 +168,7 @@
             Timer::Leave => self.desk.borrow_mut().leave(),
             Timer::Look => self.desk.borrow_mut().look(),
             Timer::Pulse => self.pulse(),
+            Timer::Wants => self.wants(now),
         }
     }
 
@@ -205,6 +217,16 @@
             Event::Drain => self.drain(now),
             Event::Moved(moved) => self.desk.borrow_mut().moved(&moved),
             Event::Ruled(sheet) => self.ruled(now, *sheet),
+            Event::Lent(asked, parts) => {
+                if let Some(budgets) = &mut self.desk.borrow_mut().budgets {
+                    budgets.lent(now, asked, &parts);
+                }
+            }
+            Event::Rebudget(limits) => {
+                if let Some(budgets) = &mut self.desk.borrow_mut().budgets {
+                    budgets.rebudget(&limits);
+                }
+            }
             Event::Fleet(sight) => {
                 if let Some(company) = &mut self.company {
                     company.sight = Some(*sight);
@@ -416,6 +438,26 @@
         }
     }
 
+    /// Tells the fleet's part what is wanted of the budgets. While the node leaves, only what has become free.
+    fn wants(&mut self, now: Nanos) {
+        let wants = {
+            let mut desk = self.desk.borrow_mut();
+            desk.set_timer(WANTS, Timer::Wants);
+            desk.budgets.as_mut().map(|budgets| budgets.wants(now))
+        };
+        if let Some(wants) = wants {
+            self.say(|_| Some(Word::Wants { at: now, wants }));
+        }
+    }
+
+    /// The node ends: what it was lent is not used any more.
+    pub fn let_go(&mut self, now: Nanos) {
+        let free = self.desk.borrow_mut().budgets.as_mut().map(|budgets| budgets.let_go(now));
+        if let Some(free) = free {
+            self.say(|_| Some(Word::LetGo(free)));
+        }
+    }
+
     fn pulse(&mut self) {
         let (in_hand, advert) = {
             let mut desk = self.desk.borrow_mut();
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -9,6 +9,7 @@
 use madderpoint::{AlarmId, CallEnding, Effect, Ending, Gauges, Host, InvId, Nanos, OpId};
 use madderpoint_facts::Start;
 use madderpoint_limits::Ticket;
+use madderpoint_shared::Ends;
 use std::cell::RefCell;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -93,6 +94,7 @@
     Leave,
     Look,
     Pulse,
+    Wants,
 }
 
 /// What is open on a connection.
@@ -154,6 +156,8 @@
     since: Nanos,
     /// The connection on which it was written whole.
     written: Option<BackendLink>,
+    /// Whether it was allowed under the fleet's budgets.
+    budgeted: bool,
 }
 
 /// What is known of a link to the back end.
@@ -226,6 +230,8 @@
     kept: Kept,
     /// None where no rules are set: nothing is asked then.
     pub rules: Option<Box<Classifier>>,
+    /// None where the fleet shares no budget.
+    pub budgets: Option<Box<Ends>>,
     checks: HashMap<u64, Open>,
     health: (bool, bool),
     advert: Option<f64>,
@@ -260,6 +266,7 @@
             below: Default::default(),
             kept: Kept::new(room.results),
             rules: None,
+            budgets: None,
             checks: HashMap::new(),
             health: (false, true),
             advert: None,
@@ -333,6 +340,13 @@
         self.advert
     }
 
+    /// A call that was allowed under the fleet's budgets is over.
+    fn call_is_over(&mut self, call: &Call) {
+        if let Some(budgets) = self.budgets.as_mut().filter(|_| call.budgeted) {
+            budgets.over();
+        }
+    }
+
     // ---- Invocations ----
 
     pub fn knows(&self, rid: &str) -> bool {
--- a/crates/node/src/desk/calls.rs
+++ b/crates/node/src/desk/calls.rs
@@ -23,23 +23,34 @@
     pub fn call(&mut self, id: InvId, timeout: Nanos) {
         let place = self.link_for(id);
         let Some(inv) = self.invs.get_mut(&id) else { return };
-        let Some(run) = inv.run.as_ref().filter(|run| matches!(run.wait, Wait::Call { .. })) else {
+        if !inv.run.as_ref().is_some_and(|run| matches!(run.wait, Wait::Call { .. })) {
             return self.count("calls of runs that wait for none", 1);
-        };
+        }
         let (Some(place), true, None) = (place, self.has_backend, &inv.call) else {
             return self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
         };
+        // A call that the fleet's budgets have no room for is like one for which no link has: it never ran.
+        let budgeted = match self.budgets.as_mut().map(|budgets| budgets.take(self.now)) {
+            Some(Err(_)) => {
+                self.count("calls that the fleet's budgets had no room for", 1);
+                return self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
+            }
+            allowed => allowed.is_some(),
+        };
+        let Some(inv) = self.invs.get_mut(&id) else { return };
+        let Some(run) = inv.run.as_ref() else { return };
         let longest = self.start.premises.operations[inv.op.0].client_timeout;
         let timeout = if timeout == 0 { longest } else { timeout };
         let bytes = backend::invoke(&inv.rid, timeout.div_ceil(MILLISECOND), &run.call_body);
         self.next_call += 1;
         let no = CallNo(self.next_call);
         if !self.out.call(place, no, id, bytes) {
+            self.budgets.iter_mut().filter(|_| budgeted).for_each(|budgets| budgets.over());
             return self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
         }
         self.out
             .step(&inv.rid, format_args!("calls below on link {place}, for {} ms", timeout / MILLISECOND));
-        inv.call = Some(Call { no, place, since: self.now, written: None });
+        inv.call = Some(Call { no, place, since: self.now, written: None, budgeted });
         self.set_timer(timeout, Timer::CallLimit(id, no));
     }
 
@@ -137,7 +148,9 @@
     pub fn call_over(&mut self, id: InvId) -> Option<Nanos> {
         let inv = self.invs.get_mut(&id)?;
         inv.run.as_ref()?;
-        Some(inv.call.take().map_or(0, |call| self.now - call.since))
+        let Some(call) = inv.call.take() else { return Some(0) };
+        self.call_is_over(&call);
+        Some(self.now - call.since)
     }
 
     /// Lets a run go on, with the reply to its call or without one.
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -225,6 +225,7 @@
         self.out.step(rid, format_args!("run over: {end:?}"));
         let call = inv.call.take();
         if let Some(call) = call {
+            self.call_is_over(&call);
             self.cancel(rid, call.place);
         }
         match end {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -248,6 +248,7 @@
     }
     kernel_link::start(Arc::clone(&addresses), room.commands, events.clone())?;
     reports::start(Arc::clone(&addresses), who.name.clone(), Arc::clone(&leaving))?;
+    let budgets = ours.fleet.as_ref().map_or(Vec::new(), |part| part.budgets.clone());
     let fleet = match ours.fleet {
         Some(mut part) => {
             part.settings.bytes = room.fleet;
@@ -285,9 +286,10 @@
         core.handle(clock.read(), Event::Ruled(sheet));
     }
     if fleet_thread.is_some() {
-        core.join_fleet(clock.now());
+        core.join_fleet(clock.now(), &budgets);
     }
     run(&mut core, clock, &inbox);
+    core.let_go(clock.now());
     core.out(|out| out.fleet.iter().for_each(FleetLink::leave));
     if let Some(thread) = fleet_thread {
         let _ = thread.join();
--- a/crates/node/src/driver/fleet_link.rs
+++ b/crates/node/src/driver/fleet_link.rs
@@ -8,7 +8,9 @@
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use madderpoint_fleet::seal::Keys;
 use madderpoint_fleet::wire::DATAGRAM_MAX;
-use madderpoint_fleet::{Fleet, Host, Moment, Nanos, Periods, Settings, Sight};
+use madderpoint_fleet::{Fleet, Host, Key, Life, Moment, Nanos, Periods, Settings, Sight};
+use madderpoint_shared::wire::{Told, read as read_parcel, write as write_parcel};
+use madderpoint_shared::{self as shared, Budget, Shared, Want, Who};
 use rustix::event::{EventfdFlags, PollFd, PollFlags, Timespec, eventfd, poll};
 use rustix::fd::OwnedFd;
 use rustix::io::Errno;
@@ -32,6 +34,9 @@
     pub bind: SocketAddr,
     /// What it says and goes by.
     pub settings: Settings,
+    /// Keys of those who decide who lends, and the budgets that the fleet shares; none if there are none.
+    pub arbiters: Vec<u64>,
+    pub budgets: Vec<Budget>,
 }
 
 /// What a new file of settings changes.
@@ -41,6 +46,7 @@
     pub seeds: Vec<SocketAddr>,
     pub periods: Periods,
     pub number: (u64, u64),
+    pub budgets: Vec<Budget>,
 }
 
 enum Order {
@@ -79,9 +85,42 @@
     }
 }
 
+/// The topic of parcels about what is shared.
+const SHARED: u32 = 1;
+
+/// What the part that lends and borrows does to the world; what it sends goes out as parcels.
+struct Teller {
+    sent: Vec<(u64, shared::Message)>,
+    /// What the core said last that it wants, and when; and whether nothing is in hand as it leaves.
+    wants: (Nanos, Vec<Want>),
+    free: bool,
+    events: Sender<Message>,
+}
+
+impl shared::Host for Teller {
+    fn send(&mut self, to: u64, message: shared::Message) {
+        self.sent.push((to, message));
+    }
+    fn log(&mut self, line: &str) {
+        crate::log::event("shared", "lends", format_args!("{line}"));
+    }
+    fn wants(&mut self, _: Nanos) -> (Nanos, Vec<Want>) {
+        self.wants.clone()
+    }
+    fn lent(&mut self, _: Nanos, asked: Nanos, parts: &[(usize, shared::Part)]) {
+        // A part that finds no room is not used: it ends by itself.
+        let _ = self.events.try_send(Message::Event(Event::Lent(asked, parts.to_vec())));
+    }
+    fn let_go(&mut self, _: Nanos) -> bool {
+        self.free
+    }
+}
+
 /// What the fleet's part does to the world.
 struct Hands {
     socket: UdpSocket,
+    /// Parcels that came and were not handed on yet.
+    parcels: Vec<(Who, u32, Vec<u8>)>,
     events: Sender<Message>,
     /// What was seen and found no room in the core's queue.
     unseen: Option<Sight>,
@@ -98,6 +137,9 @@
     fn log(&mut self, kind: &'static str, line: &str) {
         crate::log::event("fleet", kind, format_args!("{line}"));
     }
+    fn parcel(&mut self, from: Key, life: Life, topic: u32, parcel: &[u8]) {
+        self.parcels.push((Who { key: from.0, life: life.0 }, topic, parcel.to_vec()));
+    }
     fn sight(&mut self, sight: &Sight) {
         let event = Event::Fleet(Box::new(sight.clone()));
         match self.events.try_send(Message::Event(event)) {
@@ -118,6 +160,7 @@
     socket.set_nonblocking(true)?;
     let bell = Arc::new(eventfd(0, EventfdFlags::CLOEXEC | EventfdFlags::NONBLOCK)?);
     let (orders, inbox) = bounded(WORDS);
+    let zone = part.settings.zone.clone();
     log!(
         "fleet {}: {} on {}, reached at {}",
         part.settings.fleet,
@@ -125,29 +168,63 @@
         socket.local_addr()?,
         part.settings.address
     );
-    let hands = Hands { socket, events, unseen: None, unsent: 0 };
+    let teller = Teller { sent: Vec::new(), wants: (0, Vec::new()), free: false, events: events.clone() };
+    let hands = Hands { socket, parcels: Vec::new(), events, unseen: None, unsent: 0 };
+    let most = part.settings.bytes / madderpoint_fleet::view::ENTRY_USUAL + 16;
     let fleet =
         Fleet::new(part.settings, seed, clock(), hands).map_err(|odd| io::Error::other(odd.to_string()))?;
+    let (key, life) = fleet.me();
+    let me = Who { key: key.0, life: life.0 };
+    let bank = (!part.budgets.is_empty()).then(|| {
+        let zone = zone_number(&zone);
+        let usual = shared::Settings::usual(me, part.arbiters, part.budgets);
+        Shared::new(shared::Settings { zone, most, ..usual }, seed ^ life.0, clock().now, teller)
+    });
     let link = FleetLink { orders, bell: Arc::clone(&bell) };
     let thread = thread::Builder::new().name("fleet".into()).stack_size(STACK);
-    let thread = thread.spawn(move || serve(fleet, &clock, &inbox, &bell))?;
+    let thread = thread.spawn(move || serve(fleet, bank, &clock, &inbox, &bell))?;
     Ok((link, thread))
 }
 
-fn serve(mut fleet: Fleet<Hands>, clock: &impl Fn() -> Moment, orders: &Receiver<Order>, bell: &OwnedFd) {
+/// Zones as numbers, which is enough to tell them apart.
+fn zone_number(zone: &str) -> u32 {
+    (Key::of(zone).0 >> 32) as u32
+}
+
+type Bank = Option<Shared<Teller>>;
+
+fn serve(
+    mut fleet: Fleet<Hands>,
+    mut bank: Bank,
+    clock: &impl Fn() -> Moment,
+    orders: &Receiver<Order>,
+    bell: &OwnedFd,
+) {
     loop {
-        wait(&fleet, clock().now, bell);
+        let next = bank.as_ref().map_or(Nanos::MAX, Shared::next).min(fleet.next());
+        wait(&fleet, next, clock().now, bell);
         let mut count = [0; 8];
         let _ = rustix::io::read(bell, &mut count);
         for order in orders.try_iter() {
             match order {
                 Order::Word(Word::Phase(phase)) => fleet.set_phase(clock(), phase),
                 Order::Word(Word::Pulse { room, load }) => fleet.set_pulse(room, load),
+                Order::Word(Word::Wants { at, wants }) => {
+                    bank.iter_mut().for_each(|bank| bank.host.wants = (at, wants.clone()));
+                }
+                Order::Word(Word::LetGo(free)) => bank.iter_mut().for_each(|bank| bank.host.free = free),
                 Order::Reset(reset) => {
                     fleet.reset(clock(), reset.keys, reset.seeds, reset.periods);
                     fleet.set_settings(clock(), reset.number);
+                    if let Some(bank) = &mut bank {
+                        bank.rebudget(reset.budgets.clone());
+                        let event = Event::Rebudget(reset.budgets);
+                        let _ = fleet.host.events.send(Message::Event(event));
+                    }
                 }
                 Order::Leave => {
+                    bank.iter_mut().for_each(|bank| bank.leave(clock().now));
+                    post(&mut fleet, &mut bank, clock);
                     fleet.leave(clock());
                     thread::sleep(LEAVE_AGAIN);
                     return fleet.leave(clock());
@@ -158,15 +235,34 @@
         if clock().now >= fleet.next() {
             fleet.wake(clock());
         }
+        if let Some(bank) = &mut bank {
+            for (from, topic, parcel) in std::mem::take(&mut fleet.host.parcels) {
+                if let (SHARED, Some(Told::Budgets(message))) = (topic, read_parcel(&parcel)) {
+                    bank.message(clock().now, from, message);
+                }
+            }
+            if clock().now >= bank.next() {
+                bank.wake(clock().now);
+            }
+        }
+        fleet.host.parcels.clear();
+        post(&mut fleet, &mut bank, clock);
         if let Some(sight) = fleet.host.unseen.take() {
             fleet.host.sight(&sight);
         }
     }
 }
 
+/// Sends what lending and borrowing have to say.
+fn post(fleet: &mut Fleet<Hands>, bank: &mut Bank, clock: &impl Fn() -> Moment) {
+    for (to, message) in bank.iter_mut().flat_map(|bank| std::mem::take(&mut bank.host.sent)) {
+        fleet.send_parcel(clock(), Key(to), SHARED, &write_parcel(&Told::Budgets(message)));
+    }
+}
+
 /// Waits for a datagram, a word or the next timer.
-fn wait(fleet: &Fleet<Hands>, now: Nanos, bell: &OwnedFd) {
-    let time = Duration::from_nanos(fleet.next().saturating_sub(now));
+fn wait(fleet: &Fleet<Hands>, next: Nanos, now: Nanos, bell: &OwnedFd) {
+    let time = Duration::from_nanos(next.saturating_sub(now));
     let time = Timespec::try_from(time).ok();
     let mut ready = [PollFd::new(&fleet.host.socket, PollFlags::IN), PollFd::new(bell, PollFlags::IN)];
     match poll(&mut ready, time.as_ref()) {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -10,6 +10,7 @@
 use madderpoint_node::log;
 use madderpoint_node::room::Beside;
 use madderpoint_settings::{self as settings, Complaints, FleetSettings, Known, Place, Translator};
+use madderpoint_shared::{Budget, Kind};
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::SocketAddr;
@@ -101,7 +102,8 @@
         bytes: 0,
         extensions: Extensions::default(),
     };
-    Ok(Some(Box::new(Part { bind, settings })))
+    let arbiters = fleet.arbiters.iter().map(|name| madderpoint_fleet::Key::of(name).0).collect();
+    Ok(Some(Box::new(Part { bind, settings, arbiters, budgets: fleet.budgets.clone() })))
 }
 
 /// The rules of a file; one without rules has an empty set, so that those before it end.
@@ -117,6 +119,12 @@
     Known { bytes: room.rules, file_bytes: room.settings_file, ..known(&who.start) }
 }
 
+/// Whether two lists hold the same budgets, but for their figures.
+fn same_kinds(a: &[Budget], b: &[Budget]) -> bool {
+    let kind = |budget: &Budget| (budget.name.clone(), matches!(budget.kind, Kind::Rate { .. }));
+    a.iter().map(kind).eq(b.iter().map(kind))
+}
+
 /// A new file of settings: all of it is taken or none.
 fn reread(file: &Path, who: &Identity, now: Option<&FleetSettings>, tell: impl Fn(Notice)) {
     let read = read(file, &with_room(who)).map_err(|what| what.first());
@@ -136,13 +144,18 @@
                 ("bind", new.bind == now.bind),
                 ("advertise", new.advertise == now.advertise),
                 ("program", new.program == now.program),
+                ("arbiter", new.arbiters == now.arbiters),
+                ("calls-budget", same_kinds(&new.budgets, &now.budgets)),
             ];
             let kept: Vec<&str> = kept.iter().filter(|(_, same)| !same).map(|(field, _)| *field).collect();
             if !kept.is_empty() {
                 log!("new settings: until a restart the old {kept:?} of <fleet> hold");
             }
             let (seeds, periods, number) = (new.seeds.clone(), new.periods, read.number);
-            tell(Notice::Fleet(Box::new(Reset { keys, seeds, periods, number })));
+            // Limits may change; budgets that come or go, or are of another kind, wait for a restart.
+            let same = same_kinds(&new.budgets, &now.budgets);
+            let budgets = if same { &new.budgets } else { &now.budgets }.clone();
+            tell(Notice::Fleet(Box::new(Reset { keys, seeds, periods, number, budgets })));
         }
         (None, None, None) => {}
         _ => log!("new settings: <fleet> comes and goes with a restart only"),
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -67,6 +67,20 @@
     holds("rough-links.xml");
 }
 
+/// Five nodes share a limit on calls below, through a partition, the death of the one who lends and a pause; without it their
+/// load is two and a half times as much.
+#[test]
+fn a_limit_of_the_whole_fleet_is_kept() {
+    let script = read("budget.xml");
+    let outcome = play(&script);
+    outcome.expect_good(&script);
+    let (most, all) = outcome.calls;
+    assert!(most <= 110 && all > 500, "{all} calls, {most} in the busiest second");
+    let without = Script { calls_a_second: 0, time: Duration::from_secs(4), steps: Vec::new(), ..script };
+    let answers = play(&without).statuses["200"];
+    assert!(answers > 4 * 150, "{answers} answered in 4 s without a limit");
+}
+
 #[test]
 fn the_rig_says_so_when_something_does_not_hold() {
     let outcome = play(&read("not-so.xml"));
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -4,10 +4,14 @@
 use crate::{Complaint, Place};
 use madderpoint_fleet::{Nanos, Periods};
 use madderpoint_rules::time;
+use madderpoint_shared::{Budget, Kind};
 use std::net::SocketAddr;
 
 /// The most seeds that are of use.
 const SEEDS_MAX: usize = 64;
+/// Arbiters and budgets that make sense.
+const ARBITERS_MAX: usize = 9;
+const BUDGETS_MAX: usize = 8;
 const MILLISECOND: Nanos = 1_000_000;
 const SECOND: Nanos = 1000 * MILLISECOND;
 
@@ -30,6 +34,10 @@
     pub seeds: Vec<SocketAddr>,
     /// How often things are done.
     pub periods: Periods,
+    /// Names of those who decide who lends.
+    pub arbiters: Vec<String>,
+    /// Limits on the calls below of all nodes together.
+    pub budgets: Vec<Budget>,
 }
 
 /// Tells two texts of settings apart; part of what a node says of itself.
@@ -75,6 +83,32 @@
         }
     }
 
+    /// A limit on calls below.
+    fn budget(&mut self, element: &Element) -> Option<Budget> {
+        let text = |name: &str| element.get(name);
+        let number = |name: &str| text(name).and_then(|text| text.value.parse::<u32>().ok());
+        let name = text("name")?;
+        let field = format!("calls-budget '{}'", name.value);
+        let (mut burst, mut longest) = (50 * MILLISECOND, 10 * SECOND);
+        self.time(element, "burst", &mut burst, MILLISECOND, SECOND);
+        self.time(element, "longest", &mut longest, 10 * MILLISECOND, 600 * SECOND);
+        let (limit, kind) = match (number("a-second"), number("in-hand")) {
+            (Some(limit), None) => (limit, Kind::Rate { burst }),
+            (None, Some(limit)) => (limit, Kind::InHand { longest }),
+            _ => {
+                self.wrong(name, &field, "no limit, or two".into(), "one of a-second and in-hand");
+                return None;
+            }
+        };
+        let (floor, nodes_most) = (number("floor")?, number("nodes-most")?);
+        let budget = Budget { name: name.value.clone(), limit, floor, nodes_most, kind };
+        if let Err(what) = budget.check() {
+            self.wrong(name, &field, what, "floors that the limit has room for");
+            return None;
+        }
+        Some(budget)
+    }
+
     fn factor(&mut self, of: &Element, name: &str, into: &mut f64, least: f64) {
         let Some(text) = of.get(name) else { return };
         match text.value.parse::<f64>().ok().filter(|factor| (least..=100.0).contains(factor)) {
@@ -104,6 +138,33 @@
         {
             reading.wrong(text, "seed", format!("{} seeds", seeds.len()), "64 at most");
         }
+        let budgets: Vec<Budget> = element.all("calls-budget").filter_map(|b| reading.budget(b)).collect();
+        let named: Vec<&Text> = element.all("arbiter").filter_map(|arbiter| arbiter.get("name")).collect();
+        let arbiters: Vec<String> = named.iter().map(|text| text.value.clone()).collect();
+        let twice = named.iter().enumerate().find(|(n, text)| arbiters[..*n].contains(&text.value));
+        if let Some((_, text)) = twice {
+            reading.wrong(
+                text,
+                "arbiter/@name",
+                format!("a second arbiter '{}'", text.value),
+                "each name once",
+            );
+        }
+        if let Some(text) = element.one("calls-budget").and_then(|budget| budget.get("name"))
+            && (arbiters.len().is_multiple_of(2) || arbiters.len() > ARBITERS_MAX)
+        {
+            let what = format!("{} arbiters", arbiters.len());
+            reading.wrong(
+                text,
+                "arbiter",
+                what,
+                "an odd number up to 9, three or five, where there are budgets",
+            );
+        }
+        if let Some(text) = element.all("calls-budget").nth(BUDGETS_MAX).and_then(|budget| budget.get("name"))
+        {
+            reading.wrong(text, "calls-budget", "too many".into(), "8 at most");
+        }
         let mut periods = Periods::default();
         if let Some(of) = element.one("periods") {
             reading.time(of, "probe", &mut periods.probe, 50 * MILLISECOND, 60 * SECOND);
@@ -139,6 +200,8 @@
                 program: text("program"),
                 seeds,
                 periods,
+                arbiters,
+                budgets,
             })
         } else {
             Err(reading.complaints)
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -167,6 +167,10 @@
     pub absent: Vec<String>,
     /// Requests a second to each node.
     pub load: u64,
+    /// A budget of calls below for all nodes together, and what of it is each node's own; none if it is 0.
+    pub calls_a_second: u32,
+    /// The same of each node.
+    pub floor: u32,
     /// How long it takes.
     pub time: Duration,
     /// Periods of the fleet, as its settings have them.
@@ -274,6 +278,8 @@
         zones: number(&root, "zones").unwrap_or(1) as usize,
         absent: words("absent"),
         load: number(&root, "load").unwrap_or(0),
+        calls_a_second: number(&root, "calls-a-second").unwrap_or(0) as u32,
+        floor: number(&root, "floor").unwrap_or(1) as u32,
         time: span(&root, "time").unwrap_or_default(),
         periods: Vec::new(),
         steps: Vec::new(),
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -274,6 +274,18 @@
         ("<periods answer=\"1s\"/>", "", "fleet/periods/@answer: an answer has as long as"),
         ("<periods suspicion=\"0.1\"/>", "", "expected 0.5 to 100"),
         ("<pulse/>", "", "unknown element <pulse>"),
+        ("<calls-budget name=\"b\" floor=\"1\" nodes-most=\"9\"/>", "", "calls-budget 'b': no limit, or two"),
+        (
+            "<calls-budget name=\"b\" a-second=\"5\" floor=\"1\" nodes-most=\"9\"/>",
+            "",
+            "are 9, more than the limit of 5",
+        ),
+        (
+            "<calls-budget name=\"b\" a-second=\"50\" floor=\"1\" nodes-most=\"9\"/>",
+            "",
+            "0 arbiters; expected an odd number",
+        ),
+        ("<arbiter name=\"a\"/><arbiter name=\"a\"/>", "", "a second arbiter 'a'"),
         ("", "zone=\"a b\"", "does not fit"),
         ("", "port=\"1\"", "unknown attribute"),
     ] {
--- a/crates/standins/src/bin/madderpoint-rig.rs
+++ b/crates/standins/src/bin/madderpoint-rig.rs
@@ -66,6 +66,13 @@
             for (what, seconds) in &outcome.took {
                 println!("  {what}: {seconds:.2} s");
             }
+            if script.calls_a_second > 0 {
+                let (most, all) = outcome.calls;
+                println!(
+                    "  calls below: {all}, {most} in the busiest second, {} allowed",
+                    script.calls_a_second
+                );
+            }
             println!("  answers {:?}, datagrams {:?}", outcome.statuses, outcome.datagrams);
             for failure in &outcome.failures {
                 println!("  {failure}");
--- a/crates/standins/src/rig.rs
+++ b/crates/standins/src/rig.rs
@@ -1,7 +1,7 @@
 //! Several processes of the program, each with its kernel, back end and load, every link through a relay of ours; faults by a
 //! timetable; what must hold is looked at while it runs and over the joined record afterwards.
 
-use crate::backend::Backend;
+use crate::backend::{Backend, Calls};
 use crate::checker::{Checker, Statuses};
 use crate::faults::{Faults, Place};
 use crate::load::rid;
@@ -112,6 +112,8 @@
     pub took: Vec<(String, f64)>,
     /// Answers of all loads, by status.
     pub statuses: Statuses,
+    /// Calls at the back ends: the most in any second, and all.
+    pub calls: (usize, usize),
     /// What became of datagrams at the relay.
     pub datagrams: BTreeMap<&'static str, u64>,
     /// The end of the joined record, where something failed.
@@ -146,6 +148,8 @@
     stop: Arc<AtomicBool>,
     outcome: Outcome,
     files: usize,
+    /// Calls that came to the back ends.
+    calls: Calls,
 }
 
 static RIGS: AtomicU8 = AtomicU8::new(1);
@@ -170,9 +174,9 @@
             })
             .collect();
         let datagrams = Datagrams::start(places.clone(), Arc::clone(&faults))?;
-        let mut nodes = Vec::new();
+        let (mut nodes, calls) = (Vec::new(), Calls::default());
         for (n, (place, bind)) in places.into_iter().enumerate() {
-            let (worker, backend) = (Worker::start(), Backend::start()?);
+            let (worker, backend) = (Worker::start(), Backend::start(&calls)?);
             worker.calls(true);
             let relay = |on, to| Stream::start(on, place.clone(), to, Arc::clone(&faults));
             nodes.push(Node {
@@ -203,6 +207,7 @@
             stop: Arc::default(),
             outcome: Outcome::default(),
             files: 0,
+            calls,
         };
         for n in 0..rig.nodes.len() {
             if !rig.script.absent.contains(&rig.nodes[n].place.name) {
@@ -229,8 +234,18 @@
         let periods: String =
             self.script.periods.iter().map(|(name, value)| format!(" {name}=\"{value}\"")).collect();
         let program = program.map_or_else(String::new, |program| format!(" program=\"{program}\""));
+        let budget = match self.script.calls_a_second {
+            0 => String::new(),
+            limit => {
+                let arbiters = "<arbiter name=\"n0\"/><arbiter name=\"n1\"/><arbiter name=\"n2\"/>";
+                let (floor, most) = (self.script.floor, self.nodes.len());
+                format!(
+                    "{arbiters}<calls-budget name=\"below\" a-second=\"{limit}\" floor=\"{floor}\" nodes-most=\"{most}\"/>"
+                )
+            }
+        };
         let settings = format!(
-            "<translator version=\"1\" number=\"1\"><fleet name=\"{FLEET}\" keys=\"{}\"{program}>{seeds}<periods{periods}/>\
+            "<translator version=\"1\" number=\"1\"><fleet name=\"{FLEET}\" keys=\"{}\"{program}>{seeds}{budget}<periods{periods}/>\
              </fleet>{}</translator>",
             keys.display(),
             self.setting.more
@@ -287,6 +302,7 @@
                 every: Duration::from_secs(1) / self.script.load as u32,
                 state: Arc::clone(&node.state),
                 checker: Arc::clone(&node.checker),
+                worker: node.worker.clone(),
                 stop: Arc::clone(&self.stop),
             };
             node.load = Some(thread::spawn(move || load.run()));
@@ -606,6 +622,18 @@
                 }
             }
         }
+        let limit = self.script.calls_a_second as usize;
+        if limit > 0 {
+            let (most, all) = self.calls.most_in_a_second();
+            // What may be saved: 50 ms of the limit, or a call of each node; and of a second's edges a call of each.
+            let saved = (limit / 20).max(self.nodes.len()) + self.nodes.len();
+            self.outcome.calls = (most, all);
+            if most > limit + saved {
+                self.outcome
+                    .failures
+                    .push(format!("{most} calls below in a second, {limit} and {saved} saved allowed"));
+            }
+        }
         let joined = self.record.joined();
         for line in &joined {
             if line.what.contains("panicked") || line.what.contains("invariant:") {
@@ -676,6 +704,7 @@
     every: Duration,
     state: Arc<Mutex<State>>,
     checker: Arc<Mutex<Checker>>,
+    worker: Worker,
     stop: Arc<AtomicBool>,
 }
 
@@ -696,22 +725,28 @@
             let path = ["/call/read", "/call/book", "/call/pay"][turn % 3];
             let kept = stream.take().or_else(|| TcpStream::connect(self.front).ok());
             let Some(connected) = kept else { continue };
-            stream = self.ask(connected, path);
+            stream = self.ask(connected, path, &rid());
         }
     }
 
     /// Sends one and waits for its answer; gives the connection back if it can be used again.
-    fn ask(&self, mut stream: TcpStream, path: &str) -> Option<TcpStream> {
-        let (id, begun) = (rid(), Instant::now());
+    fn ask(&self, stream: TcpStream, path: &str, id: &str) -> Option<TcpStream> {
+        let kept = self.exchange(stream, path, id);
+        self.worker.request_over(id);
+        kept
+    }
+
+    fn exchange(&self, mut stream: TcpStream, path: &str, id: &str) -> Option<TcpStream> {
+        let begun = Instant::now();
         let arrived = unix_ms();
-        let bytes = wire::request(1, &wire::call(path, &id, &arrived), b"body");
+        let bytes = wire::request(1, &wire::call(path, id, &arrived), b"body");
         stream.set_nodelay(true).ok()?;
         stream.set_read_timeout(Some(Duration::from_millis(100))).ok()?;
         // A connection that the node closed while it was idle is no loss: nothing was read from it.
         if stream.write_all(&bytes).is_err() {
             return None;
         }
-        lock(&self.checker).sent(&id, None);
+        lock(&self.checker).sent(id, None);
         let (mut come, mut open, mut buffer) = (Vec::new(), BTreeMap::new(), [0; 8192]);
         loop {
             match stream.read(&mut buffer) {
@@ -728,9 +763,9 @@
             if let Some(answer) = answers.first() {
                 let mut checker = lock(&self.checker);
                 if self.is_excused(begun) && begun.elapsed() > TIMEOUT {
-                    checker.left(&id);
+                    checker.left(id);
                 } else {
-                    checker.answered(&id, answer, false);
+                    checker.answered(id, answer, false);
                 }
                 return Some(stream);
             }
@@ -742,7 +777,7 @@
         // as idle at the very moment, and then nothing ran.
         let crossed = come.is_empty() && begun.elapsed() < Duration::from_millis(50);
         if self.is_excused(begun) || crossed {
-            lock(&self.checker).left(&id);
+            lock(&self.checker).left(id);
         }
         None
     }
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -141,6 +141,14 @@
         }
     }
 
+    /// A request is over, however it ended: a run of it that waits for its call is ended there, as the protocol has it.
+    pub fn request_over(&self, rid: &str) {
+        let mut state = self.state.0.lock().unwrap();
+        if state.calling.remove(rid).is_some() {
+            state.reap(rid, "STOPPED");
+        }
+    }
+
     /// The node starts anew: notices count from 1 again, and what ran for the one before is over.
     pub fn node_starts(&self) {
         let mut state = self.state.0.lock().unwrap();
