--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -27,6 +27,7 @@
 mod tests;
 
 use sketch::{Counts, Times};
+pub use table::NumberHasher;
 use table::{Entry, Table};
 use wheel::Wheel;
 
--- a/crates/limits/src/table.rs
+++ b/crates/limits/src/table.rs
@@ -15,11 +15,11 @@
     pub in_hand: u32,
 }
 
-/// Keys are numbers that came out of a hash with a secret, so that they need no other.
+/// Hashes keys that are numbers: they came out of a hash with a secret, so that they need no other.
 #[derive(Clone, Copy, Default)]
-struct Plain(u64);
+pub struct NumberHasher(u64);
 
-impl Hasher for Plain {
+impl Hasher for NumberHasher {
     fn finish(&self) -> u64 {
         self.0
     }
@@ -35,7 +35,7 @@
 }
 
 pub struct Table {
-    by_key: HashMap<(u32, u64), u32, BuildHasherDefault<Plain>>,
+    by_key: HashMap<(u32, u64), u32, BuildHasherDefault<NumberHasher>>,
     entries: slab::Slab<Entry>,
     /// Places that were ever in use.
     places: usize,
--- a/crates/node/src/classify.rs
+++ b/crates/node/src/classify.rs
@@ -4,6 +4,8 @@
 use madderpoint::{Nanos, OpId};
 use madderpoint_limits::{Bucket, Limits, Over, Ticket, Why};
 use madderpoint_rules::{Facts, Path, RuleSet, Scratch, Verdict};
+use madderpoint_shared::keyed::wallet::{Refused, Wallet};
+use madderpoint_shared::keyed::{KeyBudget, KeysAsked, KeysLent, Rhythm};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::rc::Rc;
@@ -20,6 +22,32 @@
     pub rules: RuleSet,
     /// Their buckets.
     pub buckets: Vec<Bucket>,
+    /// Those that are limits of the whole fleet, with their places.
+    pub fleet: Vec<(usize, KeyBudget)>,
+}
+
+/// What an invocation holds in buckets until it is over.
+#[derive(Debug, Default)]
+pub struct Held {
+    ticket: Ticket,
+    /// Of limits of the whole fleet: budget and key.
+    keys: Vec<(u32, u64)>,
+}
+
+impl Held {
+    /// Whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.ticket.is_empty() && self.keys.is_empty()
+    }
+}
+
+/// Why buckets refuse a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Full {
+    /// A limit of this node.
+    Node(Over),
+    /// One of the whole fleet.
+    Fleet(Refused),
 }
 
 /// What a rule gave to a request.
@@ -60,6 +88,9 @@
     classes: Vec<Rc<str>>,
     scratch: Scratch,
     limits: Limits,
+    /// Budgets of the whole fleet by the place of their bucket; and this node's end of them, where there are any.
+    fleet: Vec<Vec<u32>>,
+    wallet: Option<Wallet>,
     rules: Vec<RuleTally>,
     by_class: BTreeMap<Rc<str>, ClassTally>,
     /// Lines for the log that came up while a request was looked at.
@@ -77,6 +108,8 @@
             classes: Vec::new(),
             scratch: Scratch::new(seed),
             limits: Limits::new(limit_bytes, seed),
+            fleet: Vec::new(),
+            wallet: None,
             rules: Vec::new(),
             by_class: BTreeMap::new(),
             lines: Vec::new(),
@@ -84,18 +117,33 @@
             exhausted: 0,
             told: 0,
         };
-        classifier.named(now, &sheet.buckets);
+        classifier.named(now, &sheet.buckets, &sheet.fleet);
         classifier
     }
 
     /// Takes other rules in place of those in force. Buckets whose definition stayed keep what they count.
     pub fn replace(&mut self, now: Nanos, sheet: Sheet) {
         self.set = sheet.rules;
-        self.named(now, &sheet.buckets);
+        self.named(now, &sheet.buckets, &sheet.fleet);
+    }
+
+    /// Limits of the whole fleet are asked for from now on.
+    pub fn join_fleet(&mut self, now: Nanos, keys: &[KeyBudget], rhythm: Rhythm, bytes: usize, seed: u64) {
+        match &mut self.wallet {
+            Some(wallet) => wallet.rebudget(keys),
+            None if keys.is_empty() => {}
+            None => self.wallet = Some(Wallet::new(now, keys, rhythm, bytes, seed)),
+        }
     }
 
-    fn named(&mut self, now: Nanos, buckets: &[Bucket]) {
+    fn named(&mut self, now: Nanos, buckets: &[Bucket], fleet: &[(usize, KeyBudget)]) {
         self.limits.define(now, buckets);
+        self.fleet = vec![Vec::new(); buckets.len()];
+        for (place, budget) in fleet {
+            if let Some(of) = self.fleet.get_mut(*place) {
+                of.push(budget.id());
+            }
+        }
         self.classes = self.set.classes().iter().map(|name| Rc::from(name.as_str())).collect();
         let classes = &self.classes;
         self.by_class.retain(|class, _| classes.contains(class)); // names come and go with reloads without end
@@ -148,13 +196,59 @@
     }
 
     /// Puts a request into its buckets, if all have room.
-    pub fn ask(&mut self, now: Nanos, buckets: &[(u16, u64)]) -> Result<Ticket, Over> {
-        self.limits.ask(now, buckets)
+    pub fn ask(&mut self, now: Nanos, buckets: &[(u16, u64)]) -> Result<Held, Full> {
+        let Some(wallet) = &mut self.wallet else {
+            let ticket = self.limits.ask(now, buckets).map_err(Full::Node)?;
+            return Ok(Held { ticket, keys: Vec::new() });
+        };
+        let mut keys: Vec<(u32, u64)> = Vec::new();
+        for (place, key) in buckets {
+            for id in self.fleet.get(usize::from(*place)).into_iter().flatten() {
+                if !keys.contains(&(*id, *key)) {
+                    wallet.fits(now, *id, *key).map_err(Full::Fleet)?;
+                    keys.push((*id, *key));
+                }
+            }
+        }
+        // The node's own limits come last, so that what they take is never for nothing.
+        let ticket = self.limits.ask(now, buckets).map_err(Full::Node)?;
+        keys.iter().for_each(|(id, key)| wallet.take(now, *id, *key));
+        Ok(Held { ticket, keys })
     }
 
     /// What held places in buckets is over.
-    pub fn done(&mut self, now: Nanos, ticket: Ticket) {
-        self.limits.done(now, ticket);
+    pub fn done(&mut self, now: Nanos, held: Held) {
+        self.limits.done(now, held.ticket);
+        if let Some(wallet) = &mut self.wallet {
+            held.keys.iter().for_each(|(id, key)| wallet.done(*id, *key));
+        }
+    }
+
+    /// This node's end of the limits of the whole fleet.
+    pub fn wallet(&self) -> Option<&Wallet> {
+        self.wallet.as_ref()
+    }
+
+    /// When it has a question for the fleet.
+    pub fn next_question(&self, now: Nanos) -> Option<Nanos> {
+        self.wallet.as_ref()?.next(now)
+    }
+
+    /// The question for the fleet that is due.
+    pub fn question(&mut self, now: Nanos) -> Option<KeysAsked> {
+        self.wallet.as_mut()?.ask(now)
+    }
+
+    /// The fleet answered.
+    pub fn lent(&mut self, now: Nanos, lent: &KeysLent) {
+        if let Some(wallet) = &mut self.wallet {
+            wallet.lent(now, lent);
+        }
+    }
+
+    /// The node leaves: nothing that was lent is used any more. Whether nothing of it is in hand.
+    pub fn let_go(&mut self) -> bool {
+        self.wallet.as_mut().is_none_or(Wallet::let_go)
     }
 
     /// An invocation of a class was read.
--- a/crates/node/src/company.rs
+++ b/crates/node/src/company.rs
@@ -5,6 +5,7 @@
 use madderpoint::Nanos;
 use madderpoint_fleet::{Phase, Sight};
 use madderpoint_shared::Want;
+use madderpoint_shared::keyed::KeysAsked;
 
 /// Runs that succeeded before a node that started cold counts as warm.
 const WARM_AFTER: u32 = 64;
@@ -18,6 +19,8 @@
     Pulse { room: u8, load: u8 },
     /// What it wants of the budgets, and holds, at this time.
     Wants { at: Nanos, wants: Vec<Want> },
+    /// What it has of some keys of the fleet's limits, and wants.
+    Keys(KeysAsked),
     /// It holds nothing of the budgets any more; whether none of it is in hand.
     LetGo(bool),
 }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -2,7 +2,7 @@
 //! [`Outward`]. What it keeps of invocations is at the desk.
 
 use crate::backend;
-use crate::classify::{Classifier, Ruled, Sheet};
+use crate::classify::{Classifier, Full, Ruled, Sheet};
 use crate::company::{Company, Word};
 use crate::config::Moved;
 use crate::desk::{Deferred, Desk, Given, Hands, Open, Timer};
@@ -16,6 +16,7 @@
 use madderpoint_facts::Start;
 use madderpoint_fleet::Sight;
 use madderpoint_rules::Verdict;
+use madderpoint_shared::keyed::{KeyBudget, KeysLent, Rhythm};
 use madderpoint_shared::{Budget, Ends, Part};
 use std::cell::RefCell;
 use std::net::IpAddr;
@@ -64,7 +65,9 @@
     /// What is seen of the fleet.
     Fleet(Box<Sight>),
     /// Parts of the fleet's budgets, by their places, which were asked for at that time.
-    Lent(Nanos, Vec<(usize, Part)>),
+    Lent(Nanos, Vec<(u32, Part)>),
+    /// Units of keys of the fleet's limits.
+    KeysLent(Box<KeysLent>),
     /// Limits of the fleet's budgets that hold from now on.
     Rebudget(Vec<Budget>),
 }
@@ -84,8 +87,11 @@
     start: Rc<Start>,
     seed: u64,
     stop_after: Nanos,
-    /// Bytes for what limits by key hold.
+    /// Bytes for what limits by key hold, and for those of the whole fleet.
     limit_bytes: usize,
+    key_bytes: usize,
+    /// How often keys are asked for; none outside a fleet.
+    rhythm: Option<Rhythm>,
     /// There are none before the kernel is up: it says whether the node starts cold.
     choice: Option<Choice<Hands<O>>>,
     /// None where nodes keep no view of their fleet.
@@ -97,12 +103,23 @@
     pub fn new(out: O, start: Start, seed: u64, stop_after: Nanos, has_backend: bool, room: &Room) -> Self {
         let start = Rc::new(start);
         let desk = Rc::new(RefCell::new(Desk::new(out, Rc::clone(&start), has_backend, room)));
-        Core { desk, start, seed, stop_after, limit_bytes: room.buckets, choice: None, company: None }
+        Core {
+            desk,
+            start,
+            seed,
+            stop_after,
+            limit_bytes: room.buckets,
+            key_bytes: room.keys,
+            rhythm: None,
+            choice: None,
+            company: None,
+        }
     }
 
     /// Takes part in a fleet from now on, and shares these budgets with it.
-    pub fn join_fleet(&mut self, now: Nanos, budgets: &[Budget]) {
+    pub fn join_fleet(&mut self, now: Nanos, budgets: &[Budget], rhythm: Rhythm) {
         self.company = Some(Company::default());
+        self.rhythm = Some(rhythm);
         let mut desk = self.desk.borrow_mut();
         desk.now = now;
         desk.set_timer(PULSE, Timer::Pulse);
@@ -169,6 +186,7 @@
             Timer::Look => self.desk.borrow_mut().look(),
             Timer::Pulse => self.pulse(),
             Timer::Wants => self.wants(now),
+            Timer::Keys => self.ask_keys(),
         }
     }
 
@@ -222,6 +240,11 @@
                     budgets.lent(now, asked, &parts);
                 }
             }
+            Event::KeysLent(lent) => {
+                if let Some(rules) = &mut self.desk.borrow_mut().rules {
+                    rules.lent(now, &lent);
+                }
+            }
             Event::Rebudget(limits) => {
                 if let Some(budgets) = &mut self.desk.borrow_mut().budgets {
                     budgets.rebudget(&limits);
@@ -302,10 +325,14 @@
         let mut desk = self.desk.borrow_mut();
         let (rules, buckets) = (sheet.rules.rules().len(), sheet.buckets.len());
         let (bytes, worst) = (sheet.rules.bytes() >> 10, sheet.rules.worst());
+        let keys: Vec<KeyBudget> = sheet.fleet.iter().map(|(_, budget)| budget.clone()).collect();
         match &mut desk.rules {
             Some(classifier) => classifier.replace(now, sheet),
             None => desk.rules = Some(Box::new(Classifier::new(now, sheet, self.limit_bytes, self.seed))),
         }
+        if let (Some(rhythm), Some(rules)) = (self.rhythm, &mut desk.rules) {
+            rules.join_fleet(now, &keys, rhythm, self.key_bytes, self.seed);
+        }
         desk.out.log(format_args!(
             "rules: {rules} in force with {buckets} buckets, {bytes} KiB, at most {worst} units for a request"
         ));
@@ -376,19 +403,25 @@
         if let Some(class) = &ruled.class {
             rules.arrived(class);
         }
-        match asked {
-            Ok(ticket) => {
-                Some(Given { key, class: ruled.class, ticket: ticket.filter(|ticket| !ticket.is_empty()) })
-            }
-            Err(over) => {
-                if let Some(class) = &ruled.class {
-                    rules.answered(class, 429);
-                }
-                desk.count("throttled by a limit", 1);
-                desk.verdict(conn, id, 429, over.pause, "over a limit");
-                None
-            }
+        if asked.is_err()
+            && let Some(class) = &ruled.class
+        {
+            rules.answered(class, 429);
+        }
+        if !ruled.buckets.is_empty() {
+            desk.arm_keys();
         }
+        let (pause, count) = match asked {
+            Ok(held) => {
+                let held = held.filter(|held| !held.is_empty());
+                return Some(Given { key, class: ruled.class, held });
+            }
+            Err(Full::Node(over)) => (over.pause, "throttled by a limit"),
+            Err(Full::Fleet(refused)) => (refused.pause, "throttled by a limit of the fleet"),
+        };
+        desk.count(count, 1);
+        desk.verdict(conn, id, 429, pause, "over a limit");
+        None
     }
 
     fn arrive(&mut self, moment: Moment, front: Open, head: Head, body: Vec<u8>, given: Given) {
@@ -450,12 +483,23 @@
         }
     }
 
+    /// Asks the fleet for what is wanted of keys.
+    fn ask_keys(&mut self) {
+        let questions = self.desk.borrow_mut().questions();
+        for asked in questions {
+            self.say(|_| Some(Word::Keys(asked)));
+        }
+    }
+
     /// The node ends: what it was lent is not used any more.
     pub fn let_go(&mut self, now: Nanos) {
-        let free = self.desk.borrow_mut().budgets.as_mut().map(|budgets| budgets.let_go(now));
-        if let Some(free) = free {
-            self.say(|_| Some(Word::LetGo(free)));
-        }
+        let free = {
+            let mut desk = self.desk.borrow_mut();
+            let calls = desk.budgets.as_mut().is_none_or(|budgets| budgets.let_go(now));
+            let keys = desk.rules.as_mut().is_none_or(|rules| rules.let_go());
+            calls && keys
+        };
+        self.say(|_| Some(Word::LetGo(free)));
     }
 
     fn pulse(&mut self) {
@@ -538,7 +582,7 @@
     }
 
     fn call_over(&mut self, now: Nanos, id: InvId, ending: CallEnding) {
-        let latency = self.desk.borrow_mut().call_over(id);
+        let latency = self.desk.borrow_mut().call_over(id, ending);
         if let (Some(latency), Some(choice)) = (latency, &mut self.choice) {
             choice.call_ended(now, id, ending, latency);
         }
--- a/crates/node/src/core/tests/rules.rs
+++ b/crates/node/src/core/tests/rules.rs
@@ -20,7 +20,7 @@
     let text = format!("<translator version=\"1\"><rules>{rules}</rules></translator>");
     let read = madderpoint_settings::read("rules.xml", &text, &known).unwrap_or_else(|e| panic!("{e}"));
     let book = read.rules.unwrap();
-    Box::new(Sheet { rules: book.rules, buckets: book.buckets })
+    Box::new(Sheet { rules: book.rules, buckets: book.buckets, fleet: book.fleet })
 }
 
 impl Node {
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -1,6 +1,6 @@
 //! What the node keeps of connections, invocations, runs, calls and timers; the [`Host`] of the decisions.
 
-use crate::classify::Classifier;
+use crate::classify::{Classifier, Held};
 use crate::fastcgi::Reply;
 use crate::kept::{Kept, Key};
 use crate::outward::{BackendLink, CallNo, ConnId, Outward};
@@ -8,8 +8,8 @@
 use crate::room::Room;
 use madderpoint::{AlarmId, CallEnding, Effect, Ending, Gauges, Host, InvId, Nanos, OpId};
 use madderpoint_facts::Start;
-use madderpoint_limits::Ticket;
 use madderpoint_shared::Ends;
+use madderpoint_shared::keyed::KeysAsked;
 use std::cell::RefCell;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -55,7 +55,7 @@
     /// The class that a rule gave.
     pub class: Option<Rc<str>>,
     /// Places that it holds in buckets.
-    pub ticket: Option<Ticket>,
+    pub held: Option<Held>,
 }
 
 /// Tells bodies apart; not secret, for who makes two that share one only gets the first one's answer for both.
@@ -95,6 +95,7 @@
     Look,
     Pulse,
     Wants,
+    Keys,
 }
 
 /// What is open on a connection.
@@ -156,8 +157,9 @@
     since: Nanos,
     /// The connection on which it was written whole.
     written: Option<BackendLink>,
-    /// Whether it was allowed under the fleet's budgets.
+    /// Whether it was allowed under the fleet's budgets, and whether it repeats one that failed.
     budgeted: bool,
+    repeats: bool,
 }
 
 /// What is known of a link to the back end.
@@ -183,6 +185,8 @@
     /// Whether the kernel was ever told to run it.
     asked: bool,
     call: Option<Call>,
+    /// Whether a call that it waits for failed before.
+    call_failed: bool,
     /// Links on which a late reply may come.
     tainted: [bool; BACKEND_LINKS],
     key: Option<Key>,
@@ -192,7 +196,7 @@
     joiners: Vec<InvId>,
     /// What rules gave: its class, and the places that it holds in buckets.
     class: Option<Rc<str>>,
-    ticket: Option<Ticket>,
+    held: Option<Held>,
 }
 
 /// The link to the kernel. Commands are counted; a gauge's mark tells which have arrived.
@@ -232,6 +236,8 @@
     pub rules: Option<Box<Classifier>>,
     /// None where the fleet shares no budget.
     pub budgets: Option<Box<Ends>>,
+    /// When a question about keys goes to the fleet, if one is to.
+    keys_due: Option<Nanos>,
     checks: HashMap<u64, Open>,
     health: (bool, bool),
     advert: Option<f64>,
@@ -267,6 +273,7 @@
             kept: Kept::new(room.results),
             rules: None,
             budgets: None,
+            keys_due: None,
             checks: HashMap::new(),
             health: (false, true),
             advert: None,
@@ -340,10 +347,31 @@
         self.advert
     }
 
+    /// Has a timer fire when the next question about keys is due. One that fires too soon only looks again.
+    pub fn arm_keys(&mut self) {
+        let due = self.rules.as_ref().and_then(|rules| rules.next_question(self.now));
+        if let Some(due) = due
+            && self.keys_due.is_none_or(|armed| due < armed)
+        {
+            self.keys_due = Some(due);
+            self.set_timer(due.saturating_sub(self.now), Timer::Keys);
+        }
+    }
+
+    /// The timer fired: gives the questions that are due.
+    pub fn questions(&mut self) -> Vec<KeysAsked> {
+        self.keys_due = None;
+        let now = self.now;
+        let questions = self.rules.iter_mut().flat_map(|rules| std::iter::from_fn(|| rules.question(now)));
+        let questions = questions.collect();
+        self.arm_keys();
+        questions
+    }
+
     /// A call that was allowed under the fleet's budgets is over.
     fn call_is_over(&mut self, call: &Call) {
         if let Some(budgets) = self.budgets.as_mut().filter(|_| call.budgeted) {
-            budgets.over();
+            budgets.over(call.repeats);
         }
     }
 
@@ -393,7 +421,7 @@
     ) -> (InvId, Option<InvId>) {
         self.next_id += 1;
         let id = InvId(self.next_id);
-        let Given { key, class, ticket } = given;
+        let Given { key, class, held } = given;
         let repeats = key.and_then(|key| self.kept.original(self.now, key));
         let invocation = Invocation {
             rid: head.rid.clone(),
@@ -405,13 +433,14 @@
             ran: false,
             asked: false,
             call: None,
+            call_failed: false,
             tainted: [false; BACKEND_LINKS],
             key,
             repeats,
             joined: None,
             joiners: Vec::new(),
             class,
-            ticket,
+            held,
         };
         self.out.step(&head.rid, format_args!("read, age {} ms", age / MILLISECOND));
         self.ids.insert(head.rid.clone(), id);
@@ -477,8 +506,8 @@
     fn remove(&mut self, id: InvId) {
         let Some(inv) = self.invs.remove(&id) else { return };
         self.ids.remove(&inv.rid);
-        if let (Some(ticket), Some(rules)) = (inv.ticket, &mut self.rules) {
-            rules.done(self.now, ticket);
+        if let (Some(held), Some(rules)) = (inv.held, &mut self.rules) {
+            rules.done(self.now, held);
         }
         let result = self.kept.result(id).map(<[u8]>::to_vec);
         if result.is_none() {
--- a/crates/node/src/desk/calls.rs
+++ b/crates/node/src/desk/calls.rs
@@ -30,7 +30,8 @@
             return self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
         };
         // A call that the fleet's budgets have no room for is like one for which no link has: it never ran.
-        let budgeted = match self.budgets.as_mut().map(|budgets| budgets.take(self.now)) {
+        let repeats = inv.call_failed;
+        let budgeted = match self.budgets.as_mut().map(|budgets| budgets.take(self.now, repeats)) {
             Some(Err(_)) => {
                 self.count("calls that the fleet's budgets had no room for", 1);
                 return self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
@@ -45,12 +46,12 @@
         self.next_call += 1;
         let no = CallNo(self.next_call);
         if !self.out.call(place, no, id, bytes) {
-            self.budgets.iter_mut().filter(|_| budgeted).for_each(|budgets| budgets.over());
+            self.budgets.iter_mut().filter(|_| budgeted).for_each(|budgets| budgets.over(repeats));
             return self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
         }
         self.out
             .step(&inv.rid, format_args!("calls below on link {place}, for {} ms", timeout / MILLISECOND));
-        inv.call = Some(Call { no, place, since: self.now, written: None, budgeted });
+        inv.call = Some(Call { no, place, since: self.now, written: None, budgeted, repeats });
         self.set_timer(timeout, Timer::CallLimit(id, no));
     }
 
@@ -145,10 +146,11 @@
     }
 
     /// Takes a call that has ended; gives how long it took.
-    pub fn call_over(&mut self, id: InvId) -> Option<Nanos> {
+    pub fn call_over(&mut self, id: InvId, ending: CallEnding) -> Option<Nanos> {
         let inv = self.invs.get_mut(&id)?;
         inv.run.as_ref()?;
         let Some(call) = inv.call.take() else { return Some(0) };
+        inv.call_failed = ending != CallEnding::Succeeded;
         self.call_is_over(&call);
         Some(self.now - call.since)
     }
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -203,11 +203,13 @@
     /// A run has come to a call.
     pub fn call_asked(&mut self, rid: &str, no: u64, body: Vec<u8>) -> Option<InvId> {
         let id = self.ids.get(rid).copied();
-        let run = id.and_then(|id| self.invs.get_mut(&id)).and_then(|inv| inv.run.as_mut());
-        let Some(run) = run else {
+        let inv = id.and_then(|id| self.invs.get_mut(&id)).filter(|inv| inv.run.is_some());
+        let Some(inv) = inv else {
             self.count("kernel: calls of what does not run", 1);
             return None;
         };
+        inv.call_failed = false;
+        let run = inv.run.as_mut()?;
         (run.seen, run.wait, run.call_body) = (true, Wait::Call { no }, body);
         id
     }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -226,7 +226,8 @@
 
 impl Ours {
     fn beside(&self) -> Beside {
-        Beside { settings: self.rules.is_some(), fleet: self.fleet.is_some() }
+        let shared = self.fleet.as_ref().is_some_and(|part| part.shares());
+        Beside { settings: self.rules.is_some(), fleet: self.fleet.is_some(), shared }
     }
 }
 
@@ -249,9 +250,11 @@
     kernel_link::start(Arc::clone(&addresses), room.commands, events.clone())?;
     reports::start(Arc::clone(&addresses), who.name.clone(), Arc::clone(&leaving))?;
     let budgets = ours.fleet.as_ref().map_or(Vec::new(), |part| part.budgets.clone());
+    let rhythm = ours.fleet.as_ref().map(|part| part.rhythm());
     let fleet = match ours.fleet {
         Some(mut part) => {
             part.settings.bytes = room.fleet;
+            part.key_bytes = room.key_books;
             let unix = move || {
                 let Moment { now, unix_ms } = clock.read();
                 madderpoint_fleet::Moment { now, unix_ms }
@@ -282,12 +285,12 @@
     let sockets = Sockets { conns, dirty, kernel: None, backend, addresses, front, leaving, fleet };
     let stop_after = who.stop_after.as_nanos() as Nanos;
     let mut core = Core::new(sockets, who.start.clone(), who.seed, stop_after, has_backend, &room);
+    if let Some(rhythm) = rhythm {
+        core.join_fleet(clock.now(), &budgets, rhythm);
+    }
     if let Some(sheet) = ours.rules {
         core.handle(clock.read(), Event::Ruled(sheet));
     }
-    if fleet_thread.is_some() {
-        core.join_fleet(clock.now(), &budgets);
-    }
     run(&mut core, clock, &inbox);
     core.let_go(clock.now());
     core.out(|out| out.fleet.iter().for_each(FleetLink::leave));
--- a/crates/node/src/driver/fleet_link.rs
+++ b/crates/node/src/driver/fleet_link.rs
@@ -9,6 +9,7 @@
 use madderpoint_fleet::seal::Keys;
 use madderpoint_fleet::wire::DATAGRAM_MAX;
 use madderpoint_fleet::{Fleet, Host, Key, Life, Moment, Nanos, Periods, Settings, Sight};
+use madderpoint_shared::keyed::{KeyBudget, KeysLent, Rhythm};
 use madderpoint_shared::wire::{Told, read as read_parcel, write as write_parcel};
 use madderpoint_shared::{self as shared, Budget, Shared, Want, Who};
 use rustix::event::{EventfdFlags, PollFd, PollFlags, Timespec, eventfd, poll};
@@ -37,6 +38,23 @@
     /// Keys of those who decide who lends, and the budgets that the fleet shares; none if there are none.
     pub arbiters: Vec<u64>,
     pub budgets: Vec<Budget>,
+    /// Limits by key that the fleet shares, and the bytes that books of them may take.
+    pub keys: Vec<KeyBudget>,
+    pub key_bytes: usize,
+}
+
+impl Part {
+    /// Whether anything is shared with the fleet but the view of it.
+    pub fn shares(&self) -> bool {
+        !self.arbiters.is_empty()
+    }
+
+    /// How often keys are asked for: by the most nodes that any limit is made for.
+    pub fn rhythm(&self) -> Rhythm {
+        let budgets = self.budgets.iter().map(|budget| budget.nodes_most);
+        let most = budgets.chain(self.keys.iter().map(|budget| budget.nodes_most)).max();
+        Rhythm::of(most.unwrap_or(1))
+    }
 }
 
 /// What a new file of settings changes.
@@ -47,6 +65,7 @@
     pub periods: Periods,
     pub number: (u64, u64),
     pub budgets: Vec<Budget>,
+    pub key_budgets: Vec<KeyBudget>,
 }
 
 enum Order {
@@ -107,7 +126,10 @@
     fn wants(&mut self, _: Nanos) -> (Nanos, Vec<Want>) {
         self.wants.clone()
     }
-    fn lent(&mut self, _: Nanos, asked: Nanos, parts: &[(usize, shared::Part)]) {
+    fn keys_lent(&mut self, _: Nanos, lent: KeysLent) {
+        let _ = self.events.try_send(Message::Event(Event::KeysLent(Box::new(lent))));
+    }
+    fn lent(&mut self, _: Nanos, asked: Nanos, parts: &[(u32, shared::Part)]) {
         // A part that finds no room is not used: it ends by itself.
         let _ = self.events.try_send(Message::Event(Event::Lent(asked, parts.to_vec())));
     }
@@ -167,14 +189,16 @@
     let teller = Teller { sent: Vec::new(), wants: (0, Vec::new()), free: false, events: events.clone() };
     let hands = Hands { socket, parcels: Vec::new(), events, unseen: None };
     let most = part.settings.bytes / madderpoint_fleet::view::ENTRY_USUAL + 16;
+    let rhythm = part.rhythm();
     let fleet =
         Fleet::new(part.settings, seed, clock(), hands).map_err(|odd| io::Error::other(odd.to_string()))?;
     let (key, life) = fleet.me();
     let me = Who { key: key.0, life: life.0 };
-    let bank = (!part.budgets.is_empty()).then(|| {
+    let bank = (!part.arbiters.is_empty()).then(|| {
         let zone = zone_number(&zone);
-        let usual = shared::Settings::usual(me, part.arbiters, part.budgets);
-        Shared::new(shared::Settings { zone, most, ..usual }, seed ^ life.0, clock().now, teller)
+        let usual = shared::Settings::usual(me, part.arbiters, part.budgets, part.keys);
+        let settings = shared::Settings { zone, most, rhythm, key_bytes: part.key_bytes, ..usual };
+        Shared::new(settings, seed ^ life.0, clock().now, teller)
     });
     let link = FleetLink { orders, bell: Arc::clone(&bell) };
     let thread = thread::Builder::new().name("fleet".into()).stack_size(STACK);
@@ -208,12 +232,15 @@
                 Order::Word(Word::Wants { at, wants }) => {
                     bank.iter_mut().for_each(|bank| bank.host.wants = (at, wants.clone()));
                 }
+                Order::Word(Word::Keys(asked)) => {
+                    bank.iter_mut().for_each(|bank| bank.ask_keys(clock().now, asked.clone()));
+                }
                 Order::Word(Word::LetGo(free)) => bank.iter_mut().for_each(|bank| bank.host.free = free),
                 Order::Reset(reset) => {
                     fleet.reset(clock(), reset.keys, reset.seeds, reset.periods);
                     fleet.set_settings(clock(), reset.number);
                     if let Some(bank) = &mut bank {
-                        bank.rebudget(reset.budgets.clone());
+                        bank.rebudget(reset.budgets.clone(), reset.key_budgets);
                         let event = Event::Rebudget(reset.budgets);
                         let _ = fleet.host.events.send(Message::Event(event));
                     }
--- a/crates/node/src/room.rs
+++ b/crates/node/src/room.rs
@@ -39,6 +39,9 @@
     pub settings_file: usize,
     /// Bytes that the view of the fleet may take; 0 where nodes keep none.
     pub fleet: usize,
+    /// Bytes for keys of limits that the whole fleet shares, and for the books of them where this node lends.
+    pub keys: usize,
+    pub key_books: usize,
 }
 
 /// What a node has beside what it always has.
@@ -48,6 +51,8 @@
     pub settings: bool,
     /// A part in a fleet.
     pub fleet: bool,
+    /// State that is shared with it.
+    pub shared: bool,
 }
 
 /// A quarter of what is free is set aside where our settings are given: two sets of rules, the one in force and the
@@ -58,6 +63,9 @@
 /// A sixteenth more is set aside for the fleet: two thirds of it for the view (832 bytes a member), the rest for what is
 /// kept of each member beside it (numbers against replays, news, the round) and for the datagram in hand.
 const FOR_FLEET: usize = 16;
+/// And an eighth for what is shared with the fleet: a third for keys, a third for books of them, the rest for counts and what
+/// others say of services below.
+const FOR_SHARED: usize = 8;
 
 impl Room {
     /// What these limits leave room for, with so many links to the back end, and with these parts beside.
@@ -66,7 +74,8 @@
         let free = memory.saturating_sub(BARE);
         let aside = if beside.settings { free / FOR_SETTINGS } else { 0 };
         let fleet = if beside.fleet { free / FOR_FLEET } else { 0 };
-        let free = free - aside - fleet;
+        let shared = if beside.shared { free / FOR_SHARED } else { 0 };
+        let free = free - aside - fleet - shared;
         let connections = (free / 3 / CONNECTION).min(limits.sockets.saturating_sub(RESERVED)).max(1);
         let part = free / 12;
         Room {
@@ -83,6 +92,8 @@
             buckets: aside / 6,
             settings_file: aside / 2 / READING,
             fleet: fleet / 3 * 2,
+            keys: shared / 3,
+            key_books: shared / 3,
         }
     }
 
@@ -91,7 +102,8 @@
     fn total(&self, links: usize) -> usize {
         let waiting = self.front_events * REQUEST + self.peer_events * NOTICE;
         let written = (self.commands + self.calls * links) * COMMAND + self.unread;
-        let settings = 2 * self.rules + self.buckets + READING * self.settings_file + self.fleet / 2 * 3;
+        let settings =
+            2 * self.rules + self.buckets + READING * self.settings_file + self.fleet / 2 * 3 + 3 * self.keys;
         BARE + self.connections * (CONNECTION + self.unfinished)
             + waiting
             + written
@@ -107,9 +119,11 @@
     #[test]
     fn all_bounds_together_stay_below_the_memory_that_is_told() {
         for (memory_mb, sockets) in [(32.0, 384), (48.0, 512), (64.0, 384), (192.0, 512), (192.0, 1024)] {
-            for (settings, fleet) in [(false, false), (true, false), (true, true)] {
-                let room =
-                    Room::of(&Limits { cores: 0.1, memory_mb, sockets }, 4, Beside { settings, fleet });
+            for (settings, fleet, shared) in
+                [(false, false, false), (true, false, false), (true, true, false), (true, true, true)]
+            {
+                let beside = Beside { settings, fleet, shared };
+                let room = Room::of(&Limits { cores: 0.1, memory_mb, sockets }, 4, beside);
                 assert!(room.total(4) < memory_mb as usize * (1 << 20), "{memory_mb} MB: {room:?}");
                 assert!(room.connections > sockets / 2, "dispatchers may open half of {sockets}: {room:?}");
             }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -10,6 +10,7 @@
 use madderpoint_node::log;
 use madderpoint_node::room::Beside;
 use madderpoint_settings::{self as settings, Complaints, FleetSettings, Known, Place, Translator};
+use madderpoint_shared::keyed::KeyBudget;
 use madderpoint_shared::{Budget, Kind};
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -103,19 +104,29 @@
         extensions: Extensions::default(),
     };
     let arbiters = fleet.arbiters.iter().map(|name| madderpoint_fleet::Key::of(name).0).collect();
-    Ok(Some(Box::new(Part { bind, settings, arbiters, budgets: fleet.budgets.clone() })))
+    let (budgets, keys) = (fleet.budgets.clone(), key_budgets(read));
+    Ok(Some(Box::new(Part { bind, settings, arbiters, budgets, keys, key_bytes: 0 })))
+}
+
+/// Limits by key of the whole fleet, as the rules' buckets have them.
+fn key_budgets(read: &Translator) -> Vec<KeyBudget> {
+    read.rules.iter().flat_map(|rules| &rules.fleet).map(|(_, budget)| budget.clone()).collect()
 }
 
 /// The rules of a file; one without rules has an empty set, so that those before it end.
 fn sheet(read: &mut Translator) -> Box<Sheet> {
+    let secret = read.fleet.as_ref().map_or(0, |fleet| fleet.secret);
     match read.rules.take() {
-        Some(book) => Box::new(Sheet { rules: book.rules, buckets: book.buckets }),
+        Some(mut book) => {
+            book.rules.share(book.fleet.iter().map(|(place, _)| *place), secret);
+            Box::new(Sheet { rules: book.rules, buckets: book.buckets, fleet: book.fleet })
+        }
         None => Box::new(Sheet::default()),
     }
 }
 
 fn with_room(who: &Identity) -> Known {
-    let room = driver::room(who, Beside { settings: true, fleet: true });
+    let room = driver::room(who, Beside { settings: true, fleet: true, shared: true });
     Known { bytes: room.rules, file_bytes: room.settings_file, ..known(&who.start) }
 }
 
@@ -155,7 +166,8 @@
             // Limits may change; budgets that come or go, or are of another kind, wait for a restart.
             let same = same_kinds(&new.budgets, &now.budgets);
             let budgets = if same { &new.budgets } else { &now.budgets }.clone();
-            tell(Notice::Fleet(Box::new(Reset { keys, seeds, periods, number, budgets })));
+            let key_budgets = key_budgets(&read);
+            tell(Notice::Fleet(Box::new(Reset { keys, seeds, periods, number, budgets, key_budgets })));
         }
         (None, None, None) => {}
         _ => log!("new settings: <fleet> comes and goes with a restart only"),
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -42,5 +42,7 @@
 pub use compile::Vocabulary;
 pub use error::Error;
 pub use facts::{Caller, Facts, Params};
-pub use ruleset::{Bounds, Decision, Field, Given, Path, Problem, RuleSet, Scratch, Verdict, Written};
+pub use ruleset::{
+    Bounds, Decision, Field, Given, Path, Problem, RuleSet, Scratch, Verdict, Written, common_number,
+};
 pub use value::{Fault, Type, Value};
--- a/crates/rules/src/ruleset.rs
+++ b/crates/rules/src/ruleset.rs
@@ -227,6 +227,16 @@
     cost: u64,
     bytes: usize,
     worst: u64,
+    /// Buckets whose keys all nodes number alike, and the secret that they have in common.
+    shared: Vec<bool>,
+    common: u64,
+}
+
+/// A number for a key that is the same on all nodes and in all versions that have a secret in common: SipHash-2-4.
+pub fn common_number(secret: u64, text: &str) -> u64 {
+    let mut hasher = siphasher::sip::SipHasher24::new_with_keys(secret, 0x6b65_7973);
+    hasher.write(text.as_bytes());
+    hasher.finish()
 }
 
 fn number(secret: u64, what: u64, text: &str) -> u64 {
@@ -393,9 +403,22 @@
             cost: bounds.cost,
             bytes,
             worst,
+            shared: Vec::new(),
+            common: 0,
         })
     }
 
+    /// The keys of these buckets, by their places, are numbered as on all nodes that have this secret in common.
+    pub fn share(&mut self, buckets: impl Iterator<Item = usize>, common: u64) {
+        self.shared = vec![false; self.buckets.len()];
+        self.common = common;
+        for bucket in buckets {
+            if let Some(shared) = self.shared.get_mut(bucket) {
+                *shared = true;
+            }
+        }
+    }
+
     /// The rules, in the order of the file.
     pub fn rules(&self) -> &[Rule] {
         &self.rules
@@ -487,7 +510,11 @@
         let (mut buckets, mut bucket_texts) = (SmallVec::new(), Vec::new());
         for (bucket, node) in &rule.buckets {
             let text = text(node)?;
-            buckets.push((*bucket, number(secret, 1 + u64::from(*bucket), text)));
+            let key = match self.shared.get(usize::from(*bucket)) {
+                Some(true) => common_number(self.common, text),
+                _ => number(secret, 1 + u64::from(*bucket), text),
+            };
+            buckets.push((*bucket, key));
             if shows {
                 bucket_texts.push(text.to_owned());
             }
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -38,6 +38,8 @@
     pub arbiters: Vec<String>,
     /// Limits on the calls below of all nodes together.
     pub budgets: Vec<Budget>,
+    /// What keys are numbered by, alike on all nodes.
+    pub secret: u64,
 }
 
 /// Tells two texts of settings apart; part of what a node says of itself.
@@ -101,7 +103,8 @@
             }
         };
         let (floor, nodes_most) = (number("floor")?, number("nodes-most")?);
-        let budget = Budget { name: name.value.clone(), limit, floor, nodes_most, kind };
+        let repeats_only = text("of").is_some_and(|of| of.value == "repeats");
+        let budget = Budget { name: name.value.clone(), limit, floor, nodes_most, kind, repeats_only };
         if let Err(what) = budget.check() {
             self.wrong(name, &field, what, "floors that the limit has room for");
             return None;
@@ -150,7 +153,28 @@
                 "each name once",
             );
         }
-        if let Some(text) = element.one("calls-budget").and_then(|budget| budget.get("name"))
+        let (mut ids, mut twice) = (Vec::new(), None);
+        for budget in &budgets {
+            if ids.contains(&budget.id()) {
+                twice = element
+                    .all("calls-budget")
+                    .filter_map(|b| b.get("name"))
+                    .find(|n| n.value == budget.name);
+            }
+            ids.push(budget.id());
+        }
+        if let Some(text) = twice {
+            let what = format!("a second budget '{}'", text.value);
+            reading.wrong(
+                text,
+                "calls-budget",
+                what,
+                "each name once for a rate, and once for a number in hand",
+            );
+        }
+        let first =
+            element.one("calls-budget").or(element.one("arbiter")).and_then(|first| first.get("name"));
+        if let Some(text) = first
             && (arbiters.len().is_multiple_of(2) || arbiters.len() > ARBITERS_MAX)
         {
             let what = format!("{} arbiters", arbiters.len());
@@ -202,6 +226,7 @@
                 periods,
                 arbiters,
                 budgets,
+                secret: fingerprint(&text("salt").or(text("name")).unwrap_or_default()),
             })
         } else {
             Err(reading.complaints)
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -170,6 +170,17 @@
         Some(element) => Some(FleetSettings::read(element).map_err(complaints)?),
         None => None,
     };
+    // A limit of the whole fleet needs one, and somebody who lends.
+    let lends = fleet.as_ref().is_some_and(|fleet| !fleet.arbiters.is_empty());
+    if let Some((_, budget)) = rules.iter().flat_map(|rules| &rules.fleet).next()
+        && !lends
+    {
+        let place = root.one("rules").map_or(Place::Whole, |rules| Place::At(rules.at));
+        let field = format!("bucket '{}'", budget.name);
+        let what = "a limit of the whole fleet, and no fleet with arbiters".to_owned();
+        let expected = "<fleet> with an odd number of <arbiter>, or scope=\"node\"".to_owned();
+        return Err(complaints(vec![Complaint { place, field, what, expected }]));
+    }
     let number = root.get("number").and_then(|number| number.value.parse().ok()).unwrap_or(0);
     Ok(Translator { rules, fleet, number: (number, fleet::fingerprint(text)) })
 }
--- a/crates/settings/src/rulebook.rs
+++ b/crates/settings/src/rulebook.rs
@@ -9,9 +9,13 @@
 use madderpoint_rules::{
     AddressSet, Bounds, Error, Field, Problem, RuleSet, Verdict, Vocabulary, Written, address, cost, time,
 };
+use madderpoint_shared::keyed::{KeyBudget, KeyKind};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
+/// One is in hand so long at most, where the file does not say.
+const LONGEST: Nanos = 10_000_000_000;
+
 /// What the rules are checked against.
 #[derive(Clone, Debug)]
 pub struct Known {
@@ -39,6 +43,8 @@
     pub rules: RuleSet,
     /// The buckets, in the order in which the rules count them.
     pub buckets: Vec<Bucket>,
+    /// Those of them that are limits of the whole fleet, each with its place.
+    pub fleet: Vec<(usize, KeyBudget)>,
     /// Names of operations, in the order in which the rules count them.
     pub operations: Vec<String>,
     /// Cases that show what the rules are to do.
@@ -163,6 +169,60 @@
     Some(bucket)
 }
 
+/// So many in a time, as two numbers.
+fn count_in(text: &str) -> Option<(u32, Nanos)> {
+    let (count, period) = text.split_once('/')?;
+    let one = period.starts_with(|c: char| c.is_ascii_digit());
+    let period = if one { span(period) } else { span(&format!("1{period}")) };
+    Some((count.parse().ok()?, period?))
+}
+
+/// A bucket that is a limit of the whole fleet: at most one for its rate and one for its number in hand.
+fn fleet_bucket(element: &Element, reading: &mut Reading) -> Vec<KeyBudget> {
+    let name = text(element, "name");
+    let field = format!("bucket '{name}'");
+    let number = |name: &str| element.get(name).and_then(|t| t.value.parse::<u32>().ok());
+    let is_fleet = text(element, "scope") == "fleet";
+    if !is_fleet {
+        for only in ["floor", "nodes-most", "longest"] {
+            if let Some(written) = element.get(only) {
+                reading.wrong(
+                    written,
+                    &field,
+                    format!("'{only}' of a limit that each node has"),
+                    "scope=\"fleet\"",
+                );
+            }
+        }
+        return Vec::new();
+    }
+    if let Some(total) = element.get("total") {
+        reading.wrong(total, &field, "'total' of a limit of the whole fleet", "rate or in-hand");
+    }
+    let Some(nodes_most) = number("nodes-most") else {
+        if let Some(scope) = element.get("scope") {
+            reading.wrong(scope, &field, "'nodes-most' is missing", "how many processes run at once at most");
+        }
+        return Vec::new();
+    };
+    let longest = element.get("longest").map_or(Some(LONGEST), |text| span(&text.value));
+    let burst = number("burst").unwrap_or(1);
+    let rate = element.get("rate").and_then(|text| count_in(&text.value));
+    let kinds = [
+        rate.map(|(count, period)| KeyKind::Rate { count, period, burst }),
+        number("in-hand").zip(longest).map(|(limit, longest)| KeyKind::InHand { limit, longest }),
+    ];
+    let floor = number("floor").unwrap_or(0);
+    let budget = |kind| KeyBudget { name: name.to_owned(), kind, floor, nodes_most };
+    let budgets: Vec<KeyBudget> = kinds.into_iter().flatten().map(budget).collect();
+    for budget in &budgets {
+        if let (Err(what), Some(written)) = (budget.check(), element.get("name")) {
+            reading.wrong(written, &field, what, "more of it, fewer nodes or a lower floor");
+        }
+    }
+    budgets
+}
+
 fn written(element: &Element, reading: &mut Reading) -> Written {
     let expression = |of: &Element, name: &str| of.one(name).map(|e| e.text.value.clone());
     let mut rule = Written {
@@ -222,8 +282,27 @@
                 format!("at most {BUCKETS_MAX}"),
             );
         }
-        let buckets: Vec<Bucket> = buckets.iter().filter_map(|b| bucket(b, &mut reading)).collect();
+        let mut fleet: Vec<(usize, KeyBudget)> = Vec::new();
+        for (place, element) in buckets.iter().enumerate() {
+            for budget in fleet_bucket(element, &mut reading) {
+                if let Some((_, other)) = fleet.iter().find(|(_, other)| other.id() == budget.id())
+                    && let Some(written) = element.get("name")
+                {
+                    let what = format!("shares its number with '{}'", other.name);
+                    reading.wrong(written, &format!("bucket '{}'", budget.name), what, "another name");
+                }
+                fleet.push((place, budget));
+            }
+        }
+        let mut buckets: Vec<Bucket> = buckets.iter().filter_map(|b| bucket(b, &mut reading)).collect();
         let names: Vec<String> = buckets.iter().map(|b| b.name.clone()).collect();
+        // What the fleet limits is none of the node's own limits.
+        fleet
+            .iter()
+            .filter_map(|(place, _)| buckets.get(*place).map(|b| (*place, b.name.clone())))
+            .collect::<Vec<_>>()
+            .into_iter()
+            .for_each(|(place, name)| buckets[place] = Bucket::named(&name));
         Self::keys(&all_written, &rules, known, &mut reading);
         let mut bounds = Bounds { bytes: known.bytes, ..Bounds::default() };
         if let Some(written) = element.get("cost") {
@@ -266,7 +345,7 @@
         }
         match loaded {
             Ok(rules) if reading.complaints.is_empty() => {
-                Ok(Rulebook { rules, buckets, operations: vocabulary.operations, cases: read_cases })
+                Ok(Rulebook { rules, buckets, fleet, operations: vocabulary.operations, cases: read_cases })
             }
             _ => Err(reading.complaints),
         }
--- a/crates/shared/examples/compare.rs
+++ b/crates/shared/examples/compare.rs
@@ -13,7 +13,7 @@
     let limit = 100 * nodes as u32;
     let nodes_most = nodes as u32 * 5 / 4;
     let kind = Kind::Rate { burst: 50 * MS };
-    let budget = Budget { name: "b".into(), limit, floor: 2, nodes_most, kind };
+    let budget = Budget { name: "b".into(), limit, floor: 2, nodes_most, kind, repeats_only: false };
     Plan {
         nodes,
         zones: 3,
@@ -24,6 +24,8 @@
         drift: 0.005,
         sight: 5 * S,
         seed,
+        keys: None,
+        key_bytes: 0,
     }
 }
 
@@ -43,7 +45,7 @@
 
 fn settle(sim: &mut Sim) {
     sim.run(12 * S);
-    sim.measured = Measured { by_node: vec![0; sim.plan.nodes], ..Measured::default() };
+    sim.measured = Measured::of(sim.plan.nodes);
 }
 
 fn line(name: &str, way: Way, nodes: usize, seconds: u64, sim: &Sim) {
--- /dev/null
+++ b/crates/shared/src/keyed.rs
@@ -0,0 +1,233 @@
+//! Limits by key for a whole fleet: a rate of each key, or a number of it in hand. There may be a hundred thousand keys, most
+//! of them seldom used, so that nothing is known of a key that nobody used lately.
+//!
+//! What may be spent of a key exists as **units** that are each in one place: free at the one who lends, or in the pocket of a
+//! node ([`wallet`]). Units of a rate are made at that rate, and only while fewer exist than may be saved; what is spent is
+//! gone. Units of a number in hand are as many as the limit. Because a unit is never in two places, it does not matter how
+//! long one lies in a pocket: over any time W all nodes together spend at most rate x W and what may be saved.
+//!
+//! Beside that each node has a floor: a few units of each key that were set aside for it, made at a sixteenth of the rate over
+//! all nodes. A node that hears nothing has these.
+
+pub mod books;
+pub mod wallet;
+
+use crate::{MILLISECOND, Nanos, SECOND};
+
+/// Of a rate whose nodes have floors, one part in so many is made as floors.
+const FLOOR_PART: u64 = 16;
+/// Questions that one who lends can answer in a second, without much of its core.
+const QUESTIONS: u64 = 2000;
+/// Keys in one question: what fits a parcel.
+pub const KEYS_ASKED: usize = 48;
+
+/// What is limited of each key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum KeyKind {
+    /// So many in a period; so many may be saved.
+    Rate { count: u32, period: Nanos, burst: u32 },
+    /// So many in hand; one is held so long at most.
+    InHand { limit: u32, longest: Nanos },
+}
+
+/// A limit by key for the whole fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyBudget {
+    /// Tells it from all others, on all nodes.
+    pub name: String,
+    pub kind: KeyKind,
+    /// Units of each key that each node has for itself.
+    pub floor: u32,
+    /// Processes that run at once, at most.
+    pub nodes_most: u32,
+}
+
+/// A number for a name, which all nodes agree on: FNV-1a.
+pub fn number(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
+impl KeyBudget {
+    /// What nodes call it to each other. The kind is in it: a limit that changes its kind is another one.
+    pub fn id(&self) -> u32 {
+        let kind = match self.kind {
+            KeyKind::Rate { .. } => "rate",
+            KeyKind::InHand { .. } => "in hand",
+        };
+        number(&format!("{} {kind}", self.name))
+    }
+
+    /// All units of a key that may exist at once.
+    fn most(&self) -> u32 {
+        match self.kind {
+            KeyKind::Rate { burst, .. } => burst,
+            KeyKind::InHand { limit, .. } => limit,
+        }
+    }
+
+    /// Units of a key that are set aside as floors.
+    fn floors(&self) -> u64 {
+        u64::from(self.floor) * u64::from(self.nodes_most)
+    }
+
+    /// What is wrong with it.
+    pub fn check(&self) -> Result<(), String> {
+        let floors = self.floors();
+        if self.nodes_most == 0 || self.most() == 0 {
+            return Err(format!("'{}': the limit and the number of nodes must be above 0", self.name));
+        }
+        if floors >= u64::from(self.most()) {
+            let word = match self.kind {
+                KeyKind::Rate { .. } => "burst",
+                KeyKind::InHand { .. } => "limit",
+            };
+            return Err(format!(
+                "'{}': the floors of {} nodes are {floors}, and nothing of the {word} of {} is left to lend",
+                self.name,
+                self.nodes_most,
+                self.most()
+            ));
+        }
+        if self.interval().is_none_or(|interval| interval == 0) {
+            return Err(format!("'{}': this rate can't be kept", self.name));
+        }
+        Ok(())
+    }
+
+    /// Units of a key that are lent: saved at most, or in all.
+    pub fn pool(&self) -> u32 {
+        u32::try_from(u64::from(self.most()).saturating_sub(self.floors())).unwrap_or(0)
+    }
+
+    /// Time for a unit that is lent to be made. The clock of the one who lends may run fast by the drift, so it is longer.
+    pub fn interval(&self) -> Option<Nanos> {
+        let KeyKind::Rate { count, period, .. } = self.kind else { return Some(Nanos::MAX) };
+        let even = period.checked_div(u64::from(count))?;
+        let lent = if self.floor > 0 { even + even / (FLOOR_PART - 1) + 1 } else { even };
+        Some(lent + lent / (crate::DRIFT - 1) + 1)
+    }
+
+    /// Time for a unit of a node's floor to be made.
+    pub fn floor_interval(&self) -> Nanos {
+        let KeyKind::Rate { count, period, .. } = self.kind else { return 0 };
+        let even = period / u64::from(count.max(1)) + 1;
+        let of_node = even.saturating_mul(FLOOR_PART).saturating_mul(u64::from(self.nodes_most));
+        of_node.saturating_add(of_node / (crate::DRIFT - 1))
+    }
+
+    /// How long units may be in use after their time is over.
+    pub fn lag(&self) -> Nanos {
+        match self.kind {
+            KeyKind::Rate { .. } => 0,
+            KeyKind::InHand { longest, .. } => longest,
+        }
+    }
+}
+
+/// How often keys are asked for. The same on all nodes, as it follows from their settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rhythm {
+    /// Between two questions of a node, in the long run.
+    pub urgent: Nanos,
+    /// What a node uses of a key is told, and asked for anew, this often.
+    pub renew: Nanos,
+    /// What lies in a pocket is used within this, unless it is asked for anew.
+    pub life: Nanos,
+    /// A key that was used within this counts as in use.
+    pub keep: Nanos,
+}
+
+impl Rhythm {
+    /// For so many nodes at most, all of which ask one.
+    pub fn of(nodes_most: u32) -> Rhythm {
+        let urgent = (250 * MILLISECOND).max(SECOND * u64::from(nodes_most) / QUESTIONS);
+        let renew = 4 * urgent;
+        Rhythm { urgent, renew, life: 3 * renew, keep: 15 * renew }
+    }
+}
+
+/// A question about one key: what its node has left and keeps, what it gives back, and what it wants beside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyAsk {
+    pub budget: u32,
+    pub key: u64,
+    pub left: u32,
+    pub back: u32,
+    pub wants: u32,
+}
+
+/// A question about some keys. Numbers grow with each question of a process.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct KeysAsked {
+    pub no: u32,
+    /// The asker's time, which comes back.
+    pub stamp: Nanos,
+    pub keys: Vec<KeyAsk>,
+}
+
+/// What a node gets of a key beside what it keeps; and where that is nothing, when it is worth to ask again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyLent {
+    pub budget: u32,
+    pub key: u64,
+    pub adds: u32,
+    pub wait: Nanos,
+}
+
+/// The answer to a question.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct KeysLent {
+    pub no: u32,
+    pub stamp: Nanos,
+    /// All that the asker has of these keys now holds for so long from its question.
+    pub life: Nanos,
+    pub keys: Vec<KeyLent>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn rate(count: u32, burst: u32, floor: u32, nodes_most: u32) -> KeyBudget {
+        let kind = KeyKind::Rate { count, period: SECOND, burst };
+        KeyBudget { name: "by-site".into(), kind, floor, nodes_most }
+    }
+
+    #[test]
+    fn floors_leave_something_to_lend_or_are_refused() {
+        assert_eq!((rate(10, 60, 1, 40).check(), rate(10, 60, 1, 40).pool()), (Ok(()), 20));
+        let told = rate(10, 40, 1, 40).check().unwrap_err();
+        assert!(told.contains("floors of 40 nodes are 40") && told.contains("burst of 40"), "{told}");
+        assert!(rate(0, 40, 0, 40).check().is_err() && rate(1, 0, 0, 40).check().is_err());
+        let limit = KeyBudget { kind: KeyKind::InHand { limit: 9, longest: SECOND }, ..rate(1, 1, 3, 3) };
+        assert!(limit.check().unwrap_err().contains("limit of 9"));
+        assert!(limit.id() != rate(1, 1, 3, 3).id(), "another kind is another budget");
+    }
+
+    /// What is lent and all floors together are made no faster than the rate, by clocks that run fast by the drift.
+    #[test]
+    fn what_is_made_is_no_more_than_the_rate() {
+        for (count, floor, nodes) in [(1, 0, 5), (10, 1, 40), (999, 3, 300), (100_000, 1, 3000)] {
+            let budget = rate(count, floor * nodes + 5, floor, nodes);
+            let fast = 1.0 + 1.0 / (crate::DRIFT as f64 - 1.0);
+            let lent = fast * SECOND as f64 / budget.interval().unwrap() as f64;
+            let floors = match floor {
+                0 => 0.0,
+                _ => f64::from(nodes) * fast * SECOND as f64 / budget.floor_interval() as f64,
+            };
+            assert!(lent + floors <= f64::from(count), "{count}: {lent} and {floors}");
+            assert!(lent > 0.89 * f64::from(count), "{count}: {lent}");
+        }
+    }
+
+    #[test]
+    fn the_one_who_lends_is_asked_at_most_so_often() {
+        for nodes in [1, 10, 300, 3000, 20_000] {
+            let rhythm = Rhythm::of(nodes);
+            assert!(
+                u64::from(nodes) * SECOND / rhythm.urgent <= 2 * QUESTIONS && rhythm.life > 2 * rhythm.renew
+            );
+        }
+        assert_eq!(Rhythm::of(300).life, 3 * SECOND);
+    }
+}
--- /dev/null
+++ b/crates/shared/src/keyed/books.rs
@@ -0,0 +1,487 @@
+//! The books of the one who lends, by key: units that are free, and what lies in whose pocket. A unit is in one place at a
+//! time: it leaves a pocket by the borrower's word, or when its time there is over by the lender's clock with the drift added.
+
+use super::{KeyAsk, KeyBudget, KeyKind, KeyLent, KeysAsked, KeysLent, Rhythm};
+use crate::treasury::longer;
+use crate::{Nanos, Who};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// What a key and what one pocket take, with their places in the maps.
+pub const KEY_BYTES: usize = 176;
+pub const POCKET_BYTES: usize = 40;
+/// Keys that are looked at for ageing with each question.
+const AGED_AT_ONCE: usize = 16;
+
+/// What a borrower has of a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Pocket {
+    who: u32,
+    /// The question that it had last.
+    no: u32,
+    units: u32,
+    need: u32,
+    /// When that was, and after when nothing of it is in use any more.
+    heard: Nanos,
+    gone: Nanos,
+}
+
+/// A key that somebody uses.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Entry {
+    free: u32,
+    /// Until when units were made.
+    made: Nanos,
+    pockets: Vec<Pocket>,
+}
+
+impl Entry {
+    fn out(&self) -> u32 {
+        self.pockets.iter().map(|pocket| pocket.units).fold(0, u32::saturating_add)
+    }
+
+    /// Makes units up to a time, as many as there is room for beside what lies in pockets.
+    fn make(&mut self, until: Nanos, pool: u32, interval: Nanos) {
+        let made = until.saturating_sub(self.made) / interval.max(1);
+        let room = u64::from(pool.saturating_sub(self.free.saturating_add(self.out())));
+        self.free = self.free.saturating_add(made.min(room) as u32).min(pool);
+        self.made = if made < room { self.made + made * interval } else { until.max(self.made) };
+    }
+
+    /// Brings it up to now. Units that were lost with a pocket are made anew from the end of that pocket on, and not before:
+    /// until then their like could still be spent.
+    fn settle(&mut self, now: Nanos, budget: &KeyBudget) {
+        let pool = budget.pool();
+        let ended = self.pockets.iter().map(|pocket| pocket.gone).filter(|gone| *gone <= now).max();
+        match (budget.kind, budget.interval()) {
+            (KeyKind::Rate { .. }, Some(interval)) => {
+                if let Some(ended) = ended {
+                    self.make(ended, pool, interval);
+                    self.pockets.retain(|pocket| pocket.gone > now);
+                }
+                self.make(now, pool, interval);
+            }
+            _ => {
+                self.pockets.retain(|pocket| pocket.gone > now);
+                self.free = pool.saturating_sub(self.out());
+            }
+        }
+    }
+}
+
+/// Processes by small numbers, so that a pocket takes little; with when each was heard last.
+#[derive(Clone, Debug, Default)]
+struct Borrowers {
+    numbers: BTreeMap<Who, (u32, Nanos)>,
+    next: u32,
+}
+
+impl Borrowers {
+    /// The number of one that asks now. Those that have had nothing for so long are forgotten.
+    fn number(&mut self, now: Nanos, who: Who, silent: Nanos) -> u32 {
+        if let Some((number, heard)) = self.numbers.get_mut(&who) {
+            *heard = now;
+            return *number;
+        }
+        self.numbers.retain(|_, (_, heard)| now < *heard + silent);
+        self.next += 1;
+        self.numbers.insert(who, (self.next, now));
+        self.next
+    }
+}
+
+/// Keys by their budget and number, which came out of a hash with a secret.
+type Keys = HashMap<(u32, u64), Entry, std::hash::BuildHasherDefault<madderpoint_limits::NumberHasher>>;
+
+/// What is lent of all keys.
+#[derive(Clone, Debug)]
+pub struct KeyBooks {
+    /// Nothing is lent, and nothing made, before: what another one lent may be in use until then.
+    opens: Nanos,
+    opens_after: Nanos,
+    budgets: Vec<KeyBudget>,
+    rhythm: Rhythm,
+    keys: Keys,
+    ageing: VecDeque<(Nanos, (u32, u64))>,
+    borrowers: Borrowers,
+    pockets: usize,
+    most_keys: usize,
+    most_pockets: usize,
+    rng: Pcg64Mcg,
+    refused: u64,
+}
+
+impl KeyBooks {
+    /// Books that are begun now, of about so many bytes.
+    pub fn new(now: Nanos, budgets: &[KeyBudget], rhythm: Rhythm, bytes: usize, seed: u64) -> KeyBooks {
+        let lag = budgets.iter().map(KeyBudget::lag).max().unwrap_or(0);
+        let opens_after = longer(rhythm.life) + lag;
+        KeyBooks {
+            opens: now + opens_after,
+            opens_after,
+            budgets: budgets.to_vec(),
+            rhythm,
+            keys: Keys::default(),
+            ageing: VecDeque::new(),
+            borrowers: Borrowers::default(),
+            pockets: 0,
+            most_keys: (bytes / 2 / KEY_BYTES).max(16),
+            most_pockets: (bytes / 2 / POCKET_BYTES).max(64),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            refused: 0,
+        }
+    }
+
+    /// Other limits hold from now on. Less than what is out is kept by lending nothing until enough has come back.
+    pub fn rebudget(&mut self, budgets: &[KeyBudget]) {
+        self.budgets = budgets.to_vec();
+    }
+
+    /// From when on anything is lent.
+    pub fn opens(&self) -> Nanos {
+        self.opens
+    }
+
+    /// A borrower tells what it has of some keys and what it wants. No answer before the books are open.
+    pub fn ask(&mut self, now: Nanos, who: Who, asked: &KeysAsked) -> Option<KeysLent> {
+        if now < self.opens {
+            return None;
+        }
+        self.age(now);
+        let who = self.borrowers.number(now, who, 2 * self.opens_after);
+        let mut lent =
+            KeysLent { no: asked.no, stamp: asked.stamp, life: self.rhythm.life, keys: Vec::new() };
+        for ask in &asked.keys {
+            if let Some(answer) = self.ask_key(now, who, asked.no, ask) {
+                lent.keys.push(answer);
+            }
+        }
+        Some(lent)
+    }
+
+    fn ask_key(&mut self, now: Nanos, who: u32, no: u32, ask: &KeyAsk) -> Option<KeyLent> {
+        let budget = self.budgets.iter().find(|budget| budget.id() == ask.budget)?;
+        let place = (ask.budget, ask.key);
+        let nothing = Some(KeyLent { budget: ask.budget, key: ask.key, adds: 0, wait: self.rhythm.renew });
+        if !self.keys.contains_key(&place) {
+            if ask.left == 0 && ask.wants == 0 {
+                return nothing; // given back, and forgotten already
+            }
+            if self.keys.len() >= self.most_keys {
+                self.refused += 1;
+                return nothing;
+            }
+            let made = now.saturating_sub(self.opens) / budget.interval().unwrap_or(1).max(1);
+            let free = budget.pool().min(u32::try_from(made).unwrap_or(u32::MAX));
+            self.keys.insert(place, Entry { free, made: now, pockets: Vec::new() });
+            self.ageing.push_back((now + self.rhythm.keep, place));
+        }
+        let (entry, renew) = (self.keys.get_mut(&place)?, self.rhythm.renew);
+        let before = entry.pockets.len();
+        entry.settle(now, budget);
+        let at = match entry.pockets.binary_search_by_key(&who, |pocket| pocket.who) {
+            Ok(at) => Some(at),
+            Err(_) if ask.left == 0 && ask.wants == 0 => None,
+            Err(_) if self.pockets - (before - entry.pockets.len()) >= self.most_pockets => {
+                self.refused += 1;
+                None
+            }
+            Err(at) => {
+                entry.pockets.insert(
+                    at,
+                    Pocket { who, no: 0, units: 0, need: 0, heard: now.saturating_sub(renew), gone: 0 },
+                );
+                Some(at)
+            }
+        };
+        let answer = at.map(|at| Self::lend(now, entry, at, budget, &self.rhythm, (no, ask), &mut self.rng));
+        self.pockets = self.pockets + entry.pockets.len() - before;
+        match answer {
+            Some(answer) => answer,
+            None => nothing,
+        }
+    }
+
+    /// What the borrower of this pocket gets; nothing is said to a question that was overtaken.
+    fn lend(
+        now: Nanos,
+        entry: &mut Entry,
+        at: usize,
+        budget: &KeyBudget,
+        rhythm: &Rhythm,
+        (no, ask): (u32, &KeyAsk),
+        rng: &mut Pcg64Mcg,
+    ) -> Option<KeyLent> {
+        let pocket = &mut entry.pockets[at];
+        if no <= pocket.no {
+            return None;
+        }
+        match budget.kind {
+            KeyKind::Rate { .. } => {
+                // What is not left and not given back was spent.
+                let left = ask.left.min(pocket.units);
+                entry.free += ask.back.min(pocket.units - left);
+                pocket.units = left;
+            }
+            // More than was lent may be in use yet by one whose time was over.
+            KeyKind::InHand { .. } => pocket.units = ask.left,
+        }
+        (pocket.no, pocket.need) = (no, ask.left.saturating_add(ask.wants));
+        pocket.gone = now + longer(rhythm.life) + budget.lag();
+        let passed = now.saturating_sub(std::mem::replace(&mut pocket.heard, now)).min(rhythm.life);
+        let (units, need) = (pocket.units, pocket.need);
+        let (pool, out) = (budget.pool(), entry.out());
+        let interval = budget.interval().unwrap_or(Nanos::MAX).max(1);
+        let needs: u64 = entry.pockets.iter().map(|pocket| u64::from(pocket.need)).sum();
+        let part = f64::from(need) / needs.max(1) as f64;
+        let share = match budget.kind {
+            KeyKind::InHand { .. } => {
+                entry.free = pool.saturating_sub(out);
+                f64::from(need).min(f64::from(pool.max(out)) * part) - f64::from(units)
+            }
+            _ if needs <= u64::from(entry.free) + u64::from(out) => f64::from(ask.wants),
+            // Where it is short each gets its part of what was made since it asked last, and with time of what is left over.
+            _ => {
+                let in_turn = rhythm.urgent as f64 / interval as f64;
+                let left_over =
+                    (f64::from(entry.free) - in_turn).max(0.0) * passed as f64 / rhythm.renew as f64;
+                (passed as f64 / interval as f64 + left_over) * part
+            }
+        };
+        let share = share.max(0.0);
+        let whole = share.floor() as u32 + u32::from(rng.random::<f64>() < share.fract());
+        let adds = whole.min(ask.wants).min(entry.free);
+        entry.pockets[at].units += adds;
+        entry.free -= adds;
+        debug_assert!(
+            matches!(budget.kind, KeyKind::InHand { .. }) || entry.free + entry.out() <= pool.max(out),
+            "no unit is in two places"
+        );
+        if units + adds == 0 && ask.wants == 0 {
+            entry.pockets.remove(at);
+        }
+        let wait = match (ask.wants > 0 && adds == 0, budget.kind) {
+            (false, _) => 0,
+            // Its part of what is made: one in so long.
+            (true, KeyKind::Rate { .. }) => {
+                interval.saturating_mul(needs / u64::from(need.max(1))).clamp(rhythm.urgent, rhythm.life)
+            }
+            (true, KeyKind::InHand { .. }) => rhythm.renew,
+        };
+        Some(KeyLent { budget: ask.budget, key: ask.key, adds, wait })
+    }
+
+    /// Forgets keys that nobody has anything of, once all that may be saved of them is free again.
+    fn age(&mut self, now: Nanos) {
+        for _ in 0..AGED_AT_ONCE {
+            let Some((_, place)) = self.ageing.pop_front_if(|(due, _)| *due <= now) else { return };
+            let Some(entry) = self.keys.get_mut(&place) else { continue };
+            let Some(budget) = self.budgets.iter().find(|budget| budget.id() == place.0) else {
+                self.pockets -= entry.pockets.len();
+                self.keys.remove(&place);
+                continue;
+            };
+            let before = entry.pockets.len();
+            entry.settle(now, budget);
+            self.pockets -= before - entry.pockets.len();
+            let known = now.saturating_sub(self.opens) / budget.interval().unwrap_or(1).max(1);
+            let as_new =
+                entry.pockets.is_empty() && entry.free >= budget.pool() && known >= u64::from(budget.pool());
+            if as_new {
+                self.keys.remove(&place);
+            } else {
+                self.ageing.push_back((now + self.rhythm.keep, place));
+            }
+        }
+    }
+
+    /// A borrower leaves, and has nothing in use: all that it has is free.
+    pub fn give_back(&mut self, now: Nanos, who: Who) {
+        let Some((number, _)) = self.borrowers.numbers.remove(&who) else { return };
+        for (place, entry) in &mut self.keys {
+            let Some(budget) = self.budgets.iter().find(|budget| budget.id() == place.0) else { continue };
+            let before = entry.pockets.len();
+            entry.settle(now, budget);
+            if let Ok(at) = entry.pockets.binary_search_by_key(&number, |pocket| pocket.who) {
+                entry.pockets.remove(at); // units of a rate are lost with it, and made anew
+            }
+            self.pockets -= before - entry.pockets.len();
+        }
+    }
+
+    /// Keys that are told apart, pockets, and questions for which there was no room.
+    pub fn figures(&self) -> (usize, usize, u64) {
+        (self.keys.len(), self.pockets, self.refused)
+    }
+
+    /// All of a key that decides what is lent of it, but for chance; and the borrowers' numbers. For those who compare states.
+    pub fn state(&self, budget: u32, key: u64) -> (Nanos, Option<&Entry>, impl Iterator<Item = (Who, u32)>) {
+        let numbers = self.borrowers.numbers.iter().map(|(who, (number, _))| (*who, *number));
+        (self.opens, self.keys.get(&(budget, key)), numbers)
+    }
+
+    /// What there is of a key: free, in pockets, needed; and how many pockets.
+    pub fn key(&self, budget: u32, key: u64) -> Option<(u32, u32, u64, usize)> {
+        let entry = self.keys.get(&(budget, key))?;
+        let needs = entry.pockets.iter().map(|pocket| u64::from(pocket.need)).sum();
+        Some((entry.free, entry.out(), needs, entry.pockets.len()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::SECOND;
+
+    fn who(key: u64) -> Who {
+        Who { key, life: key }
+    }
+
+    fn rate(count: u32, burst: u32) -> KeyBudget {
+        let kind = KeyKind::Rate { count, period: SECOND, burst };
+        KeyBudget { name: "r".into(), kind, floor: 0, nodes_most: 10 }
+    }
+
+    fn in_hand(limit: u32) -> KeyBudget {
+        KeyBudget { kind: KeyKind::InHand { limit, longest: SECOND }, ..rate(1, 1) }
+    }
+
+    fn books(budget: &KeyBudget) -> KeyBooks {
+        KeyBooks::new(0, std::slice::from_ref(budget), Rhythm::of(10), 1 << 20, 1)
+    }
+
+    fn ask(budget: &KeyBudget, no: u32, left: u32, back: u32, wants: u32) -> KeysAsked {
+        let budget = budget.id();
+        KeysAsked { no, stamp: 0, keys: vec![KeyAsk { budget, key: 7, left, back, wants }] }
+    }
+
+    fn adds(lent: Option<KeysLent>) -> Option<u32> {
+        lent.and_then(|lent| lent.keys.first().map(|key| key.adds))
+    }
+
+    #[test]
+    fn nothing_is_lent_before_what_was_out_is_gone_and_then_all_is_made_anew() {
+        let budget = rate(10, 20);
+        let mut books = books(&budget);
+        assert_eq!(books.ask(books.opens() - 1, who(1), &ask(&budget, 1, 0, 0, 5)), None);
+        assert_eq!(adds(books.ask(books.opens(), who(1), &ask(&budget, 2, 0, 0, 5))), Some(0));
+        // A second later some nine were made, a tenth of a second apart; they are lent once.
+        let later = books.opens() + SECOND;
+        assert_eq!(adds(books.ask(later, who(1), &ask(&budget, 3, 0, 0, 50))), Some(9));
+        assert_eq!(adds(books.ask(later, who(2), &ask(&budget, 1, 0, 0, 50))), Some(0));
+    }
+
+    /// What lies in pockets counts as saved: however long nobody asks, no more exists than may.
+    #[test]
+    fn no_more_exists_than_may_be_saved() {
+        let budget = rate(10, 20);
+        let mut books = books(&budget);
+        let now = books.opens() + 100 * SECOND;
+        assert_eq!(adds(books.ask(now, who(1), &ask(&budget, 1, 0, 0, 20))), Some(20));
+        let later = now + SECOND;
+        assert_eq!(adds(books.ask(later, who(2), &ask(&budget, 1, 0, 0, 20))), Some(0));
+        // The first one says that it spent 15 and gives 3 back; the others are made again one by one.
+        assert_eq!(adds(books.ask(later, who(1), &ask(&budget, 2, 2, 3, 0))), Some(0));
+        assert_eq!(adds(books.ask(later, who(2), &ask(&budget, 2, 0, 0, 3))), Some(3));
+        let much_later = later + SECOND / 2;
+        assert_eq!(adds(books.ask(much_later, who(2), &ask(&budget, 3, 0, 0, 4))), Some(4));
+        assert_eq!(books.key(budget.id(), 7), Some((0, 6, 6, 2)));
+    }
+
+    /// A pocket that is heard of no more ends after its time and not before, and its units are made anew, not found again.
+    #[test]
+    fn a_lost_pocket_comes_back_after_its_time_and_not_before() {
+        let budget = rate(1000, 20);
+        let mut books = books(&budget);
+        let now = books.opens() + 100 * SECOND;
+        assert_eq!(adds(books.ask(now, who(1), &ask(&budget, 1, 0, 0, 20))), Some(20));
+        let gone = now + longer(Rhythm::of(10).life);
+        assert_eq!(adds(books.ask(gone - 1, who(2), &ask(&budget, 1, 0, 0, 20))), Some(0));
+        assert_eq!(adds(books.ask(gone, who(2), &ask(&budget, 2, 0, 0, 20))), Some(0));
+        assert_eq!(adds(books.ask(gone + SECOND / 100, who(2), &ask(&budget, 3, 0, 0, 20))), Some(9));
+        // The same if nobody looked meanwhile: it could have been spent at the last moment of its time.
+        let mut books = self::books(&budget);
+        assert_eq!(adds(books.ask(now, who(1), &ask(&budget, 1, 0, 0, 20))), Some(20));
+        assert_eq!(adds(books.ask(gone + SECOND / 100, who(2), &ask(&budget, 1, 0, 0, 20))), Some(9));
+    }
+
+    #[test]
+    fn a_question_that_was_overtaken_changes_nothing() {
+        let budget = rate(10, 20);
+        let mut books = books(&budget);
+        let now = books.opens() + 100 * SECOND;
+        assert_eq!(adds(books.ask(now, who(1), &ask(&budget, 4, 0, 0, 10))), Some(10));
+        assert_eq!(books.ask(now, who(1), &ask(&budget, 3, 0, 0, 10)).unwrap().keys, []);
+        assert_eq!(books.ask(now, who(1), &ask(&budget, 4, 0, 0, 10)).unwrap().keys, []);
+        assert_eq!(books.key(budget.id(), 7), Some((10, 10, 10, 1)));
+    }
+
+    #[test]
+    fn places_in_hand_are_kept_until_they_are_let_go_of_or_long_over() {
+        let budget = in_hand(10);
+        let mut books = books(&budget);
+        let now = books.opens();
+        assert_eq!(adds(books.ask(now, who(1), &ask(&budget, 1, 0, 0, 8))), Some(8));
+        assert_eq!(adds(books.ask(now, who(2), &ask(&budget, 1, 0, 0, 2))), Some(2));
+        assert_eq!(adds(books.ask(now, who(1), &ask(&budget, 2, 5, 3, 0))), Some(0));
+        assert_eq!(adds(books.ask(now, who(2), &ask(&budget, 2, 2, 0, 8))), Some(3));
+        // The first one is gone: its places come back after its time and the longest use.
+        let gone = now + longer(Rhythm::of(10).life) + SECOND;
+        let renewed = |books: &mut KeyBooks, no, at| adds(books.ask(at, who(2), &ask(&budget, no, 5, 0, 5)));
+        assert_eq!(renewed(&mut books, 3, gone - 1), Some(0));
+        assert_eq!(renewed(&mut books, 4, gone), Some(5));
+    }
+
+    /// Where there is too little, each gets by what it needs, and no question takes all.
+    #[test]
+    fn what_is_short_is_shared_by_need() {
+        let budget = rate(100, 100);
+        let mut books = books(&budget);
+        let mut now = books.opens() + 100 * SECOND;
+        let mut got = [0, 0, 0];
+        for no in 1..400 {
+            now += SECOND / 4;
+            for (n, needs) in [60u32, 30, 30].into_iter().enumerate() {
+                let lent = books.ask(now, who(n as u64), &ask(&budget, no, 0, 0, needs));
+                got[n] += adds(lent).unwrap_or(0);
+            }
+        }
+        let all: u32 = got.iter().sum();
+        assert!((9200..=10_100).contains(&all), "{got:?}: a hundred a second for 100 s");
+        assert!((0.4..=0.6).contains(&(f64::from(got[0]) / f64::from(all))), "{got:?}");
+        assert!((0.8..=1.25).contains(&(f64::from(got[1]) / f64::from(got[2]))), "{got:?}");
+    }
+
+    #[test]
+    fn memory_is_bounded_and_keys_that_nobody_has_are_forgotten() {
+        let budget = rate(10, 20);
+        let mut books =
+            KeyBooks::new(0, std::slice::from_ref(&budget), Rhythm::of(10), 2 * 100 * KEY_BYTES, 1);
+        let now = books.opens() + 100 * SECOND;
+        let one = |key, no| KeysAsked {
+            no,
+            stamp: 0,
+            keys: vec![KeyAsk { budget: budget.id(), key, left: 0, back: 0, wants: 1 }],
+        };
+        for key in 0..300 {
+            let _ = books.ask(now, who(1), &one(key, key as u32 + 1));
+        }
+        assert_eq!(books.figures(), (100, 100, 200));
+        for n in 0..100 {
+            let _ = books.ask(now + 60 * SECOND, who(1), &one(1000 + n % 3, 1000 + n as u32));
+        }
+        let (keys, pockets, _) = books.figures();
+        assert!(keys <= 4 && pockets <= 4, "{:?}", books.figures());
+    }
+
+    #[test]
+    fn one_that_leaves_gives_its_places_back() {
+        let budget = in_hand(4);
+        let mut books = books(&budget);
+        let now = books.opens();
+        assert_eq!(adds(books.ask(now, who(1), &ask(&budget, 1, 0, 0, 4))), Some(4));
+        books.give_back(now, who(1));
+        assert_eq!(adds(books.ask(now, who(2), &ask(&budget, 1, 0, 0, 4))), Some(4));
+    }
+}
--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod allot;
 pub mod counts;
 pub mod judge;
+pub mod keyed;
 pub mod lease;
 pub mod purse;
 pub mod shared;
--- a/crates/shared/src/purse.rs
+++ b/crates/shared/src/purse.rs
@@ -1,5 +1,6 @@
 //! A node's end of a budget: its floor, which was always its own, and the part that it was lent; what it may spend now.
 
+use crate::keyed::number;
 use crate::shared::Want;
 use crate::treasury::Part;
 use crate::{Nanos, SECOND, shorter};
@@ -24,9 +25,20 @@
     /// Processes that run at once, at most: so many floors are set aside.
     pub nodes_most: u32,
     pub kind: Kind,
+    /// Whether only calls that repeat one which failed count.
+    pub repeats_only: bool,
 }
 
 impl Budget {
+    /// What nodes call it to each other. The kind is in it: a limit that changes its kind is another one.
+    pub fn id(&self) -> u32 {
+        let kind = match self.kind {
+            Kind::Rate { .. } => "rate",
+            Kind::InHand { .. } => "in hand",
+        };
+        number(&format!("{} {kind}", self.name))
+    }
+
     /// What is wrong with it.
     pub fn check(&self) -> Result<(), String> {
         if self.limit == 0 || self.nodes_most == 0 {
@@ -99,13 +111,29 @@
     tries: [u32; 3],
     window: Nanos,
     peak: u32,
+    /// What the one who lends said with its latest part, and when that was.
+    told: Option<(Nanos, Part)>,
+    allowed: u64,
+    refused: u64,
 }
 
 impl Purse {
     /// One of a node that has just started: nothing is saved and nothing is lent.
     pub fn new(now: Nanos, budget: Budget) -> Purse {
         let window = now / WINDOW;
-        Purse { budget, held: None, saved: 0.0, counted: now, in_hand: 0, tries: [0; 3], window, peak: 0 }
+        Purse {
+            budget,
+            held: None,
+            saved: 0.0,
+            counted: now,
+            in_hand: 0,
+            tries: [0; 3],
+            window,
+            peak: 0,
+            told: None,
+            allowed: 0,
+            refused: 0,
+        }
     }
 
     /// Its budget.
@@ -131,8 +159,9 @@
             if held.book == part.book { part.no > held.no } else { now >= held.from + shorter(held.term) }
         });
         if takes {
-            let Part { book, no, units, term } = part;
+            let Part { book, no, units, term, .. } = part;
             self.held = Some(Held { book, no, units, from: asked, term });
+            self.told = Some((now, part));
         }
     }
 
@@ -190,33 +219,62 @@
         self.counted = now;
     }
 
-    /// Whether one more call may be made now; else after how long it is worth to ask again.
-    pub fn take(&mut self, now: Nanos) -> Result<(), Nanos> {
+    /// Whether one more call may be made now; else after how long it is worth to ask again. Nothing is taken yet; what is
+    /// wanted is told to the one who lends in any case.
+    pub fn fits(&mut self, now: Nanos) -> Result<(), Nanos> {
         self.roll(now);
         self.tries[0] = self.tries[0].saturating_add(1);
-        match self.budget.kind {
+        let fits = match self.budget.kind {
             Kind::Rate { .. } => {
                 self.count_up(now);
-                if self.saved >= 1.0 {
-                    self.saved -= 1.0;
-                    return Ok(());
-                }
                 let units = f64::from(self.units(now));
-                let pause =
-                    if units > 0.0 { (1.0 - self.saved) / units * SECOND as f64 } else { SECOND as f64 };
-                Err((pause as Nanos).max(1))
+                match self.saved {
+                    saved if saved >= 1.0 => Ok(()),
+                    saved if units > 0.0 => Err(((1.0 - saved) / units * SECOND as f64) as Nanos),
+                    _ => Err(SECOND),
+                }
             }
             Kind::InHand { longest } => {
                 self.peak = self.peak.max(self.in_hand + 1);
-                if self.in_hand < self.units(now) {
-                    self.in_hand += 1;
-                    return Ok(());
-                }
-                Err((longest / 8).max(1))
+                if self.in_hand < self.units(now) { Ok(()) } else { Err(longest / 8) }
             }
+        };
+        self.refused += u64::from(fits.is_err());
+        fits.map_err(|pause| pause.max(1))
+    }
+
+    /// Takes one call that fits.
+    pub fn take_one(&mut self) {
+        self.allowed += 1;
+        match self.budget.kind {
+            Kind::Rate { .. } => self.saved -= 1.0,
+            Kind::InHand { .. } => self.in_hand += 1,
         }
     }
 
+    /// The same in one step.
+    pub fn take(&mut self, now: Nanos) -> Result<(), Nanos> {
+        self.fits(now)?;
+        self.take_one();
+        Ok(())
+    }
+
+    /// Whether nothing that was lent is in use any more: the floor is all there is.
+    pub fn is_at_floor(&self, now: Nanos) -> bool {
+        self.held.is_none_or(|held| held.units(now) == 0)
+    }
+
+    /// What was lent last, how long ago it was asked for, and how long ago it came.
+    pub fn part(&self, now: Nanos) -> Option<(Part, Nanos, Nanos)> {
+        let ((came, part), held) = self.told.zip(self.held)?;
+        Some((part, now.saturating_sub(held.from), now.saturating_sub(came)))
+    }
+
+    /// Calls that were allowed and refused.
+    pub fn tally(&self) -> (u64, u64) {
+        (self.allowed, self.refused)
+    }
+
     /// A call in hand is over.
     pub fn over(&mut self) {
         self.in_hand = self.in_hand.saturating_sub(1);
@@ -232,14 +290,14 @@
 #[derive(Clone, Debug)]
 pub struct Ends {
     purses: Vec<Purse>,
-    values: Vec<f64>,
+    value: f64,
 }
 
 impl Ends {
     /// Of a node that has just started.
     pub fn new(now: Nanos, budgets: &[Budget]) -> Ends {
-        let purses: Vec<Purse> = budgets.iter().map(|budget| Purse::new(now, budget.clone())).collect();
-        Ends { values: vec![1.0; purses.len()], purses }
+        let purses = budgets.iter().map(|budget| Purse::new(now, budget.clone())).collect();
+        Ends { purses, value: 1.0 }
     }
 
     /// The end of each budget, in their order.
@@ -247,63 +305,58 @@
         &mut self.purses
     }
 
-    /// Other limits hold from now on, in the same order.
+    /// Other limits hold from now on.
     pub fn rebudget(&mut self, budgets: &[Budget]) {
-        self.purses.iter_mut().zip(budgets).for_each(|(purse, budget)| purse.rebudget(budget.clone()));
+        for purse in &mut self.purses {
+            if let Some(budget) = budgets.iter().find(|budget| budget.id() == purse.budget.id()) {
+                purse.rebudget(budget.clone());
+            }
+        }
     }
 
-    /// How much a unit of a budget is worth to this node.
-    pub fn set_value(&mut self, budget: usize, value: f64) {
-        if let Some(at) = self.values.get_mut(budget) {
-            *at = value;
-        }
+    /// How much a unit is worth to this node, against others.
+    pub fn set_value(&mut self, value: f64) {
+        self.value = value;
     }
 
-    /// Whether one more call may be made under all budgets; else when it is worth to ask again. What one allowed and another
-    /// did not is given back where it can be: calls in hand are asked first.
-    pub fn take(&mut self, now: Nanos) -> Result<(), Nanos> {
-        let in_hand = |purse: &Purse| matches!(purse.budget.kind, Kind::InHand { .. });
-        let (mut taken, mut refused) = (0, None);
-        for first in [true, false] {
-            for purse in self.purses.iter_mut().filter(|purse| in_hand(purse) == first) {
-                match purse.take(now) {
-                    Ok(()) => taken += 1,
-                    Err(pause) => refused = Some(refused.map_or(pause, |r: Nanos| r.max(pause))),
-                }
-            }
-            if refused.is_some() {
-                break;
+    /// Whether one more call may be made under all budgets that it counts for; else when it is worth to ask again. It takes
+    /// of all or of none.
+    pub fn take(&mut self, now: Nanos, repeats: bool) -> Result<(), Nanos> {
+        let mut pause = None;
+        for purse in self.purses.iter_mut().filter(|purse| repeats || !purse.budget.repeats_only) {
+            if let Err(more) = purse.fits(now) {
+                pause = Some(pause.map_or(more, |pause: Nanos| pause.max(more)));
             }
         }
-        let Some(pause) = refused else { return Ok(()) };
-        // Those in hand come first in the order of asking, so that what was taken of them is what to give back.
-        for purse in self.purses.iter_mut().filter(|purse| in_hand(purse)).take(taken) {
-            purse.over();
+        if let Some(pause) = pause {
+            return Err(pause);
         }
-        Err(pause)
+        self.purses
+            .iter_mut()
+            .filter(|purse| repeats || !purse.budget.repeats_only)
+            .for_each(Purse::take_one);
+        Ok(())
     }
 
     /// A call that was allowed is over.
-    pub fn over(&mut self) {
-        self.purses.iter_mut().for_each(Purse::over);
+    pub fn over(&mut self, repeats: bool) {
+        self.purses.iter_mut().filter(|purse| repeats || !purse.budget.repeats_only).for_each(Purse::over);
     }
 
     /// What is wanted of each, and held.
     pub fn wants(&mut self, now: Nanos) -> Vec<Want> {
-        let ends = self.purses.iter_mut().zip(&self.values).enumerate();
-        ends.map(|(budget, (purse, value))| Want {
-            budget,
-            holds: purse.holds(),
-            units: purse.wants(now),
-            value: *value,
-        })
-        .collect()
+        let value = self.value;
+        let want = |purse: &mut Purse| {
+            let (budget, holds, units) = (purse.budget.id(), purse.holds(), purse.wants(now));
+            Want { budget, holds, units, value }
+        };
+        self.purses.iter_mut().map(want).collect()
     }
 
     /// Parts came that were asked for then.
-    pub fn lent(&mut self, now: Nanos, asked: Nanos, parts: &[(usize, Part)]) {
+    pub fn lent(&mut self, now: Nanos, asked: Nanos, parts: &[(u32, Part)]) {
         for (budget, part) in parts {
-            if let Some(purse) = self.purses.get_mut(*budget) {
+            if let Some(purse) = self.purses.iter_mut().find(|purse| purse.budget.id() == *budget) {
                 purse.lend(now, asked, *part);
             }
         }
@@ -323,11 +376,12 @@
     const TERM: Nanos = 1000 * crate::MILLISECOND;
 
     fn rate(limit: u32, floor: u32, nodes_most: u32) -> Budget {
-        Budget { name: "b".into(), limit, floor, nodes_most, kind: Kind::Rate { burst: SECOND / 20 } }
+        let kind = Kind::Rate { burst: SECOND / 20 };
+        Budget { name: "b".into(), limit, floor, nodes_most, kind, repeats_only: false }
     }
 
     fn part(no: u64, units: u32) -> Part {
-        Part { book: 1, no, units, term: TERM }
+        Part { book: 1, no, units, term: TERM, ..Part::default() }
     }
 
     #[test]
@@ -407,24 +461,37 @@
         assert_eq!((purse.units(TERM), purse.holds()), (80, (2, 1)));
     }
 
-    /// A call needs room under all budgets; what one gave and another refused is given back.
+    /// A call needs room under all budgets that it counts for, or takes nothing of any.
     #[test]
     fn a_call_is_allowed_under_all_budgets_or_takes_nothing() {
         let in_hand = Budget { kind: Kind::InHand { longest: SECOND }, ..rate(40, 4, 10) };
-        let mut ends = Ends::new(0, &[rate(20, 2, 10), in_hand]);
+        let repeats = Budget { name: "repeats".into(), repeats_only: true, ..rate(10, 1, 10) };
+        let mut ends = Ends::new(0, &[rate(20, 2, 10), in_hand, repeats]);
         let now = SECOND;
-        let allowed = (0..9).filter(|_| ends.take(now).is_ok()).count();
+        let allowed = (0..9).filter(|_| ends.take(now, false).is_ok()).count();
         assert_eq!(
             (allowed, ends.purses()[1].in_hand()),
             (1, 1),
             "of a rate of 2 a second one call is saved"
         );
-        ends.over();
-        let later = (2..40).filter(|tenths| ends.take(now + tenths * SECOND / 10).is_ok()).count();
+        ends.over(false);
+        let later = (2..40).filter(|tenths| ends.take(now + tenths * SECOND / 10, false).is_ok()).count();
         assert_eq!((later, ends.purses()[1].in_hand()), (4, 4), "four in hand");
         assert!(!ends.let_go(9 * SECOND));
-        (0..4).for_each(|_| ends.over());
+        (0..4).for_each(|_| ends.over(false));
         assert!(ends.let_go(9 * SECOND));
+        // Two may go each second, of which one may be a repeat; one that is refused as such took nothing of the others.
+        let at = |tenths: u64| 20 * SECOND + tenths * SECOND / 10;
+        let repeated = (0..50)
+            .filter(|t| {
+                ends.take(at(*t), true).is_ok_and(|()| {
+                    ends.over(true);
+                    true
+                })
+            })
+            .count();
+        assert!((4..=6).contains(&repeated), "{repeated} in 5 s");
+        assert!(ends.take(at(51), false).is_ok(), "a first call goes");
     }
 
     #[test]
--- a/crates/shared/src/shared.rs
+++ b/crates/shared/src/shared.rs
@@ -2,6 +2,8 @@
 //! arbiters, by name; one of these lends; all borrow.
 
 use crate::allot::Demand;
+use crate::keyed::books::KeyBooks;
+use crate::keyed::{KeyBudget, KeysAsked, KeysLent, Rhythm};
 use crate::lease::{Arbiter, Candidate};
 use crate::purse::Budget;
 use crate::treasury::{Part, Treasury};
@@ -19,7 +21,9 @@
     /// What this node's ends of the budgets want, and what they hold; with the time of this node at which that was so.
     fn wants(&mut self, now: Nanos) -> (Nanos, Vec<Want>);
     /// Parts came that were asked for then.
-    fn lent(&mut self, now: Nanos, asked: Nanos, parts: &[(usize, Part)]);
+    fn lent(&mut self, now: Nanos, asked: Nanos, parts: &[(u32, Part)]);
+    /// Units of keys came.
+    fn keys_lent(&mut self, now: Nanos, lent: KeysLent);
     /// The node leaves: its ends hold nothing from here on. Whether nothing of it is in hand any more.
     fn let_go(&mut self, now: Nanos) -> bool;
 }
@@ -36,17 +40,21 @@
     /// To the one who lends: I hold these parts and want so much, by budget. The stamp is the asker's time.
     Ask { stamp: Nanos, zone: u32, wants: Vec<Want> },
     /// Parts, by budget; the stamp of the question comes back.
-    Lend { stamp: Nanos, parts: Vec<(usize, Part)> },
+    Lend { stamp: Nanos, parts: Vec<(u32, Part)> },
     /// I do not lend; that one does, as far as I know.
     Elsewhere { lender: Option<Who> },
     /// I leave: all of it is back.
     Leave,
+    /// To the one who lends: what I have of some keys and want.
+    AskKeys(KeysAsked),
+    /// What I get of them.
+    LendKeys(KeysLent),
 }
 
 /// What is asked of one budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Want {
-    pub budget: usize,
+    pub budget: u32,
     /// The book and the number of the part that it holds.
     pub holds: (u64, u64),
     pub units: u32,
@@ -61,6 +69,10 @@
     /// Keys of those who arbitrate, the same on all nodes; an odd number, three or five.
     pub arbiters: Vec<u64>,
     pub budgets: Vec<Budget>,
+    /// Limits by key, how often keys are asked for, and the bytes that books of them may take.
+    pub keys: Vec<KeyBudget>,
+    pub rhythm: Rhythm,
+    pub key_bytes: usize,
     /// How long an arbiter's word holds, and how long a part does.
     pub term: Nanos,
     pub part: Nanos,
@@ -71,13 +83,21 @@
 }
 
 impl Settings {
-    /// Usual times: recovery after the death of the one who lends takes about two terms.
-    pub fn usual(me: Who, arbiters: Vec<u64>, budgets: Vec<Budget>) -> Settings {
-        let (term, part, ask) = (3 * SECOND, 1500 * MILLISECOND, 300 * MILLISECOND);
-        Settings { me, zone: 0, arbiters, budgets, term, part, ask, most: 4096 }
+    /// Usual times, which follow from the most nodes that there may be, so that the one who lends is not asked more often than
+    /// it can answer: recovery after its death takes about two terms.
+    pub fn usual(me: Who, arbiters: Vec<u64>, budgets: Vec<Budget>, keys: Vec<KeyBudget>) -> Settings {
+        let most = budgets.iter().map(|b| b.nodes_most).chain(keys.iter().map(|k| k.nodes_most)).max();
+        let most = most.unwrap_or(1);
+        let ask = (300 * MILLISECOND).max(SECOND * u64::from(most) / QUESTIONS);
+        let part = 5 * ask;
+        let (term, rhythm) = (2 * part, Rhythm::of(most));
+        let key_bytes = 1 << 20;
+        Settings { me, zone: 0, arbiters, budgets, keys, rhythm, key_bytes, term, part, ask, most: 4096 }
     }
 }
 
+/// Questions that one who lends can answer in a second.
+const QUESTIONS: u64 = 2000;
 /// A wake that is so late shows that the node stood still: an arbiter may not know what happened meanwhile.
 const STOOD_STILL: Nanos = SECOND;
 
@@ -89,6 +109,7 @@
     arbiter: Option<(Arbiter, Candidate)>,
     /// Books by budget, while this node lends.
     books: Option<Vec<Treasury>>,
+    key_books: Option<KeyBooks>,
     lender: Option<Who>,
     next_round: Nanos,
     next_ask: Nanos,
@@ -115,6 +136,7 @@
             arbiter: is_arbiter
                 .then(|| (Arbiter::new(now, settings.term), Candidate::new(arbiters, settings.term))),
             books: None,
+            key_books: None,
             lender: None,
             next_round,
             next_ask,
@@ -147,11 +169,17 @@
     }
 
     /// Other limits hold from now on, in the same order.
-    pub fn rebudget(&mut self, budgets: Vec<Budget>) {
+    pub fn rebudget(&mut self, budgets: Vec<Budget>, keys: Vec<KeyBudget>) {
         for (books, budget) in self.books.iter_mut().flatten().zip(&budgets) {
             books.resize(budget.pool());
         }
-        self.settings.budgets = budgets;
+        self.key_books.iter_mut().for_each(|books| books.rebudget(&keys));
+        (self.settings.budgets, self.settings.keys) = (budgets, keys);
+    }
+
+    fn close_books(&mut self) -> bool {
+        self.key_books = None;
+        self.books.take().is_some()
     }
 
     /// When it wants to be woken.
@@ -169,7 +197,7 @@
                 *arbiter = Arbiter::new(now, self.settings.term);
                 candidate.resign();
             }
-            self.books = None;
+            self.close_books();
         }
     }
 
@@ -190,12 +218,12 @@
     fn round(&mut self, now: Nanos) {
         let term = self.settings.term;
         let lends = self.lends(now);
-        let Some((arbiter, candidate)) = &mut self.arbiter else { return };
-        if !lends && self.books.take().is_some() {
-            candidate.resign();
+        if !lends && self.close_books() {
+            self.arbiter.iter_mut().for_each(|(_, candidate)| candidate.resign());
             self.host.log("lends no more: no majority of the arbiters answers");
             self.lender = None;
         }
+        let Some((arbiter, candidate)) = &mut self.arbiter else { return };
         let known = arbiter.holder(now).filter(|holder| *holder != self.settings.me);
         if !lends && known.is_some() {
             self.lender = known;
@@ -255,6 +283,10 @@
         let books =
             self.settings.budgets.iter().map(|b| Treasury::new(now, id, b.pool(), part, b.lag(), most));
         self.books = Some(books.collect());
+        let Settings { rhythm, key_bytes, .. } = self.settings;
+        let keys = &self.settings.keys;
+        self.key_books =
+            (!keys.is_empty()).then(|| KeyBooks::new(now, keys, rhythm, key_bytes, self.rng.random()));
         self.lender = Some(self.settings.me);
         self.count("times it began to lend");
         self.host.log("lends: a majority of the arbiters gave their word; parts from before end first");
@@ -269,7 +301,7 @@
             self.count("times nobody who lends answered");
         }
         let (stamp, wants) = self.host.wants(now);
-        if wants.is_empty() {
+        if wants.is_empty() && self.settings.keys.is_empty() {
             return;
         }
         let to = match self.lender {
@@ -295,8 +327,9 @@
         }
         let until = self.arbiter.as_ref().map_or(0, |(_, candidate)| candidate.until());
         let books = self.books.iter_mut().flatten();
-        let parts: Vec<(usize, Part)> = books
-            .enumerate()
+        let ids = self.settings.budgets.iter().map(Budget::id);
+        let parts: Vec<(u32, Part)> = ids
+            .zip(books)
             .filter_map(|(budget, books)| {
                 let want = wants.iter().find(|want| want.budget == budget)?;
                 let demand = Demand { zone, wants: want.units, value: want.value };
@@ -309,7 +342,7 @@
         self.host.send(from.key, Message::Lend { stamp, parts });
     }
 
-    fn lent(&mut self, now: Nanos, stamp: Nanos, parts: &[(usize, Part)]) {
+    fn lent(&mut self, now: Nanos, stamp: Nanos, parts: &[(u32, Part)]) {
         if self.left {
             return; // what it gave back is not its own any more, whatever is under way
         }
@@ -320,6 +353,35 @@
         self.host.lent(now, stamp, parts);
     }
 
+    /// The node's own ends have a question about keys. Where nobody is known to lend it is lost, and asked again later.
+    pub fn ask_keys(&mut self, now: Nanos, asked: KeysAsked) {
+        self.noticed(now);
+        match self.lender {
+            _ if self.left => {}
+            Some(lender) if lender == self.settings.me => self.keys_asked(now, lender, &asked),
+            Some(lender) => self.host.send(lender.key, Message::AskKeys(asked)),
+            None => self.count("questions about keys with nobody known who lends"),
+        }
+    }
+
+    fn keys_asked(&mut self, now: Nanos, from: Who, asked: &KeysAsked) {
+        if !self.lends(now) {
+            return; // the questions about budgets find out who does
+        }
+        let lent = self.key_books.as_mut().and_then(|books| books.ask(now, from, asked));
+        match lent {
+            Some(lent) if from == self.settings.me => self.keys_lent(now, lent),
+            Some(lent) => self.host.send(from.key, Message::LendKeys(lent)),
+            None => {}
+        }
+    }
+
+    fn keys_lent(&mut self, now: Nanos, lent: KeysLent) {
+        if !self.left {
+            self.host.keys_lent(now, lent);
+        }
+    }
+
     /// A message came.
     pub fn message(&mut self, now: Nanos, from: Who, message: Message) {
         self.noticed(now);
@@ -349,6 +411,12 @@
             }
             Message::Leave => {
                 self.books.iter_mut().flatten().for_each(|books| books.give_back(from));
+                self.key_books.iter_mut().for_each(|books| books.give_back(now, from));
+            }
+            Message::AskKeys(asked) => self.keys_asked(now, from, &asked),
+            Message::LendKeys(lent) => {
+                self.lender = Some(from);
+                self.keys_lent(now, lent);
             }
         }
         self.promised = self.next().max(now);
@@ -361,15 +429,20 @@
         if let (Some(lender), true) = (self.lender, let_go) {
             self.host.send(lender.key, Message::Leave);
         }
-        if self.books.take().is_some() {
+        if self.close_books() {
             let no = self.arbiter.as_ref().map_or(0, |(_, candidate)| candidate.no);
             self.tell_arbiters(Message::GiveBack { no });
         }
         self.arbiter = None;
     }
 
-    /// The books of a budget, while this node lends.
-    pub fn books(&self, budget: usize) -> Option<&Treasury> {
-        self.books.as_ref()?.get(budget)
+    /// The books of all budgets, while this node lends, in their order.
+    pub fn books(&self) -> impl Iterator<Item = (&Budget, &Treasury)> {
+        self.settings.budgets.iter().zip(self.books.iter().flatten())
+    }
+
+    /// The books by key, while this node lends.
+    pub fn key_books(&self) -> Option<&KeyBooks> {
+        self.key_books.as_ref()
     }
 }
--- a/crates/shared/src/sim.rs
+++ b/crates/shared/src/sim.rs
@@ -2,6 +2,8 @@
 //! crash, pause and return, clocks that drift; and a service below that keeps the record. Beside the machines of this package
 //! two plain ways are played: an even part by the number of nodes in sight, and a central counter.
 
+use crate::keyed::wallet::Wallet;
+use crate::keyed::{KeyBudget, KeyKind, KeysLent};
 use crate::purse::{Budget, Ends, Kind};
 use crate::shared::{Host, Message, Settings, Shared, Want};
 use crate::treasury::Part;
@@ -9,7 +11,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 
 /// How the limit is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +38,39 @@
     /// How late a node's sight of the others is, for the even part.
     pub sight: Nanos,
     pub seed: u64,
+    /// A limit by key beside it, and the bytes for the keys of a node, and of books.
+    pub keys: Option<KeyBudget>,
+    pub key_bytes: usize,
+}
+
+/// Tries of keys in a step: which node, which key.
+pub type KeyLoad = Box<dyn FnMut(Nanos, &mut Pcg64Mcg) -> Vec<(usize, u64)>>;
+
+/// The record of what was let through of each key, over all nodes.
+#[derive(Clone, Debug, Default)]
+struct KeyRecord {
+    /// When a next one would come evenly; or how many are in hand.
+    keys: HashMap<u64, (Nanos, u32)>,
+}
+
+impl KeyRecord {
+    /// One was let through: by how many units the key is over its limit now.
+    fn came(&mut self, now: Nanos, key: u64, kind: KeyKind) -> f64 {
+        let (due, in_hand) = self.keys.entry(key).or_default();
+        *in_hand += 1;
+        match kind {
+            KeyKind::Rate { count, period, burst } => {
+                let interval = period / u64::from(count);
+                *due = (*due).max(now) + interval;
+                (*due - now) as f64 / interval as f64 - f64::from(burst)
+            }
+            KeyKind::InHand { limit, .. } => f64::from(*in_hand) - f64::from(limit),
+        }
+    }
+
+    fn over(&mut self, key: u64) {
+        self.keys.entry(key).or_default().1 -= 1;
+    }
 }
 
 /// Tries a second of a node at a time.
@@ -44,6 +79,7 @@
 struct Out {
     sent: Vec<(u64, Message)>,
     ends: Ends,
+    wallet: Wallet,
 }
 
 impl Host for Out {
@@ -54,11 +90,15 @@
     fn wants(&mut self, now: Nanos) -> (Nanos, Vec<Want>) {
         (now, self.ends.wants(now))
     }
-    fn lent(&mut self, now: Nanos, asked: Nanos, parts: &[(usize, Part)]) {
+    fn lent(&mut self, now: Nanos, asked: Nanos, parts: &[(u32, Part)]) {
         self.ends.lent(now, asked, parts);
     }
+    fn keys_lent(&mut self, now: Nanos, lent: KeysLent) {
+        self.wallet.lent(now, &lent);
+    }
     fn let_go(&mut self, now: Nanos) -> bool {
-        self.ends.let_go(now)
+        let free = self.wallet.let_go();
+        self.ends.let_go(now) && free
     }
 }
 
@@ -85,8 +125,16 @@
     pub worst_over: f64,
     /// Seconds in which it was over.
     pub seconds_over: u64,
-    /// Messages that were sent.
+    /// Messages that were sent, and their bytes as parcels.
     pub messages: u64,
+    pub bytes: u64,
+    /// Of keys: units that were wanted (each by a caller who comes back twice when it is told to), let through, and refused at
+    /// the end; the most over the limit of any key.
+    pub keys_wanted: u64,
+    pub keys_made: u64,
+    pub keys_refused: u64,
+    pub keys_over: f64,
+    pub keys_by_node: Vec<u64>,
     /// Calls made in each second.
     pub by_second: Vec<u64>,
     pub tried_by_second: Vec<u64>,
@@ -94,6 +142,13 @@
     pub by_node: Vec<u64>,
 }
 
+impl Measured {
+    /// Nothing yet, of so many nodes.
+    pub fn of(nodes: usize) -> Measured {
+        Measured { by_node: vec![0; nodes], keys_by_node: vec![0; nodes], ..Measured::default() }
+    }
+}
+
 /// A fleet that shares one budget.
 pub struct Sim {
     pub plan: Plan,
@@ -114,8 +169,16 @@
     changes: VecDeque<(Nanos, Vec<bool>)>,
     counter_saved: f64,
     pub lenders_most: usize,
+    key_load: Option<KeyLoad>,
+    key_record: KeyRecord,
+    /// Callers who come back: when, how often they came, which key. And what is in hand: until when, of whom, which key.
+    key_retries: BinaryHeap<Reverse<(Nanos, u32, u64)>>,
+    key_hands: BinaryHeap<Reverse<(Nanos, usize, u64, u64)>>,
 }
 
+/// Tries of a caller who is told to come back.
+const KEY_TRIES: u32 = 3;
+
 /// Time is played in steps of this.
 const STEP: Nanos = 5 * MILLISECOND;
 const ARBITERS: usize = 3;
@@ -137,7 +200,7 @@
             .collect();
         let mut sim = Sim {
             now: SECOND,
-            measured: Measured { by_node: vec![0; plan.nodes], ..Measured::default() },
+            measured: Measured::of(plan.nodes),
             nodes,
             rng,
             queue: BinaryHeap::new(),
@@ -151,6 +214,10 @@
             changes: VecDeque::new(),
             counter_saved: 0.0,
             lenders_most: 0,
+            key_load: None,
+            key_record: KeyRecord::default(),
+            key_retries: BinaryHeap::new(),
+            key_hands: BinaryHeap::new(),
             plan,
         };
         (0..sim.nodes.len()).for_each(|n| sim.start(n));
@@ -166,17 +233,16 @@
         self.lives += 1;
         let me = Who { key: n as u64 + 1, life: self.lives };
         let arbiters = (1..=ARBITERS.min(self.plan.nodes) as u64).collect();
-        let mut settings = Settings::usual(me, arbiters, vec![self.plan.budget.clone()]);
+        let keys: Vec<KeyBudget> = self.plan.keys.iter().cloned().collect();
+        let mut settings = Settings::usual(me, arbiters, vec![self.plan.budget.clone()], keys);
+        settings.key_bytes = self.plan.key_bytes;
         settings.zone = (n % self.plan.zones.max(1)) as u32;
-        // Who lends hears at most some 2,000 questions a second, so that in large fleets each asks more seldom.
-        settings.ask = settings.ask.max(SECOND * self.plan.nodes as u64 / 2000);
-        settings.part = settings.part.max(5 * settings.ask);
-        settings.term = settings.term.max(2 * settings.part);
         let seed = self.plan.seed.wrapping_mul(7919).wrapping_add(self.lives);
         let now = self.clock(n);
         let node = &mut self.nodes[n];
         let ends = Ends::new(now, &settings.budgets);
-        node.shared = Some(Shared::new(settings, seed, now, Out { sent: Vec::new(), ends }));
+        let wallet = Wallet::new(now, &settings.keys, settings.rhythm, self.plan.key_bytes, seed);
+        node.shared = Some(Shared::new(settings, seed, now, Out { sent: Vec::new(), ends, wallet }));
         (node.life, node.owed, node.saved, node.up_since) = (self.lives, 0.0, 0.0, self.now);
         self.changed();
     }
@@ -190,6 +256,14 @@
     pub fn crash(&mut self, n: usize) {
         self.nodes[n].shared = None;
         self.in_hand.retain(|Reverse((_, node, _))| *node != n);
+        let held = std::mem::take(&mut self.key_hands).into_vec();
+        for Reverse((end, node, life, key)) in held {
+            if node == n {
+                self.key_record.over(key);
+            } else {
+                self.key_hands.push(Reverse((end, node, life, key)));
+            }
+        }
         self.changed();
     }
 
@@ -212,17 +286,100 @@
     pub fn rebudget(&mut self, nodes: std::ops::Range<usize>, budget: &Budget) {
         for node in &mut self.nodes[nodes] {
             if let Some(shared) = &mut node.shared {
-                shared.rebudget(vec![budget.clone()]);
+                shared.rebudget(vec![budget.clone()], Vec::new());
                 shared.host.ends.rebudget(std::slice::from_ref(budget));
             }
         }
     }
 
+    /// Another limit by key, on some nodes.
+    pub fn rebudget_keys(&mut self, nodes: std::ops::Range<usize>, keys: &KeyBudget) {
+        let budgets = vec![self.plan.budget.clone()];
+        for shared in self.nodes[nodes].iter_mut().filter_map(|node| node.shared.as_mut()) {
+            shared.rebudget(budgets.clone(), vec![keys.clone()]);
+            shared.host.wallet.rebudget(std::slice::from_ref(keys));
+        }
+    }
+
+    /// What it takes on the way, with the frame of the fleet and the heads of UDP and IP.
+    fn bytes(&self, message: &Message) -> u64 {
+        const FRAME: usize = 32 + 16 + 24 + 28;
+        (crate::wire::write(&crate::wire::Told::Budgets(message.clone())).len() + FRAME) as u64
+    }
+
+    /// Has keys tried for.
+    pub fn key_load(&mut self, load: KeyLoad) {
+        self.key_load = Some(load);
+    }
+
+    fn try_keys(&mut self) {
+        let Some(budget) = self.plan.keys.clone() else { return };
+        while self.key_hands.peek().is_some_and(|Reverse((end, ..))| *end <= self.now) {
+            let Some(Reverse((_, n, life, key))) = self.key_hands.pop() else { break };
+            self.key_record.over(key);
+            let is_same = self.nodes[n].life == life;
+            if let Some(shared) = self.nodes[n].shared.as_mut().filter(|_| is_same) {
+                shared.host.wallet.done(budget.id(), key);
+            }
+        }
+        let now = self.now;
+        let mut tries: Vec<(usize, u64, u32)> = Vec::new();
+        if let Some(load) = &mut self.key_load {
+            tries.extend(load(now, &mut self.rng).into_iter().map(|(n, key)| (n, key, 1)));
+        }
+        self.measured.keys_wanted += tries.len() as u64;
+        while self.key_retries.peek().is_some_and(|Reverse((due, ..))| *due <= now) {
+            let Some(Reverse((_, times, key))) = self.key_retries.pop() else { break };
+            tries.push((self.rng.random_range(0..self.nodes.len()), key, times));
+        }
+        for (n, key, times) in tries {
+            let (clock, life) = (self.clock(n), self.nodes[n].life);
+            let still = self.nodes[n].still_until > now;
+            let Some(shared) = self.nodes[n].shared.as_mut().filter(|_| !still) else { continue };
+            match shared.host.wallet.fits(clock, budget.id(), key) {
+                Ok(()) => {
+                    shared.host.wallet.take(clock, budget.id(), key);
+                    self.measured.keys_made += 1;
+                    self.measured.keys_by_node[n] += 1;
+                    let over = self.key_record.came(now, key, budget.kind);
+                    self.measured.keys_over = self.measured.keys_over.max(over);
+                    if let KeyKind::InHand { longest, .. } = budget.kind {
+                        let end = now + self.rng.random_range(longest / 8..longest);
+                        self.key_hands.push(Reverse((end, n, life, key)));
+                    } else {
+                        self.key_record.over(key);
+                    }
+                }
+                Err(refused) if times < KEY_TRIES => {
+                    self.key_retries.push(Reverse((now + refused.pause, times + 1, key)));
+                }
+                Err(_) => self.measured.keys_refused += 1,
+            }
+        }
+    }
+
+    /// Units of a key that lie in pockets and could be spent, over all nodes.
+    pub fn key_units(&self, key: u64) -> u32 {
+        let Some(budget) = &self.plan.keys else { return 0 };
+        (0..self.nodes.len())
+            .filter_map(|n| Some((self.clock(n), self.nodes[n].shared.as_ref()?)))
+            .map(|(clock, shared)| shared.host.wallet.units(clock, budget.id(), key))
+            .sum()
+    }
+
+    /// Keys that all wallets tell apart, and keys and pockets in the books of the one who lends.
+    pub fn key_figures(&self) -> (usize, Option<(usize, usize, u64)>) {
+        let shared = || self.nodes.iter().filter_map(|node| node.shared.as_ref());
+        let books = shared().find_map(|shared| shared.key_books()).map(|books| books.figures());
+        (shared().map(|shared| shared.host.wallet.keys()).sum(), books)
+    }
+
     fn carry(&mut self, n: usize) {
         let from = Who { key: n as u64 + 1, life: self.nodes[n].life };
         let Some(shared) = &mut self.nodes[n].shared else { return };
         for (to, message) in std::mem::take(&mut shared.host.sent) {
             self.measured.messages += 1;
+            self.measured.bytes += self.bytes(&message);
             let to = to as usize - 1;
             if self.rng.random_bool(self.plan.loss) || (self.cut)(n, to) {
                 continue;
@@ -272,11 +429,15 @@
                 if shared.next() <= now {
                     shared.wake(now);
                 }
+                while let Some(asked) = shared.host.wallet.ask(now) {
+                    shared.ask_keys(now, asked);
+                }
                 lenders += usize::from(shared.lends(now));
             }
             self.carry(n);
             self.tries(n);
         }
+        self.try_keys();
         self.lenders_most = self.lenders_most.max(lenders);
         self.look();
     }
@@ -287,7 +448,7 @@
             if self.nodes[n].life == life
                 && let Some(shared) = &mut self.nodes[n].shared
             {
-                shared.host.ends.over();
+                shared.host.ends.over(false);
             }
         }
     }
@@ -316,7 +477,7 @@
         let now = self.clock(n);
         match self.plan.way {
             Way::Leases => {
-                self.nodes[n].shared.as_mut().is_some_and(|shared| shared.host.ends.take(now).is_ok())
+                self.nodes[n].shared.as_mut().is_some_and(|shared| shared.host.ends.take(now, false).is_ok())
             }
             Way::EvenByView => {
                 // Whom it saw some time ago, but for those whom it can't hear.
--- a/crates/shared/src/treasury.rs
+++ b/crates/shared/src/treasury.rs
@@ -51,13 +51,17 @@
 }
 
 /// What is lent to one that asked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Part {
     pub book: u64,
     pub no: u64,
     pub units: u32,
     /// Counted from when the borrower asked, by its own clock.
     pub term: Nanos,
+    /// Why it is so much: what all ask for, how many they are, and what there is to lend.
+    pub wanted: u32,
+    pub borrowers: u32,
+    pub pool: u32,
 }
 
 impl Treasury {
@@ -116,7 +120,10 @@
         self.next += 1;
         account.lent.push(Lent { no: self.next, units, gone });
         debug_assert!(others + units <= self.units.max(others), "no unit is lent twice");
-        Some(Part { book: self.id, no: self.next, units, term })
+        let wants = self.accounts.values().map(|account| account.demand.wants);
+        let wanted = wants.fold(0, u32::saturating_add);
+        let (borrowers, pool) = (self.accounts.len() as u32, self.units);
+        Some(Part { book: self.id, no: self.next, units, term, wanted, borrowers, pool })
     }
 
     /// A borrower gives all back: it leaves.
@@ -143,7 +150,7 @@
 }
 
 /// A time that has surely passed by another clock when it has passed by this one.
-fn longer(time: Nanos) -> Nanos {
+pub(crate) fn longer(time: Nanos) -> Nanos {
     time + time / crate::DRIFT + time / crate::DRIFT / crate::DRIFT + 1
 }
 
--- a/crates/shared/src/wire.rs
+++ b/crates/shared/src/wire.rs
@@ -3,20 +3,23 @@
 //!
 //! | field of `Parcel` | is |
 //! | --- | --- |
-//! | 1 | kind: 1 want, 2 word, 3 give back, 4 ask, 5 lend, 6 elsewhere, 7 leave, 8 counts, 9 evidence |
+//! | 1 | kind: 1 want, 2 word, 3 give back, 4 ask, 5 lend, 6 elsewhere, 7 leave, 8 counts, 9 evidence, 10 ask keys, 11 lend keys |
 //! | 2 | number of a round |
 //! | 3 | whether an arbiter's word was given |
 //! | 4 | a process: 1 key, 2 life |
 //! | 5 | nanoseconds left of a word |
 //! | 6 | the asker's stamp, which comes back |
 //! | 7 | zone |
-//! | 8 | wants: 1 budget, 2 book and 3 number of the part that is held, 4 units, 5 value |
-//! | 9 | parts: 1 budget, 2 book, 3 number, 4 units, 5 term in nanoseconds |
+//! | 8 | wants: 1 budget (FNV-1a of its name and kind), 2 book and 3 number of the part that is held, 4 units, 5 value |
+//! | 9 | parts: 1 budget, 2 book, 3 number, 4 units, 5 term in nanoseconds, 6 wanted by all, 7 borrowers, 8 pool |
 //! | 10 | counts: 1 process, 2 totals, 3 windows (1 number, 2 counts) |
 //! | 11 | evidence: 1 service, 2 process, 3 zone, 4 tries, 5 failed, 6 level |
+//! | 12 | keys, in lists of equal length: 1 budgets, 2 keys, 3 left, 4 given back, 5 wanted or added, 6 milliseconds to wait |
+//! | 13 | for how long keys are lent, in nanoseconds |
 
 use crate::counts::Word;
 use crate::judge::Evidence;
+use crate::keyed::{KEYS_ASKED, KeyAsk, KeyLent, KeysAsked, KeysLent};
 use crate::shared::{Message, Want};
 use crate::treasury::Part;
 use crate::{Nanos, Who};
@@ -62,6 +65,12 @@
     units: u32,
     #[prost(uint64, tag = "5")]
     term: u64,
+    #[prost(uint32, tag = "6")]
+    wanted: u32,
+    #[prost(uint32, tag = "7")]
+    borrowers: u32,
+    #[prost(uint32, tag = "8")]
+    pool: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -98,6 +107,22 @@
     level: f64,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+struct Keys {
+    #[prost(fixed32, repeated, tag = "1")]
+    budgets: Vec<u32>,
+    #[prost(fixed64, repeated, tag = "2")]
+    keys: Vec<u64>,
+    #[prost(uint32, repeated, tag = "3")]
+    left: Vec<u32>,
+    #[prost(uint32, repeated, tag = "4")]
+    back: Vec<u32>,
+    #[prost(uint32, repeated, tag = "5")]
+    units: Vec<u32>,
+    #[prost(uint32, repeated, tag = "6")]
+    waits: Vec<u32>,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct Parcel {
     #[prost(uint32, tag = "1")]
@@ -122,6 +147,10 @@
     counts: Vec<CountWord>,
     #[prost(message, repeated, tag = "11")]
     evidence: Vec<Witness>,
+    #[prost(message, optional, tag = "12")]
+    keys: Option<Keys>,
+    #[prost(uint64, tag = "13")]
+    life: u64,
 }
 
 /// What a parcel is.
@@ -192,7 +221,7 @@
         Message::Ask { stamp, zone, wants } => {
             (parcel.kind, parcel.stamp, parcel.zone) = (4, *stamp, *zone);
             let wanted = |w: &Want| Wanted {
-                budget: w.budget as u32,
+                budget: w.budget,
                 book: w.holds.0,
                 no: w.holds.1,
                 units: w.units,
@@ -202,20 +231,78 @@
         }
         Message::Lend { stamp, parts } => {
             (parcel.kind, parcel.stamp) = (5, *stamp);
-            let lent = |(budget, p): &(usize, Part)| LentPart {
-                budget: *budget as u32,
+            let lent = |(budget, p): &(u32, Part)| LentPart {
+                budget: *budget,
                 book: p.book,
                 no: p.no,
                 units: p.units,
                 term: p.term,
+                wanted: p.wanted,
+                borrowers: p.borrowers,
+                pool: p.pool,
             };
             parcel.parts = parts.iter().map(lent).collect();
         }
         Message::Elsewhere { lender } => (parcel.kind, parcel.who) = (6, lender.and_then(process)),
         Message::Leave => parcel.kind = 7,
+        Message::AskKeys(asked) => {
+            (parcel.kind, parcel.no, parcel.stamp) = (10, u64::from(asked.no), asked.stamp);
+            let all = &asked.keys;
+            parcel.keys = Some(Keys {
+                budgets: all.iter().map(|k| k.budget).collect(),
+                keys: all.iter().map(|k| k.key).collect(),
+                left: all.iter().map(|k| k.left).collect(),
+                back: all.iter().map(|k| k.back).collect(),
+                units: all.iter().map(|k| k.wants).collect(),
+                waits: Vec::new(),
+            });
+        }
+        Message::LendKeys(lent) => {
+            (parcel.kind, parcel.no, parcel.stamp) = (11, u64::from(lent.no), lent.stamp);
+            parcel.life = lent.life;
+            let (all, ms) = (&lent.keys, |nanos: Nanos| nanos.div_ceil(crate::MILLISECOND) as u32);
+            parcel.keys = Some(Keys {
+                budgets: all.iter().map(|k| k.budget).collect(),
+                keys: all.iter().map(|k| k.key).collect(),
+                left: Vec::new(),
+                back: Vec::new(),
+                units: all.iter().map(|k| k.adds).collect(),
+                waits: all.iter().map(|k| ms(k.wait)).collect(),
+            });
+        }
     }
 }
 
+/// What is asked of keys, or lent; nothing if its lists don't fit each other.
+fn asked(keys: Keys) -> Option<Vec<KeyAsk>> {
+    let n = keys.keys.len();
+    let fits = [&keys.budgets, &keys.left, &keys.back, &keys.units].iter().all(|list| list.len() == n);
+    (fits && n <= KEYS_ASKED).then(|| {
+        let one = |at: usize| KeyAsk {
+            budget: keys.budgets[at],
+            key: keys.keys[at],
+            left: keys.left[at],
+            back: keys.back[at],
+            wants: keys.units[at],
+        };
+        (0..n).map(one).collect()
+    })
+}
+
+fn keys_lent(keys: Keys) -> Option<Vec<KeyLent>> {
+    let n = keys.keys.len();
+    let fits = [&keys.budgets, &keys.units, &keys.waits].iter().all(|list| list.len() == n);
+    (fits && n <= KEYS_ASKED).then(|| {
+        let one = |at: usize| KeyLent {
+            budget: keys.budgets[at],
+            key: keys.keys[at],
+            adds: keys.units[at],
+            wait: u64::from(keys.waits[at]) * crate::MILLISECOND,
+        };
+        (0..n).map(one).collect()
+    })
+}
+
 /// Reads what was told; nothing if it can't be read, is beyond its bounds, or is of a kind that is not known.
 pub fn read(bytes: &[u8]) -> Option<Told> {
     let parcel = Parcel::decode(bytes).ok().filter(|_| bytes.len() <= PARCEL_MAX)?;
@@ -231,7 +318,7 @@
             // A value that is no number would upset who gets how much.
             let sane = |value: f64| if value.is_finite() { value.clamp(0.0, 1e6) } else { 0.0 };
             let want = |w: &Wanted| Want {
-                budget: w.budget as usize,
+                budget: w.budget,
                 holds: (w.book, w.no),
                 units: w.units,
                 value: sane(w.value),
@@ -242,8 +329,16 @@
             let longest: Nanos = 3600 * crate::SECOND;
             let part = |p: &LentPart| {
                 (
-                    p.budget as usize,
-                    Part { book: p.book, no: p.no, units: p.units, term: p.term.min(longest) },
+                    p.budget,
+                    Part {
+                        book: p.book,
+                        no: p.no,
+                        units: p.units,
+                        term: p.term.min(longest),
+                        wanted: p.wanted,
+                        borrowers: p.borrowers,
+                        pool: p.pool,
+                    },
                 )
             };
             Message::Lend { stamp, parts: parcel.parts.iter().map(part).collect() }
@@ -252,6 +347,15 @@
         7 => Message::Leave,
         8 => return Some(Told::Counts(counts(parcel.counts)?)),
         9 => return Some(Told::Evidence(parcel.evidence.iter().filter_map(witness).collect())),
+        10 => {
+            let no = u32::try_from(no).ok()?;
+            Message::AskKeys(KeysAsked { no, stamp, keys: asked(parcel.keys?)? })
+        }
+        11 => {
+            let no = u32::try_from(no).ok()?;
+            let life = parcel.life.min(3600 * crate::SECOND);
+            Message::LendKeys(KeysLent { no, stamp, life, keys: keys_lent(parcel.keys?)? })
+        }
         _ => return None,
     }))
 }
@@ -280,7 +384,8 @@
 
     fn all() -> Vec<Told> {
         let someone = Who { key: 1 << 60, life: 77 };
-        let part = Part { book: 9, no: 3, units: 40, term: 1_500_000_000 };
+        let part =
+            Part { book: 9, no: 3, units: 40, term: 1_500_000_000, wanted: 90, borrowers: 3, pool: 60 };
         let want = Want { budget: 2, holds: (9, 2), units: 7, value: 1.5 };
         let budgets = [
             Message::Want { no: 4 },
@@ -291,6 +396,17 @@
             Message::Lend { stamp: 12, parts: vec![(2, part)] },
             Message::Elsewhere { lender: Some(someone) },
             Message::Leave,
+            Message::AskKeys(KeysAsked {
+                no: 7,
+                stamp: 12,
+                keys: vec![KeyAsk { budget: 5, key: 1 << 50, left: 0, back: 300, wants: 2 }; 2],
+            }),
+            Message::LendKeys(KeysLent {
+                no: 7,
+                stamp: 12,
+                life: 3_000_000_000,
+                keys: vec![KeyLent { budget: 5, key: 1 << 50, adds: 4, wait: 250_000_000 }],
+            }),
         ];
         let mut told: Vec<Told> = budgets.into_iter().map(Told::Budgets).collect();
         let windows = vec![(180_000_000, vec![1, 0, 5])];
@@ -309,6 +425,16 @@
         }
     }
 
+    #[test]
+    fn the_largest_question_about_keys_fits_a_parcel_and_lists_that_differ_are_refused() {
+        let key = KeyAsk { budget: u32::MAX, key: u64::MAX, left: 1 << 20, back: 1 << 20, wants: 1 << 20 };
+        let keys = vec![key; KEYS_ASKED];
+        let bytes = write(&Told::Budgets(Message::AskKeys(KeysAsked { no: 1, stamp: 1 << 60, keys })));
+        assert!(bytes.len() <= PARCEL_MAX && read(&bytes).is_some(), "{}", bytes.len());
+        let keys = Some(Keys { budgets: vec![1], keys: vec![1, 2], ..Keys::default() });
+        assert_eq!(read(&Parcel { kind: 10, keys, ..Parcel::default() }.encode_to_vec()), None);
+    }
+
     #[test]
     fn a_later_version_is_read_as_far_as_it_is_known() {
         let mut bytes = write(&Told::Budgets(Message::Want { no: 4 }));
--- a/crates/shared/tests/budgets.rs
+++ b/crates/shared/tests/budgets.rs
@@ -8,7 +8,14 @@
 const S: Nanos = 1000 * MS;
 
 fn budget(limit: u32, floor: u32, nodes_most: u32) -> Budget {
-    Budget { name: "below".into(), limit, floor, nodes_most, kind: Kind::Rate { burst: 50 * MS } }
+    Budget {
+        name: "below".into(),
+        limit,
+        floor,
+        nodes_most,
+        kind: Kind::Rate { burst: 50 * MS },
+        repeats_only: false,
+    }
 }
 
 fn plan(nodes: usize, seed: u64) -> Plan {
@@ -22,6 +29,8 @@
         drift: 0.005,
         sight: 5 * S,
         seed,
+        keys: None,
+        key_bytes: 0,
     }
 }
 
@@ -160,7 +169,14 @@
 fn calls_in_hand_are_never_more_than_the_limit() {
     for seed in 0..6 {
         let kind = Kind::InHand { longest: 400 * MS };
-        let budget = Budget { name: "in hand".into(), limit: 120, floor: 2, nodes_most: 12, kind };
+        let budget = Budget {
+            name: "in hand".into(),
+            limit: 120,
+            floor: 2,
+            nodes_most: 12,
+            kind,
+            repeats_only: false,
+        };
         let mut sim = Sim::new(Plan { budget, ..plan(9, seed) }, full());
         run_within(&mut sim, 10 * S);
         for step in 0..8u64 {
--- a/crates/shared/tests/model.rs
+++ b/crates/shared/tests/model.rs
@@ -71,7 +71,14 @@
 }
 
 fn budget() -> Budget {
-    Budget { name: "b".into(), limit: UNITS, floor: 0, nodes_most: 1, kind: Kind::InHand { longest: 0 } }
+    Budget {
+        name: "b".into(),
+        limit: UNITS,
+        floor: 0,
+        nodes_most: 1,
+        kind: Kind::InHand { longest: 0 },
+        repeats_only: false,
+    }
 }
 
 fn books(now: u64, id: u64) -> Treasury {
@@ -151,7 +158,7 @@
             }
             Sent::Lend { to, at, book, no, units } => {
                 if let Some(node) = self.nodes.iter_mut().find(|node| node.who == to) {
-                    node.purse.lend(now, at, Part { book, no, units, term: PART });
+                    node.purse.lend(now, at, Part { book, no, units, term: PART, ..Part::default() });
                     self.lent += usize::from(units > 0);
                 }
             }
