--- a/crates/fleet/src/fleet/spread.rs
+++ b/crates/fleet/src/fleet/spread.rs
@@ -9,6 +9,11 @@
         self.round.some(&mut self.rng, most, there)
     }
 
+    /// Some other members that are held to be there, by turns.
+    pub fn some_others(&mut self, most: usize) -> Vec<Key> {
+        self.others(most)
+    }
+
     pub(super) fn spread(&mut self, at: Moment) {
         let unsettled = at.now < self.unsettled_until;
         if self.is_mute() || self.gossip.is_empty() && !unsettled {
--- a/crates/node/src/classify.rs
+++ b/crates/node/src/classify.rs
@@ -201,18 +201,27 @@
             let ticket = self.limits.ask(now, buckets).map_err(Full::Node)?;
             return Ok(Held { ticket, keys: Vec::new() });
         };
-        let mut keys: Vec<(u32, u64)> = Vec::new();
+        let (mut keys, mut full): (Vec<(u32, u64)>, Option<Refused>) = (Vec::new(), None);
         for (place, key) in buckets {
             for id in self.fleet.get(usize::from(*place)).into_iter().flatten() {
-                if !keys.contains(&(*id, *key)) {
-                    wallet.fits(now, *id, *key).map_err(Full::Fleet)?;
-                    keys.push((*id, *key));
+                if keys.contains(&(*id, *key)) {
+                    continue;
+                }
+                keys.push((*id, *key));
+                // All are looked at, so that all that lacks is asked for together.
+                if let Err(refused) = wallet.fits(now, *id, *key)
+                    && full.is_none_or(|before| before.pause < refused.pause)
+                {
+                    full = Some(refused);
                 }
             }
         }
+        if let Some(refused) = full {
+            return Err(Full::Fleet(refused));
+        }
         // The node's own limits come last, so that what they take is never for nothing.
         let ticket = self.limits.ask(now, buckets).map_err(Full::Node)?;
-        keys.iter().for_each(|(id, key)| wallet.take(now, *id, *key));
+        keys.retain(|(id, key)| wallet.take(now, *id, *key));
         Ok(Held { ticket, keys })
     }
 
--- a/crates/node/src/company.rs
+++ b/crates/node/src/company.rs
@@ -4,8 +4,8 @@
 use madderpoint::Advert;
 use madderpoint::Nanos;
 use madderpoint_fleet::{Phase, Sight};
-use madderpoint_shared::Want;
 use madderpoint_shared::keyed::KeysAsked;
+use madderpoint_shared::{Evidence, Want};
 
 /// Runs that succeeded before a node that started cold counts as warm.
 const WARM_AFTER: u32 = 64;
@@ -21,6 +21,8 @@
     Wants { at: Nanos, wants: Vec<Want> },
     /// What it has of some keys of the fleet's limits, and wants.
     Keys(KeysAsked),
+    /// What it sees of the service below.
+    Evidence(Evidence),
     /// It holds nothing of the budgets any more; whether none of it is in hand.
     LetGo(bool),
 }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -17,7 +17,7 @@
 use madderpoint_fleet::Sight;
 use madderpoint_rules::Verdict;
 use madderpoint_shared::keyed::{KeyBudget, KeysLent, Rhythm};
-use madderpoint_shared::{Budget, Ends, Part};
+use madderpoint_shared::{Budget, Ends, Gate, Judge, Opinion, Part};
 use std::cell::RefCell;
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -28,6 +28,19 @@
 const PULSE: Nanos = 1_000_000_000;
 /// Between two words about what is wanted of the fleet's budgets.
 const WANTS: Nanos = 250_000_000;
+/// Between two words about the service below.
+const EVIDENCE: Nanos = 500_000_000;
+
+/// The service below that the fleet judges together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Its name, the same on all nodes.
+    pub name: String,
+    /// A call that takes longer counts as one that failed.
+    pub slow: Option<Nanos>,
+    /// The node's zone as a number.
+    pub zone: u32,
+}
 
 /// What happened.
 #[derive(Debug)]
@@ -70,6 +83,8 @@
     KeysLent(Box<KeysLent>),
     /// Limits of the fleet's budgets that hold from now on.
     Rebudget(Vec<Budget>),
+    /// What others say of the service below.
+    Opinion(Opinion),
 }
 
 /// A reading of the clocks.
@@ -117,7 +132,7 @@
     }
 
     /// Takes part in a fleet from now on, and shares these budgets with it.
-    pub fn join_fleet(&mut self, now: Nanos, budgets: &[Budget], rhythm: Rhythm) {
+    pub fn join_fleet(&mut self, now: Nanos, budgets: &[Budget], rhythm: Rhythm, service: Option<&Service>) {
         self.company = Some(Company::default());
         self.rhythm = Some(rhythm);
         let mut desk = self.desk.borrow_mut();
@@ -127,6 +142,14 @@
             desk.budgets = Some(Box::new(Ends::new(now, budgets)));
             desk.set_timer(WANTS, Timer::Wants);
         }
+        if let Some(service) = service {
+            desk.judge = Some(Box::new(Judge::new(now, service.zone)));
+            desk.slow = service.slow;
+            desk.set_timer(EVIDENCE, Timer::Evidence);
+        }
+        if !budgets.is_empty() || service.is_some() {
+            desk.gate = Some(Box::new(Gate::new(now)));
+        }
     }
 
     /// What is seen of the fleet, if there is one and its part has said anything.
@@ -173,8 +196,8 @@
             }
             Timer::CallLimit(id, no) => {
                 let given_up = self.desk.borrow_mut().give_up_call(id, no);
-                if given_up {
-                    self.call_over(now, id, CallEnding::Abandoned);
+                if let Some(ending) = given_up {
+                    self.call_over(now, id, ending);
                 }
             }
             Timer::AskGauges => self.desk.borrow_mut().ask_gauges(),
@@ -187,6 +210,8 @@
             Timer::Pulse => self.pulse(),
             Timer::Wants => self.wants(now),
             Timer::Keys => self.ask_keys(),
+            Timer::CallRoom => self.desk.borrow_mut().send_waiting(),
+            Timer::Evidence => self.evidence(),
         }
     }
 
@@ -245,6 +270,9 @@
                     rules.lent(now, &lent);
                 }
             }
+            Event::Opinion(opinion) => {
+                self.desk.borrow_mut().judged(|judge, now| judge.told(now, opinion));
+            }
             Event::Rebudget(limits) => {
                 if let Some(budgets) = &mut self.desk.borrow_mut().budgets {
                     budgets.rebudget(&limits);
@@ -396,8 +424,16 @@
             desk.verdict(conn, id, status, pause, cause);
             return None;
         }
+        let gated = match desk.gate(head.op, key) {
+            Ok(gated) => gated,
+            Err(pause) => {
+                desk.count("throttled for the room below", 1);
+                desk.verdict(conn, id, 429, pause, "no room below");
+                return None;
+            }
+        };
         let now = desk.now;
-        let Some(rules) = desk.rules.as_mut() else { return Some(Given { key, ..Given::default() }) };
+        let Some(rules) = desk.rules.as_mut() else { return Some(Given { key, gated, ..Given::default() }) };
         let asked =
             if ruled.buckets.is_empty() { Ok(None) } else { rules.ask(now, &ruled.buckets).map(Some) };
         if let Some(class) = &ruled.class {
@@ -414,7 +450,7 @@
         let (pause, count) = match asked {
             Ok(held) => {
                 let held = held.filter(|held| !held.is_empty());
-                return Some(Given { key, class: ruled.class, held });
+                return Some(Given { key, class: ruled.class, held, gated });
             }
             Err(Full::Node(over)) => (over.pause, "throttled by a limit"),
             Err(Full::Fleet(refused)) => (refused.pause, "throttled by a limit of the fleet"),
@@ -483,6 +519,19 @@
         }
     }
 
+    /// Tells the fleet's part what this node sees of the service below.
+    fn evidence(&mut self) {
+        let evidence = {
+            let mut desk = self.desk.borrow_mut();
+            desk.set_timer(EVIDENCE, Timer::Evidence);
+            desk.judged(|judge, now| judge.judge(now));
+            desk.judged(|judge, now| judge.evidence(now))
+        };
+        if let Some(evidence) = evidence {
+            self.say(|_| Some(Word::Evidence(evidence)));
+        }
+    }
+
     /// Asks the fleet for what is wanted of keys.
     fn ask_keys(&mut self) {
         let questions = self.desk.borrow_mut().questions();
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -11,6 +11,7 @@
 use std::fmt;
 
 mod rules;
+mod shared;
 
 const MS: Nanos = 1_000_000;
 const A: &str = "00000000000000aa";
--- a/crates/node/src/core/tests/rules.rs
+++ b/crates/node/src/core/tests/rules.rs
@@ -8,16 +8,25 @@
 const D: &str = "00000000000000dd";
 
 /// Dispatchers here heed pauses of up to half a second.
-fn settings() -> String {
+pub fn settings() -> String {
     support::SETTINGS.replacen('{', r#"{"Ceilings": {"RetryAfter": true, "MaxRetryAfter": 0.5}, "#, 1)
 }
 
 fn sheet(rules: &str) -> Box<Sheet> {
+    read_sheet(rules, "")
+}
+
+/// Rules with limits of the whole fleet.
+pub fn fleet_sheet(rules: &str) -> Box<Sheet> {
+    read_sheet(rules, "<fleet name=\"f\" keys=\"k\"><arbiter name=\"n0\"/></fleet>")
+}
+
+fn read_sheet(rules: &str, fleet: &str) -> Box<Sheet> {
     let start = madderpoint_facts::decode(settings().as_bytes()).unwrap();
     let effects = start.premises.operations.iter().map(|o| o.effect);
     let operations = Some(start.operations.iter().cloned().zip(effects).collect());
     let known = Known { operations, tenants: Some(start.tenants.clone()), ..Known::anything() };
-    let text = format!("<translator version=\"1\"><rules>{rules}</rules></translator>");
+    let text = format!("<translator version=\"1\"><rules>{rules}</rules>{fleet}</translator>");
     let read = madderpoint_settings::read("rules.xml", &text, &known).unwrap_or_else(|e| panic!("{e}"));
     let book = read.rules.unwrap();
     Box::new(Sheet { rules: book.rules, buckets: book.buckets, fleet: book.fleet })
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -8,8 +8,8 @@
 use crate::room::Room;
 use madderpoint::{AlarmId, CallEnding, Effect, Ending, Gauges, Host, InvId, Nanos, OpId};
 use madderpoint_facts::Start;
-use madderpoint_shared::Ends;
 use madderpoint_shared::keyed::KeysAsked;
+use madderpoint_shared::{Ends, Gate, Judge};
 use std::cell::RefCell;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -56,6 +56,8 @@
     pub class: Option<Rc<str>>,
     /// Places that it holds in buckets.
     pub held: Option<Held>,
+    /// Whether it was let in for the room that there is below.
+    pub gated: bool,
 }
 
 /// Tells bodies apart; not secret, for who makes two that share one only gets the first one's answer for both.
@@ -96,6 +98,8 @@
     Pulse,
     Wants,
     Keys,
+    CallRoom,
+    Evidence,
 }
 
 /// What is open on a connection.
@@ -151,9 +155,18 @@
     call_body: Vec<u8>,
 }
 
+/// Where a call is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// It waits for room under the fleet's budgets, and is worth nothing after this.
+    Waits { until: Nanos },
+    /// It was handed to the link at this place.
+    Link(usize),
+}
+
 struct Call {
     no: CallNo,
-    place: usize,
+    place: Place,
     since: Nanos,
     /// The connection on which it was written whole.
     written: Option<BackendLink>,
@@ -162,6 +175,15 @@
     repeats: bool,
 }
 
+impl Call {
+    fn link(&self) -> Option<usize> {
+        match self.place {
+            Place::Waits { .. } => None,
+            Place::Link(place) => Some(place),
+        }
+    }
+}
+
 /// What is known of a link to the back end.
 #[derive(Clone, Copy, Default)]
 struct Below {
@@ -185,8 +207,11 @@
     /// Whether the kernel was ever told to run it.
     asked: bool,
     call: Option<Call>,
-    /// Whether a call that it waits for failed before.
+    /// Whether a call that it waits for failed before; calls so far.
     call_failed: bool,
+    calls: u32,
+    /// Whether it was let in for the room that there is below.
+    is_gated: bool,
     /// Links on which a late reply may come.
     tainted: [bool; BACKEND_LINKS],
     key: Option<Key>,
@@ -236,6 +261,13 @@
     pub rules: Option<Box<Classifier>>,
     /// None where the fleet shares no budget.
     pub budgets: Option<Box<Ends>>,
+    /// Calls that wait for room under them, and when it is looked for.
+    calls_waiting: VecDeque<(InvId, CallNo)>,
+    calls_due: Option<Nanos>,
+    /// The judgement on the service below, and from when on an answer of it counts as none; what needs it is let in by both.
+    pub judge: Option<Box<Judge>>,
+    pub slow: Option<Nanos>,
+    pub gate: Option<Box<Gate>>,
     /// When a question about keys goes to the fleet, if one is to.
     keys_due: Option<Nanos>,
     checks: HashMap<u64, Open>,
@@ -273,6 +305,11 @@
             kept: Kept::new(room.results),
             rules: None,
             budgets: None,
+            calls_waiting: VecDeque::new(),
+            calls_due: None,
+            judge: None,
+            slow: None,
+            gate: None,
             keys_due: None,
             checks: HashMap::new(),
             health: (false, true),
@@ -372,7 +409,24 @@
     fn call_is_over(&mut self, call: &Call) {
         if let Some(budgets) = self.budgets.as_mut().filter(|_| call.budgeted) {
             budgets.over(call.repeats);
+            // Where what is limited is in hand there is room now.
+            if !self.calls_waiting.is_empty() && budgets.is_full(self.now).is_none() {
+                self.calls_due = None;
+                self.set_timer(0, Timer::CallRoom);
+            }
+        }
+    }
+
+    /// Whether the room below lets in what needs a call: else when it is worth to come back.
+    pub fn gate(&mut self, op: OpId, key: Option<Key>) -> Result<bool, Nanos> {
+        let Some(gate) = &mut self.gate else { return Ok(false) };
+        let operation = &self.start.premises.operations[op.0];
+        // A repeat needs no call: what it repeats makes it.
+        let is_repeat = key.is_some_and(|key| self.kept.original(self.now, key).is_some());
+        if !operation.calls_below || operation.share_without_call > 0.0 || is_repeat {
+            return Ok(false);
         }
+        gate.admits(self.now, self.budgets.as_deref_mut(), self.judge.as_deref_mut()).map(|()| true)
     }
 
     // ---- Invocations ----
@@ -421,7 +475,7 @@
     ) -> (InvId, Option<InvId>) {
         self.next_id += 1;
         let id = InvId(self.next_id);
-        let Given { key, class, held } = given;
+        let Given { key, class, held, gated } = given;
         let repeats = key.and_then(|key| self.kept.original(self.now, key));
         let invocation = Invocation {
             rid: head.rid.clone(),
@@ -434,6 +488,8 @@
             asked: false,
             call: None,
             call_failed: false,
+            calls: 0,
+            is_gated: gated,
             tainted: [false; BACKEND_LINKS],
             key,
             repeats,
@@ -506,6 +562,9 @@
     fn remove(&mut self, id: InvId) {
         let Some(inv) = self.invs.remove(&id) else { return };
         self.ids.remove(&inv.rid);
+        if let Some(gate) = self.gate.as_mut().filter(|_| inv.is_gated && inv.ran) {
+            gate.ran(inv.calls);
+        }
         if let (Some(held), Some(rules)) = (inv.held, &mut self.rules) {
             rules.done(self.now, held);
         }
--- a/crates/node/src/desk/calls.rs
+++ b/crates/node/src/desk/calls.rs
@@ -1,71 +1,146 @@
 //! Calls below.
 
-use super::{BACKEND_LINKS, Below, Call, Deferred, Desk, MILLISECOND, Timer, Wait};
+use super::{BACKEND_LINKS, Below, Call, Deferred, Desk, MILLISECOND, Place, Timer, Wait};
 use crate::backend;
 use crate::kernel::Command;
 use crate::outward::{BackendLink, CallNo, Outward};
 use madderpoint::{CallEnding, InvId, Nanos};
+use madderpoint_shared::{Judge, Mode};
 
 /// A link that so many replies on others have overtaken has gone silent: it is passed over, and closed when a call
 /// on it comes to its time limit.
 const OVERTAKEN: u32 = 8;
+/// A call waits so long at most for room under the fleet's budgets, and so many do; beyond that it is refused at once.
+const CALL_WAITS: Nanos = 250 * MILLISECOND;
+const CALLS_WAITING: usize = 64;
 
 impl<O: Outward> Desk<O> {
     /// The link for a call: rather one that is not silent, then the one with the fewest calls.
     fn link_for(&self, id: InvId) -> Option<usize> {
         let mut waiting = [0; BACKEND_LINKS];
-        self.invs.values().filter_map(|inv| inv.call.as_ref()).for_each(|call| waiting[call.place] += 1);
+        self.invs.values().filter_map(|inv| inv.call.as_ref()?.link()).for_each(|place| waiting[place] += 1);
         let tainted = self.invs.get(&id)?.tainted;
         let open = (0..BACKEND_LINKS).filter(|&place| !tainted[place]);
         open.min_by_key(|&place| (self.below[place].overtaken >= OVERTAKEN, waiting[place]))
     }
 
     pub fn call(&mut self, id: InvId, timeout: Nanos) {
-        let place = self.link_for(id);
-        let Some(inv) = self.invs.get_mut(&id) else { return };
+        let Some(inv) = self.invs.get(&id) else { return };
         if !inv.run.as_ref().is_some_and(|run| matches!(run.wait, Wait::Call { .. })) {
             return self.count("calls of runs that wait for none", 1);
         }
-        let (Some(place), true, None) = (place, self.has_backend, &inv.call) else {
-            return self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
-        };
-        // A call that the fleet's budgets have no room for is like one for which no link has: it never ran.
-        let repeats = inv.call_failed;
-        let budgeted = match self.budgets.as_mut().map(|budgets| budgets.take(self.now, repeats)) {
-            Some(Err(_)) => {
-                self.count("calls that the fleet's budgets had no room for", 1);
-                return self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
+        let never_ran = Deferred::CallEnded(id, CallEnding::NeverRan);
+        if !self.has_backend || inv.call.is_some() {
+            return self.deferred.push_back(never_ran);
+        }
+        // What is refused by the fleet's judgement or budgets is like a call for which no link has room: it never ran.
+        let (op, thinned, repeats) = (inv.op, inv.is_gated, inv.call_failed);
+        if !self.judged(|judge, now| judge.admits(now, thinned)).unwrap_or(true) {
+            self.count("calls kept back from a service that is ill", 1);
+            return self.deferred.push_back(never_ran);
+        }
+        let longest = self.start.premises.operations[op.0].client_timeout;
+        let timeout = if timeout == 0 { longest } else { timeout };
+        let now = self.now;
+        let room = match &mut self.budgets {
+            None => Ok(()),
+            // Those that wait go first.
+            Some(budgets) if !self.calls_waiting.is_empty() => {
+                Err(budgets.wait_for(now, self.calls_waiting.len()))
             }
-            allowed => allowed.is_some(),
+            Some(budgets) => budgets.take(now, repeats),
         };
-        let Some(inv) = self.invs.get_mut(&id) else { return };
-        let Some(run) = inv.run.as_ref() else { return };
-        let longest = self.start.premises.operations[inv.op.0].client_timeout;
-        let timeout = if timeout == 0 { longest } else { timeout };
-        let bytes = backend::invoke(&inv.rid, timeout.div_ceil(MILLISECOND), &run.call_body);
+        let most = CALL_WAITS.min(timeout / 4);
+        if room.is_err_and(|pause| pause > most || self.calls_waiting.len() >= CALLS_WAITING) {
+            self.count("calls that the fleet's budgets had no room for", 1);
+            return self.deferred.push_back(never_ran);
+        }
         self.next_call += 1;
-        let no = CallNo(self.next_call);
-        if !self.out.call(place, no, id, bytes) {
-            self.budgets.iter_mut().filter(|_| budgeted).for_each(|budgets| budgets.over(repeats));
-            return self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
-        }
-        self.out
-            .step(&inv.rid, format_args!("calls below on link {place}, for {} ms", timeout / MILLISECOND));
-        inv.call = Some(Call { no, place, since: self.now, written: None, budgeted, repeats });
+        let (no, until) = (CallNo(self.next_call), self.now + timeout);
+        let place = Place::Waits { until };
+        let budgeted = self.budgets.is_some() && room.is_ok();
+        if let Some(inv) = self.invs.get_mut(&id) {
+            inv.calls += 1;
+            inv.call = Some(Call { no, place, since: now, written: None, budgeted, repeats });
+        }
         self.set_timer(timeout, Timer::CallLimit(id, no));
+        match room {
+            Ok(()) => self.send_call(id, timeout),
+            Err(pause) => {
+                self.calls_waiting.push_back((id, no));
+                self.arm_calls(pause);
+            }
+        }
+    }
+
+    /// Hands a call, for which there is room below, to a link.
+    fn send_call(&mut self, id: InvId, timeout: Nanos) {
+        let place = self.link_for(id);
+        let Some(inv) = self.invs.get_mut(&id) else { return };
+        let (Some(call), Some(run)) = (&mut inv.call, &inv.run) else { return };
+        if let Some(place) = place {
+            let bytes = backend::invoke(&inv.rid, timeout.div_ceil(MILLISECOND), &run.call_body);
+            if self.out.call(place, call.no, id, bytes) {
+                (call.place, call.since) = (Place::Link(place), self.now);
+                return self.out.step(
+                    &inv.rid,
+                    format_args!("calls below on link {place}, for {} ms", timeout / MILLISECOND),
+                );
+            }
+        }
+        if let Some(call) = inv.call.take() {
+            self.call_is_over(&call);
+        }
+        self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
+    }
+
+    /// Has a timer look whether a call that waits has room.
+    fn arm_calls(&mut self, pause: Nanos) {
+        let due = self.now + pause.max(MILLISECOND);
+        if self.calls_due.is_none_or(|armed| due < armed) {
+            self.calls_due = Some(due);
+            self.set_timer(due - self.now, Timer::CallRoom);
+        }
+    }
+
+    /// Sends the calls that wait, as far as there is room below, in their order.
+    pub fn send_waiting(&mut self) {
+        self.calls_due = None;
+        while let Some((id, no)) = self.calls_waiting.front().copied() {
+            let waits = self.invs.get(&id).and_then(|inv| inv.call.as_ref()).filter(|call| call.no == no);
+            let Some((until, repeats)) = waits.and_then(|call| match call.place {
+                Place::Waits { until } => Some((until, call.repeats)),
+                Place::Link(_) => None,
+            }) else {
+                self.calls_waiting.pop_front(); // over before there was room
+                continue;
+            };
+            let now = self.now;
+            if let Some(Err(pause)) = self.budgets.as_mut().map(|budgets| budgets.take(now, repeats)) {
+                return self.arm_calls(pause);
+            }
+            self.calls_waiting.pop_front();
+            if let Some(call) = self.invs.get_mut(&id).and_then(|inv| inv.call.as_mut()) {
+                call.budgeted = true;
+            }
+            self.send_call(id, until.saturating_sub(now).max(MILLISECOND));
+        }
     }
 
     pub fn is_current(&self, id: InvId, no: CallNo) -> bool {
         self.invs.get(&id).and_then(|inv| inv.call.as_ref()).is_some_and(|call| call.no == no)
     }
 
-    /// A call's time is up: true if it was still in hand.
-    pub fn give_up_call(&mut self, id: InvId, no: CallNo) -> bool {
+    /// A call's time is up: how it ended, if it was still in hand.
+    pub fn give_up_call(&mut self, id: InvId, no: CallNo) -> Option<CallEnding> {
         if !self.is_current(id, no) {
-            return false;
+            return None;
         }
-        let Some(inv) = self.invs.get_mut(&id) else { return false };
-        let Some(place) = inv.call.as_ref().map(|call| call.place) else { return false };
+        let inv = self.invs.get_mut(&id)?;
+        let Place::Link(place) = inv.call.as_ref()?.place else {
+            self.count("calls that the fleet's budgets had no room for", 1);
+            return Some(CallEnding::NeverRan);
+        };
         inv.tainted[place] = true;
         let rid = inv.rid.clone();
         self.cancel(&rid, place);
@@ -74,7 +149,7 @@
             self.count("back end: connections gone silent", 1);
             self.out.rest(place); // what else waits there would wait in vain
         }
-        true
+        Some(CallEnding::Abandoned)
     }
 
     pub fn cancel(&mut self, rid: &str, place: usize) {
@@ -109,7 +184,7 @@
     /// Nothing was sent on a link for a while: it is closed before the back end does so, which a call could
     /// meet, unless a reply is awaited on it.
     pub fn backend_quiet(&mut self, place: usize) {
-        if !self.invs.values().any(|inv| inv.call.as_ref().is_some_and(|call| call.place == place)) {
+        if !self.invs.values().any(|inv| inv.call.as_ref().is_some_and(|call| call.link() == Some(place))) {
             self.out.rest(place);
         }
     }
@@ -120,7 +195,7 @@
         self.out.step(&reply.id, format_args!("reply {:?} on link {place}", reply.outcome));
         self.heard(place, id);
         let call = id.and_then(|id| self.invs.get(&id)).and_then(|inv| inv.call.as_ref());
-        if call.is_none_or(|call| call.place != place) {
+        if call.is_none_or(|call| call.link() != Some(place)) {
             self.count("back end: replies to calls given up", 1);
             return None;
         }
@@ -135,7 +210,9 @@
         };
         let mut oldest = [u64::MAX; BACKEND_LINKS];
         for call in self.invs.values().filter_map(|inv| inv.call.as_ref()) {
-            oldest[call.place] = oldest[call.place].min(call.no.0);
+            if let Some(place) = call.link() {
+                oldest[place] = oldest[place].min(call.no.0);
+            }
         }
         for (below, oldest) in self.below.iter_mut().zip(oldest) {
             match oldest {
@@ -151,8 +228,41 @@
         inv.run.as_ref()?;
         let Some(call) = inv.call.take() else { return Some(0) };
         inv.call_failed = ending != CallEnding::Succeeded;
+        let latency = self.now - call.since;
         self.call_is_over(&call);
-        Some(self.now - call.since)
+        if call.link().is_some() {
+            let slow = self.slow.is_some_and(|slow| latency > slow);
+            self.judged(|judge, now| judge.ended(now, ending == CallEnding::Succeeded && !slow));
+        }
+        Some(latency)
+    }
+
+    // ---- The service's health ----
+
+    /// Has the judgement on the service below looked at or changed, and says so if it goes about the service otherwise since.
+    pub fn judged<T>(&mut self, f: impl FnOnce(&mut Judge, Nanos) -> T) -> Option<T> {
+        let judge = self.judge.as_mut()?;
+        let (before, was) = (judge.mode(), judge.level());
+        let result = f(judge, self.now);
+        let (mode, level) = (judge.mode(), judge.level());
+        if mode != before || level > was && mode == Mode::Rising {
+            let seen = judge.evidence(self.now);
+            let others = judge.others(self.now).unwrap_or_default();
+            self.out.log(format_args!(
+                "service below: {}->{}, {} of {} calls failed lately, {} of {} others in {} of {} zones say it is ill, \
+                 {:.0} % goes there",
+                before.word(),
+                mode.word(),
+                seen.failed,
+                seen.tries,
+                others.ill,
+                others.witnesses,
+                others.ill_zones,
+                others.zones,
+                level * 100.0
+            ));
+        }
+        Some(result)
     }
 
     /// Lets a run go on, with the reply to its call or without one.
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -228,7 +228,7 @@
         let call = inv.call.take();
         if let Some(call) = call {
             self.call_is_over(&call);
-            self.cancel(rid, call.place);
+            call.link().into_iter().for_each(|place| self.cancel(rid, place));
         }
         match end {
             End::Ok => {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -8,7 +8,7 @@
 mod places;
 mod reports;
 
-pub use fleet_link::{Part, Reset};
+pub use fleet_link::{Part, Reset, zone_number};
 
 use crate::classify::Sheet;
 use crate::company::Word;
@@ -251,6 +251,7 @@
     reports::start(Arc::clone(&addresses), who.name.clone(), Arc::clone(&leaving))?;
     let budgets = ours.fleet.as_ref().map_or(Vec::new(), |part| part.budgets.clone());
     let rhythm = ours.fleet.as_ref().map(|part| part.rhythm());
+    let service = ours.fleet.as_ref().and_then(|part| part.service.clone());
     let fleet = match ours.fleet {
         Some(mut part) => {
             part.settings.bytes = room.fleet;
@@ -286,7 +287,7 @@
     let stop_after = who.stop_after.as_nanos() as Nanos;
     let mut core = Core::new(sockets, who.start.clone(), who.seed, stop_after, has_backend, &room);
     if let Some(rhythm) = rhythm {
-        core.join_fleet(clock.now(), &budgets, rhythm);
+        core.join_fleet(clock.now(), &budgets, rhythm, service.as_ref());
     }
     if let Some(sheet) = ours.rules {
         core.handle(clock.read(), Event::Ruled(sheet));
--- a/crates/node/src/driver/fleet_link.rs
+++ b/crates/node/src/driver/fleet_link.rs
@@ -3,7 +3,7 @@
 
 use super::{Message, STACK};
 use crate::company::Word;
-use crate::core::Event;
+use crate::core::{Event, Service};
 use crate::log::log;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use madderpoint_fleet::seal::Keys;
@@ -11,7 +11,7 @@
 use madderpoint_fleet::{Fleet, Host, Key, Life, Moment, Nanos, Periods, Settings, Sight};
 use madderpoint_shared::keyed::{KeyBudget, KeysLent, Rhythm};
 use madderpoint_shared::wire::{Told, read as read_parcel, write as write_parcel};
-use madderpoint_shared::{self as shared, Budget, Shared, Want, Who};
+use madderpoint_shared::{self as shared, Budget, Evidence, Shared, Want, Who, Witnesses, judge};
 use rustix::event::{EventfdFlags, PollFd, PollFlags, Timespec, eventfd, poll};
 use rustix::fd::OwnedFd;
 use rustix::io::Errno;
@@ -41,12 +41,14 @@
     /// Limits by key that the fleet shares, and the bytes that books of them may take.
     pub keys: Vec<KeyBudget>,
     pub key_bytes: usize,
+    /// The service below that the fleet judges together, if it does; and words of others about it that are kept.
+    pub service: Option<Service>,
 }
 
 impl Part {
     /// Whether anything is shared with the fleet but the view of it.
     pub fn shares(&self) -> bool {
-        !self.arbiters.is_empty()
+        !self.arbiters.is_empty() || self.service.is_some()
     }
 
     /// How often keys are asked for: by the most nodes that any limit is made for.
@@ -202,20 +204,59 @@
     });
     let link = FleetLink { orders, bell: Arc::clone(&bell) };
     let thread = thread::Builder::new().name("fleet".into()).stack_size(STACK);
-    let thread = thread.spawn(move || serve(fleet, bank, &clock, &inbox, &bell))?;
+    let health = part.service.map(|service| Health {
+        service: Key::of(&service.name).0,
+        witnesses: Witnesses::new(WITNESSES),
+        told: 0,
+    });
+    let thread = thread.spawn(move || serve(fleet, bank, health, &clock, &inbox, &bell))?;
     Ok((link, thread))
 }
 
 /// Zones as numbers, which is enough to tell them apart.
-fn zone_number(zone: &str) -> u32 {
+pub fn zone_number(zone: &str) -> u32 {
     (Key::of(zone).0 >> 32) as u32
 }
 
 type Bank = Option<Shared<Teller>>;
 
+/// What the nodes say to each other of the service below.
+struct Health {
+    service: u64,
+    witnesses: Witnesses,
+    told: u64,
+}
+
+/// Words of others about the service that are kept: a sample of a large fleet is enough.
+const WITNESSES: usize = 256;
+/// Members that a word goes to each time; where all is well only each so often.
+const TELLS: usize = 3;
+const TELLS_WELL: u64 = 4;
+
+impl Health {
+    /// This node sees so much: some others hear it, and the core hears what they say.
+    fn seen(&mut self, fleet: &mut Fleet<Hands>, at: Moment, evidence: Evidence) {
+        self.told += 1;
+        let is_well = evidence.failed == 0 && evidence.level >= 1.0;
+        if evidence.tries > 0 && (!is_well || self.told.is_multiple_of(TELLS_WELL)) || evidence.level < 1.0 {
+            let parcel = write_parcel(&Told::Evidence(vec![(self.service, evidence)]));
+            for key in fleet.some_others(TELLS) {
+                fleet.send_parcel(at, key, SHARED, &parcel);
+            }
+        }
+        let mut opinion = self.witnesses.opinion(at.now, self.service);
+        let (me, _) = fleet.me();
+        let members = fleet.view().iter().filter(|(_, entry)| entry.status().is_present());
+        opinion.prober = judge::is_prober(at.now, me.0, self.service, members.map(|(key, _)| key.0));
+        opinion.alone = fleet.view().counts().present() <= 1;
+        let _ = fleet.host.events.try_send(Message::Event(Event::Opinion(opinion)));
+    }
+}
+
 fn serve(
     mut fleet: Fleet<Hands>,
     mut bank: Bank,
+    mut health: Option<Health>,
     clock: &impl Fn() -> Moment,
     orders: &Receiver<Order>,
     bell: &OwnedFd,
@@ -235,6 +276,9 @@
                 Order::Word(Word::Keys(asked)) => {
                     bank.iter_mut().for_each(|bank| bank.ask_keys(clock().now, asked.clone()));
                 }
+                Order::Word(Word::Evidence(evidence)) => {
+                    health.iter_mut().for_each(|health| health.seen(&mut fleet, clock(), evidence));
+                }
                 Order::Word(Word::LetGo(free)) => bank.iter_mut().for_each(|bank| bank.host.free = free),
                 Order::Reset(reset) => {
                     fleet.reset(clock(), reset.keys, reset.seeds, reset.periods);
@@ -258,17 +302,20 @@
         if clock().now >= fleet.next() {
             fleet.wake(clock());
         }
-        if let Some(bank) = &mut bank {
-            for (from, topic, parcel) in std::mem::take(&mut fleet.host.parcels) {
-                if let (SHARED, Some(Told::Budgets(message))) = (topic, read_parcel(&parcel)) {
-                    bank.message(clock().now, from, message);
+        for (from, topic, parcel) in std::mem::take(&mut fleet.host.parcels) {
+            let told = if topic == SHARED { read_parcel(&parcel) } else { None };
+            match (told, &mut bank, &mut health) {
+                (Some(Told::Budgets(message)), Some(bank), _) => bank.message(clock().now, from, message),
+                (Some(Told::Evidence(all)), _, Some(health)) => {
+                    let all = all.into_iter().filter(|(service, _)| *service == health.service);
+                    all.for_each(|(of, evidence)| health.witnesses.hear(clock().now, from, of, evidence));
                 }
+                _ => {}
             }
-            if clock().now >= bank.next() {
-                bank.wake(clock().now);
-            }
         }
-        fleet.host.parcels.clear();
+        if let Some(bank) = bank.as_mut().filter(|bank| clock().now >= bank.next()) {
+            bank.wake(clock().now);
+        }
         post(&mut fleet, &mut bank, clock);
         if let Some(sight) = fleet.host.unseen.take() {
             fleet.host.sight(&sight);
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -6,6 +6,7 @@
 use madderpoint_fleet::seal::Keys;
 use madderpoint_node::classify::Sheet;
 use madderpoint_node::config::{self, Identity};
+use madderpoint_node::core::Service;
 use madderpoint_node::driver::{self, Notice, Ours, Part, Reset};
 use madderpoint_node::log;
 use madderpoint_node::room::Beside;
@@ -105,7 +106,12 @@
     };
     let arbiters = fleet.arbiters.iter().map(|name| madderpoint_fleet::Key::of(name).0).collect();
     let (budgets, keys) = (fleet.budgets.clone(), key_budgets(read));
-    Ok(Some(Box::new(Part { bind, settings, arbiters, budgets, keys, key_bytes: 0 })))
+    let service = fleet.service.as_ref().map(|service| Service {
+        name: service.name.clone(),
+        slow: service.slow,
+        zone: driver::zone_number(&settings.zone),
+    });
+    Ok(Some(Box::new(Part { bind, settings, arbiters, budgets, keys, key_bytes: 0, service })))
 }
 
 /// Limits by key of the whole fleet, as the rules' buckets have them.
@@ -157,6 +163,7 @@
                 ("program", new.program == now.program),
                 ("arbiter", new.arbiters == now.arbiters),
                 ("calls-budget", same_kinds(&new.budgets, &now.budgets)),
+                ("service", new.service == now.service),
             ];
             let kept: Vec<&str> = kept.iter().filter(|(_, same)| !same).map(|(field, _)| *field).collect();
             if !kept.is_empty() {
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -40,6 +40,17 @@
     pub budgets: Vec<Budget>,
     /// What keys are numbered by, alike on all nodes.
     pub secret: u64,
+    /// The service below that nodes judge together, if they do.
+    pub service: Option<JudgedService>,
+}
+
+/// A service below that nodes judge together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JudgedService {
+    /// Its name, the same on all nodes.
+    pub name: String,
+    /// A call that takes longer counts as one that failed.
+    pub slow: Option<Nanos>,
 }
 
 /// Tells two texts of settings apart; part of what a node says of itself.
@@ -77,7 +88,7 @@
                 let expected = format!("{} to {} ms", least / MILLISECOND, most / MILLISECOND);
                 self.wrong(
                     text,
-                    &format!("periods/@{name}"),
+                    &format!("{}/@{name}", of.name),
                     format!("{:?} is out of range", text.value),
                     &expected,
                 );
@@ -211,6 +222,12 @@
                 );
             }
         }
+        let service = element.one("service").map(|of| {
+            let name = of.get("name").map(|name| name.value.clone()).unwrap_or_default();
+            let mut slow = 0;
+            reading.time(of, "slow", &mut slow, MILLISECOND, 600 * SECOND);
+            JudgedService { name, slow: Some(slow).filter(|slow| *slow > 0) }
+        });
         let mut place =
             |name: &str| element.get(name).and_then(|text| reading.address(text, &format!("@{name}")));
         let (bind, advertise) = (place("bind"), place("advertise"));
@@ -227,6 +244,7 @@
                 arbiters,
                 budgets,
                 secret: fingerprint(&text("salt").or(text("name")).unwrap_or_default()),
+                service,
             })
         } else {
             Err(reading.complaints)
--- /dev/null
+++ b/crates/shared/src/gate.rs
@@ -0,0 +1,186 @@
+//! What needs a call that can't be made is turned away before it runs, at once and with the time at which it is worth to come
+//! back. Else it would run up to its call, hold a core, and err there.
+
+use crate::judge::{Judge, Mode};
+use crate::purse::Ends;
+use crate::{MILLISECOND, Nanos, SECOND};
+
+/// What may be saved up, as a time.
+const SAVED: Nanos = 250 * MILLISECOND;
+/// A run's calls move the mean by this.
+const LEARN: f64 = 0.05;
+/// Of the room below so much is filled: calls don't come as evenly as runs are let in.
+const FILLS: f64 = 0.95;
+const LEAST_CALLS: f64 = 0.05;
+/// Between two that are let in to try a service that is down.
+const TRY: Nanos = 500 * MILLISECOND;
+
+/// Lets in so many of those that need a call as there is room below.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    saved: f64,
+    counted: Nanos,
+    /// Calls that a run makes, on average.
+    calls: f64,
+    /// What is owed to the level of a service that is thinned out.
+    owed: f64,
+    tried: Nanos,
+    let_in: u64,
+    turned_away: u64,
+}
+
+impl Gate {
+    /// Nothing is saved.
+    pub fn new(now: Nanos) -> Gate {
+        Gate { saved: 0.0, counted: now, calls: 1.0, owed: 0.0, tried: 0, let_in: 0, turned_away: 0 }
+    }
+
+    /// Whether one more may run; else when it is worth to come back.
+    pub fn admits(
+        &mut self,
+        now: Nanos,
+        ends: Option<&mut Ends>,
+        judge: Option<&mut Judge>,
+    ) -> Result<(), Nanos> {
+        let service = judge.map_or(Ok(()), |judge| self.service(now, judge));
+        let room = match (&service, ends) {
+            (Ok(()), Some(ends)) => self.room(now, ends),
+            _ => Ok(()),
+        };
+        let admits = service.and(room);
+        *(if admits.is_ok() { &mut self.let_in } else { &mut self.turned_away }) += 1;
+        admits
+    }
+
+    /// By what the service below is judged to be.
+    fn service(&mut self, now: Nanos, judge: &mut Judge) -> Result<(), Nanos> {
+        let goes = match judge.mode() {
+            Mode::Open => true,
+            // Those who try it need something to try it with.
+            Mode::Closed => {
+                let tries = judge.is_try_due(now) && now >= self.tried + TRY;
+                if tries {
+                    self.tried = now;
+                }
+                tries
+            }
+            Mode::Careful | Mode::Rising => {
+                self.owed += judge.level();
+                let goes = self.owed >= 1.0;
+                self.owed -= if goes { 1.0 } else { 0.0 };
+                goes
+            }
+        };
+        if goes { Ok(()) } else { Err(judge.pause(now).max(MILLISECOND)) }
+    }
+
+    /// By the budgets: as many runs as they have calls for.
+    fn room(&mut self, now: Nanos, ends: &mut Ends) -> Result<(), Nanos> {
+        if let Some(pause) = ends.is_full(now) {
+            ends.wished(now);
+            return Err(pause.max(MILLISECOND));
+        }
+        let Some(units) = ends.a_second(now) else { return Ok(()) };
+        let rate = FILLS * units / self.calls;
+        let passed = now.saturating_sub(std::mem::replace(&mut self.counted, now)) as f64 / SECOND as f64;
+        let most = (rate * SAVED as f64 / SECOND as f64).max(2.0);
+        self.saved = (self.saved + rate * passed).min(most);
+        if self.saved >= 1.0 {
+            self.saved -= 1.0;
+            return Ok(());
+        }
+        // What is turned away here never comes to its call, and is wanted all the same.
+        ends.wished(now);
+        let pause = if rate > 0.0 { ((1.0 - self.saved) / rate * SECOND as f64) as Nanos } else { SECOND };
+        Err(pause.clamp(MILLISECOND, 10 * SECOND))
+    }
+
+    /// A run that was let in is over, and made so many calls.
+    pub fn ran(&mut self, calls: u32) {
+        self.calls = (self.calls + LEARN * (f64::from(calls) - self.calls)).max(LEAST_CALLS);
+    }
+
+    /// How many were let in and turned away.
+    pub fn tally(&self) -> (u64, u64) {
+        (self.let_in, self.turned_away)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::purse::{Budget, Kind};
+
+    fn ends(limit: u32) -> Ends {
+        let kind = Kind::Rate { burst: SECOND / 20 };
+        let budget = Budget { name: "b".into(), limit, floor: 10, nodes_most: 1, kind, repeats_only: false };
+        Ends::new(0, &[budget])
+    }
+
+    #[test]
+    fn as_many_are_let_in_as_there_are_calls_for_and_the_rest_hears_when() {
+        let (mut gate, mut ends) = (Gate::new(0), ends(10));
+        let (mut let_in, mut calls, mut waiting, mut pauses) = (0, 0, 0, Vec::new());
+        for ms in 0..10_000 {
+            let now = ms * MILLISECOND;
+            if ms % 20 == 0 {
+                match gate.admits(now, Some(&mut ends), None) {
+                    Ok(()) => (let_in, waiting) = (let_in + 1, waiting + 1),
+                    Err(pause) => pauses.push(pause),
+                }
+            }
+            if waiting > 0 && ends.take(now, false).is_ok() {
+                (calls, waiting) = (calls + 1, waiting - 1);
+                gate.ran(1);
+            }
+        }
+        // Ten a second, of fifty that come; and their calls find room soon.
+        assert!((92..=99).contains(&let_in) && waiting <= 2 && calls >= let_in - 2, "{let_in} {calls}");
+        assert!(pauses.iter().all(|pause| *pause <= 110 * MILLISECOND), "{:?}", pauses.iter().max());
+    }
+
+    /// What is turned away counts as wanted, or nothing would ever be asked for.
+    #[test]
+    fn what_is_turned_away_is_wanted_all_the_same() {
+        let kind = Kind::Rate { burst: SECOND / 20 };
+        let budget =
+            Budget { name: "b".into(), limit: 100, floor: 1, nodes_most: 2, kind, repeats_only: false };
+        let (mut gate, mut ends) = (Gate::new(0), Ends::new(0, &[budget]));
+        for ms in 0..1000 {
+            let _ = gate.admits(ms * MILLISECOND, Some(&mut ends), None);
+        }
+        assert!(ends.wants(SECOND)[0].units > 90, "{:?}", ends.wants(SECOND));
+    }
+
+    #[test]
+    fn a_closed_service_lets_in_what_tries_it_and_a_rising_one_its_part() {
+        let (mut gate, mut judge) = (Gate::new(0), Judge::new(0, 0));
+        (0..20).for_each(|_| judge.ended(SECOND, false));
+        let now = 60 * SECOND;
+        // Alone it tries every 5 s, if the one that was let in makes its call.
+        let mut let_in = 0;
+        for tenths in 0..100 {
+            let now = now + tenths * SECOND / 10;
+            if gate.admits(now, None, Some(&mut judge)).is_ok() {
+                let_in += 1;
+                assert!(judge.admits(now, true));
+                judge.ended(now, false);
+            }
+        }
+        assert_eq!(let_in, 2);
+        assert!(gate.admits(now + 20 * SECOND, None, Some(&mut judge)).is_ok());
+        (0..3).for_each(|_| judge.ended(now + 20 * SECOND, true));
+        let now = now + 21 * SECOND;
+        assert_eq!((0..32).filter(|_| gate.admits(now, None, Some(&mut judge)).is_ok()).count(), 2);
+        assert!(gate.admits(now, None, Some(&mut judge)).unwrap_err() <= 5 * SECOND);
+    }
+
+    #[test]
+    fn runs_that_call_twice_are_let_in_half_as_often() {
+        let (mut gate, mut ends) = (Gate::new(0), ends(10));
+        (0..200).for_each(|_| gate.ran(2));
+        let let_in =
+            (0..1000).filter(|n| gate.admits(n * SECOND / 100, Some(&mut ends), None).is_ok()).count();
+        assert!((45..=52).contains(&let_in), "{let_in} in 10 s");
+    }
+}
--- a/crates/shared/src/judge.rs
+++ b/crates/shared/src/judge.rs
@@ -5,7 +5,7 @@
 //! chosen by hash so that all agree on whom; then load rises in steps, nobody going further than twice what the others have.
 
 use crate::{MILLISECOND, Nanos, SECOND, Who};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What is counted is this long, and aged out after so long.
 const WINDOW: Nanos = 2 * SECOND;
@@ -30,9 +30,8 @@
 const CAREFUL: f64 = 0.25;
 
 /// What a node says of a service.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Evidence {
-    pub who: Who,
     pub zone: u32,
     /// In its last window.
     pub tries: u32,
@@ -47,12 +46,111 @@
     }
 
     fn is_ill(&self) -> bool {
-        self.tries >= TRIES && self.failing() >= ILL
+        self.tries >= TRIES && self.failing() >= ILL || self.level == 0.0
     }
 
     fn is_well(&self) -> bool {
         self.tries >= TRIES && self.failing() <= WELL
     }
+
+    /// Whether it says anything: one that tries too little knows nothing, unless it has closed the service to itself.
+    fn tells(&self) -> bool {
+        self.tries >= TRIES || self.level == 0.0
+    }
+}
+
+/// What others say of a service, summed up.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Opinion {
+    /// Who say something, and who of these that it is ill; in how many zones.
+    pub witnesses: u32,
+    pub ill: u32,
+    pub zones: u32,
+    pub ill_zones: u32,
+    /// Who find it well by a word of the last moment.
+    pub well: u32,
+    /// The mean of what is let through, of those who let anything through.
+    pub level: f64,
+    /// Whether this node is one of the few that try it while it is down, and whether it is there alone.
+    pub prober: bool,
+    pub alone: bool,
+}
+
+impl Opinion {
+    /// Whether enough of the others, in more than one zone where there are more, say that it is ill: half of those who see it,
+    /// two at least, and not one zone alone.
+    pub fn is_ill(&self) -> bool {
+        self.ill >= 2 && self.ill * 2 >= self.witnesses && (self.zones < 2 || self.ill_zones >= 2)
+    }
+}
+
+/// What others say of services below, each for as long as it is good. Each speaks for itself only.
+#[derive(Clone, Debug)]
+pub struct Witnesses {
+    words: BTreeMap<(u64, Who), (Evidence, Nanos)>,
+    most: usize,
+    refused: u64,
+}
+
+impl Witnesses {
+    /// None yet; so many words are kept.
+    pub fn new(most: usize) -> Witnesses {
+        Witnesses { words: BTreeMap::new(), most: most.max(16), refused: 0 }
+    }
+
+    /// Another node says what it sees.
+    pub fn hear(&mut self, now: Nanos, from: Who, service: u64, evidence: Evidence) {
+        let place = (service, from);
+        if self.words.len() >= self.most && !self.words.contains_key(&place) {
+            self.words.retain(|_, (_, heard)| now < *heard + AGED);
+            if self.words.len() >= self.most {
+                self.refused += 1;
+                return;
+            }
+        }
+        self.words.insert(place, (evidence, now));
+    }
+
+    /// What all say of a service now, but for who tries it.
+    pub fn opinion(&mut self, now: Nanos, service: u64) -> Opinion {
+        self.words.retain(|_, (_, heard)| now < *heard + AGED);
+        let first = (service, Who::default());
+        let all = self.words.range(first..).take_while(|((of, _), _)| *of == service).map(|(_, word)| word);
+        let (mut opinion, mut back) = (Opinion::default(), (0.0, 0u32));
+        let (mut zones, mut ill_zones) = (BTreeSet::new(), BTreeSet::new());
+        for (evidence, heard) in all {
+            if evidence.level > 0.0 {
+                back = (back.0 + evidence.level, back.1 + 1);
+            }
+            if !evidence.tells() {
+                continue;
+            }
+            opinion.witnesses += 1;
+            zones.insert(evidence.zone);
+            if evidence.is_ill() {
+                opinion.ill += 1;
+                ill_zones.insert(evidence.zone);
+            }
+            opinion.well += u32::from(evidence.is_well() && now < *heard + WINDOW);
+        }
+        opinion.level = if back.1 > 0 { back.0 / f64::from(back.1) } else { 0.0 };
+        (opinion.zones, opinion.ill_zones) = (zones.len() as u32, ill_zones.len() as u32);
+        opinion
+    }
+
+    /// Words that found no room.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+}
+
+/// Whether a node is one of the few of those there that try a service while it is down. They take turns, and as all go by the
+/// same hash, those who see the same members agree.
+pub fn is_prober(now: Nanos, me: u64, service: u64, members: impl Iterator<Item = u64>) -> bool {
+    let round = now / (10 * PROBE);
+    let rank = |key: u64| mix(key ^ mix(service ^ round));
+    let own = rank(me);
+    members.filter(|key| *key != me && rank(*key) < own).take(PROBES).count() < PROBES
 }
 
 /// How a node goes about a service.
@@ -68,6 +166,18 @@
     Rising,
 }
 
+impl Mode {
+    /// Its word, as logs and tables show it.
+    pub fn word(self) -> &'static str {
+        match self {
+            Mode::Open => "open",
+            Mode::Careful => "careful",
+            Mode::Closed => "closed",
+            Mode::Rising => "rising",
+        }
+    }
+}
+
 /// Two halves of a window, so that what is counted is never a whole window old.
 #[derive(Clone, Copy, Debug, Default)]
 struct Half {
@@ -78,9 +188,7 @@
 /// A node's judgement on one service.
 #[derive(Clone, Debug)]
 pub struct Judge {
-    me: Who,
     zone: u32,
-    service: u64,
     mode: Mode,
     since: Nanos,
     level: f64,
@@ -90,10 +198,13 @@
     /// Tries in a row that failed: so many say more than a window that was good before.
     failed_in_a_row: u32,
     probed: Nanos,
-    others: BTreeMap<Who, (Evidence, Nanos)>,
-    most: usize,
+    /// What others say, and when that came.
+    others: Option<(Opinion, Nanos)>,
     /// What is owed to the level: a call goes when it comes to one.
     owed: f64,
+    /// Calls that it let go and kept back.
+    passed: u64,
+    kept_back: u64,
 }
 
 /// Mixes a number well enough to spread choices; splitmix64.
@@ -105,12 +216,10 @@
 }
 
 impl Judge {
-    /// Nothing is known of the service; it counts as well. Words of so many others are kept.
-    pub fn new(now: Nanos, me: Who, zone: u32, service: u64, most: usize) -> Judge {
+    /// Nothing is known of the service; it counts as well.
+    pub fn new(now: Nanos, zone: u32) -> Judge {
         Judge {
-            me,
             zone,
-            service,
             mode: Mode::Open,
             since: now,
             level: 1.0,
@@ -119,9 +228,10 @@
             in_a_row: 0,
             failed_in_a_row: 0,
             probed: 0,
-            others: BTreeMap::new(),
-            most,
+            others: None,
             owed: 0.0,
+            passed: 0,
+            kept_back: 0,
         }
     }
 
@@ -129,6 +239,16 @@
         self.mode
     }
 
+    /// Since when it is so.
+    pub fn since(&self) -> Nanos {
+        self.since
+    }
+
+    /// Calls that it let go, and kept back.
+    pub fn tally(&self) -> (u64, u64) {
+        (self.passed, self.kept_back)
+    }
+
     /// What it lets through now, of all.
     pub fn level(&self) -> f64 {
         match self.mode {
@@ -151,15 +271,28 @@
     pub fn evidence(&mut self, now: Nanos) -> Evidence {
         self.roll(now);
         let [a, b] = self.halves;
-        let (who, zone, level) = (self.me, self.zone, self.level());
-        Evidence { who, zone, tries: a.tries + b.tries, failed: a.failed + b.failed, level }
+        Evidence {
+            zone: self.zone,
+            tries: a.tries + b.tries,
+            failed: a.failed + b.failed,
+            level: self.level(),
+        }
     }
 
-    /// Another node said what it sees.
-    pub fn hear(&mut self, now: Nanos, evidence: Evidence) {
-        let has_room = self.others.len() < self.most || self.others.contains_key(&evidence.who);
-        if evidence.who != self.me && has_room {
-            self.others.insert(evidence.who, (evidence, now));
+    /// What others say, while it is good.
+    pub fn others(&self, now: Nanos) -> Option<Opinion> {
+        self.others.filter(|(_, heard)| now < *heard + AGED).map(|(opinion, _)| opinion)
+    }
+
+    /// What others say came.
+    pub fn told(&mut self, now: Nanos, opinion: Opinion) {
+        self.others = Some((opinion, now));
+        // Others find it well again: then this node may come back too, in the first step, though it did not try it. What they
+        // said when it fell, and what they counted before, is no word about now.
+        let later = now > self.since + 2 * WINDOW;
+        let enough = opinion.well >= (PROBES as u32).min(opinion.witnesses).max(1);
+        if self.mode == Mode::Closed && later && enough {
+            self.come_back(now);
         }
         self.judge(now);
     }
@@ -170,33 +303,16 @@
         }
     }
 
-    /// Whether enough of the others, in more than one zone where there are more, say that it is ill.
-    fn others_ill(&self) -> bool {
-        let all =
-            self.others.values().map(|(evidence, _)| evidence).filter(|e| e.tries >= TRIES || e.level == 0.0);
-        let (mut ill, mut zones, mut ill_zones) = (0, BTreeMap::new(), BTreeMap::new());
-        let mut count = 0;
-        for evidence in all {
-            count += 1;
-            *zones.entry(evidence.zone).or_insert(0) += 1;
-            if evidence.is_ill() || evidence.level == 0.0 {
-                ill += 1;
-                *ill_zones.entry(evidence.zone).or_insert(0) += 1;
-            }
-        }
-        // Half of those who see it, two at least, and not one zone alone.
-        ill >= 2 && ill * 2 >= count && (zones.len() < 2 || ill_zones.len() >= 2)
-    }
-
-    fn judge(&mut self, now: Nanos) {
-        self.others.retain(|_, (_, heard)| now < *heard + AGED);
+    /// Looks at what there is, of which some may have aged out.
+    pub fn judge(&mut self, now: Nanos) {
         let own = self.evidence(now);
-        let is_ill = own.is_ill() || self.failed_in_a_row >= TRIES;
+        let is_ill = own.tries >= TRIES && own.failing() >= ILL || self.failed_in_a_row >= TRIES;
+        let others_ill = self.others(now).is_some_and(|opinion| opinion.is_ill());
         match self.mode {
             Mode::Open | Mode::Careful | Mode::Rising if is_ill => self.enter(now, Mode::Closed),
-            Mode::Open if !own.is_well() && self.others_ill() => self.enter(now, Mode::Careful),
+            Mode::Open if !own.is_well() && others_ill => self.enter(now, Mode::Careful),
             // What it sees itself goes first; else it ages out with those who said it.
-            Mode::Careful if own.is_well() || !self.others_ill() => self.enter(now, Mode::Open),
+            Mode::Careful if own.is_well() || !others_ill => self.enter(now, Mode::Open),
             Mode::Rising if now >= self.since + STEP && own.failing() <= WELL => self.rise(now),
             _ => {}
         }
@@ -204,43 +320,55 @@
 
     /// One step further, but not beyond twice what the others let through, who come back with it.
     fn rise(&mut self, now: Nanos) {
-        let back = self.others.values().map(|(evidence, _)| evidence.level).filter(|level| *level > 0.0);
-        let (sum, count) = back.fold((0.0, 0), |(sum, count), level| (sum + level, count + 1));
-        let others = if count > 0 { sum / f64::from(count) } else { 1.0 };
+        let others = self.others(now).map(|opinion| opinion.level).filter(|level| *level > 0.0);
         self.since = now;
-        self.level = (self.level * 2.0).min(others.max(FIRST) * 2.0).min(1.0);
+        self.level = (self.level * 2.0).min(others.unwrap_or(1.0).max(FIRST) * 2.0).min(1.0);
         if self.level >= 1.0 {
             self.enter(now, Mode::Open);
         }
     }
 
-    /// Whether this node is one of the few of the fleet that try a service that is down.
-    fn is_prober(&self, now: Nanos) -> bool {
-        let round = now / (10 * PROBE);
-        let rank = |who: &Who| mix(who.key ^ mix(self.service ^ round));
-        let own = rank(&self.me);
-        self.others.keys().filter(|who| rank(who) < own).count() < PROBES
+    /// Whether a try is due from this node while the service is down. One that hears nobody tries by itself, more seldom.
+    pub fn is_try_due(&self, now: Nanos) -> bool {
+        let (tries, wait) = match self.others(now) {
+            Some(opinion) if !opinion.alone => (opinion.prober, PROBE),
+            _ => (true, DEAF_PROBE),
+        };
+        tries && now >= self.probed + wait
     }
 
-    /// Whether a call may go there now.
-    pub fn admits(&mut self, now: Nanos) -> bool {
+    /// Whether a call may go there now. For one that was thinned out before, with what it is part of, only a closed service
+    /// counts.
+    pub fn admits(&mut self, now: Nanos, thinned: bool) -> bool {
         self.judge(now);
-        let wait = if self.others.is_empty() { DEAF_PROBE } else { PROBE };
-        match self.mode {
+        let goes = match self.mode {
             Mode::Open => true,
             Mode::Closed => {
-                let tries = now >= self.probed + wait && self.is_prober(now);
-                if tries {
+                let due = self.is_try_due(now);
+                if due {
                     self.probed = now;
                 }
-                tries
+                due
             }
+            Mode::Careful | Mode::Rising if thinned => true,
             Mode::Careful | Mode::Rising => {
                 self.owed += self.level();
                 let goes = self.owed >= 1.0;
                 self.owed -= if goes { 1.0 } else { 0.0 };
                 goes
             }
+        };
+        *(if goes { &mut self.passed } else { &mut self.kept_back }) += 1;
+        goes
+    }
+
+    /// How long what needs the service does well to stay away.
+    pub fn pause(&self, now: Nanos) -> Nanos {
+        match self.mode {
+            Mode::Open => 0,
+            Mode::Closed => (self.probed + PROBE).saturating_sub(now).max(PROBE),
+            Mode::Careful => AGED / 2,
+            Mode::Rising => (self.since + STEP).saturating_sub(now).max(PROBE),
         }
     }
 
@@ -259,17 +387,6 @@
         self.judge(now);
     }
 
-    /// Others find it well again: then this node may come back too, in the first step, though it was no prober. What they said
-    /// when it fell, and what they counted before, is no word about now.
-    pub fn others_rise(&mut self, now: Nanos) {
-        let fresh = |heard: Nanos| heard > self.since + WINDOW;
-        let well =
-            self.others.values().filter(|(evidence, heard)| evidence.is_well() && fresh(*heard)).count();
-        if self.mode == Mode::Closed && well >= PROBES.min(self.others.len()).max(1) {
-            self.come_back(now);
-        }
-    }
-
     fn come_back(&mut self, now: Nanos) {
         (self.halves, self.failed_in_a_row) = ([Half::default(); 2], 0);
         self.level = FIRST;
@@ -287,53 +404,101 @@
         Who { key, life: key }
     }
 
-    fn judge(key: u64, zone: u32) -> Judge {
-        Judge::new(0, who(key), zone, 7, 64)
-    }
-
-    fn says(key: u64, zone: u32, tries: u32, failed: u32) -> Evidence {
-        Evidence { who: who(key), zone, tries, failed, level: 1.0 }
+    /// What a node is told by these, each in its zone, with tries and failures.
+    fn said(words: impl Iterator<Item = (u64, u32, u32, u32)>) -> Opinion {
+        let mut witnesses = Witnesses::new(64);
+        for (key, zone, tries, failed) in words {
+            witnesses.hear(SECOND, who(key), 7, Evidence { zone, tries, failed, level: 1.0 });
+        }
+        witnesses.opinion(SECOND, 7)
     }
 
     #[test]
     fn own_tries_close_it_and_others_alone_never_do() {
-        let mut own = judge(1, 0);
+        let mut own = Judge::new(0, 0);
         (0..20).for_each(|_| own.ended(SECOND, false));
-        assert_eq!((own.mode(), own.admits(SECOND)), (Mode::Closed, false));
-        let mut others = judge(1, 0);
-        for key in 2..12 {
-            others.hear(SECOND, says(key, key as u32 % 3, 100, 100));
-        }
+        assert_eq!((own.mode(), own.admits(SECOND, false)), (Mode::Closed, false));
+        let mut others = Judge::new(0, 0);
+        others.told(SECOND, said((2..12).map(|key| (key, key as u32 % 3, 100, 100))));
         assert_eq!((others.mode(), others.level()), (Mode::Careful, CAREFUL));
-        assert_eq!((0..100).filter(|_| others.admits(SECOND)).count(), 25);
+        assert_eq!((0..100).filter(|_| others.admits(SECOND, false)).count(), 25);
     }
 
     #[test]
     fn one_sick_node_or_one_zone_is_told_from_a_sick_service() {
-        let mut liar = judge(1, 0);
-        (2..12).for_each(|key| {
-            liar.hear(SECOND, says(key, key as u32 % 3, 100, if key == 5 { 100 } else { 0 }))
-        });
+        let failed = |one: bool| if one { 100 } else { 0 };
+        let mut liar = Judge::new(0, 0);
+        liar.told(SECOND, said((2..12).map(|key| (key, key as u32 % 3, 100, failed(key == 5)))));
         assert_eq!(liar.mode(), Mode::Open);
-        let mut zone = judge(1, 0);
-        (2..12).for_each(|key| {
-            zone.hear(SECOND, says(key, key as u32 % 2, 100, if key % 2 == 1 { 100 } else { 0 }))
-        });
+        let mut zone = Judge::new(0, 0);
+        zone.told(SECOND, said((2..12).map(|key| (key, key as u32 % 2, 100, failed(key % 2 == 1)))));
         assert_eq!(zone.mode(), Mode::Open, "a zone with a broken link of its own");
         // What it sees itself goes first.
-        let mut sees = judge(1, 0);
+        let mut sees = Judge::new(0, 0);
         (0..50).for_each(|_| sees.ended(SECOND, true));
-        (2..12).for_each(|key| sees.hear(SECOND, says(key, key as u32 % 3, 100, 100)));
+        sees.told(SECOND, said((2..12).map(|key| (key, key as u32 % 3, 100, 100))));
         assert_eq!(sees.mode(), Mode::Open);
     }
 
     #[test]
-    fn a_word_ages_out() {
-        let mut careful = judge(1, 0);
-        (2..12).for_each(|key| careful.hear(SECOND, says(key, key as u32 % 3, 100, 100)));
+    fn a_word_ages_out_and_a_flood_of_words_by_one_is_one_word() {
+        let mut careful = Judge::new(0, 0);
+        careful.told(SECOND, said((2..12).map(|key| (key, key as u32 % 3, 100, 100))));
         assert_eq!(careful.mode(), Mode::Careful);
-        assert!(careful.admits(SECOND + AGED));
+        assert!(careful.admits(SECOND + AGED, false));
         assert_eq!(careful.mode(), Mode::Open);
+        let flood = said((0..1000).map(|n| (5, n % 7, 100, 100)).chain([(6, 1, 100, 0)]));
+        assert_eq!((flood.witnesses, flood.ill, flood.is_ill()), (2, 1, false));
+        // Many that are none: what finds no room is not kept.
+        let mut witnesses = Witnesses::new(64);
+        (0..1000).for_each(|key| witnesses.hear(0, who(key), 7, Evidence::default()));
+        assert_eq!((witnesses.words.len(), witnesses.refused()), (64, 936));
+    }
+
+    #[test]
+    fn few_try_a_service_that_is_down_and_they_take_turns() {
+        let members: Vec<u64> = (0..300).map(mix).collect();
+        let mut tried = BTreeSet::new();
+        for round in 0..40 {
+            let now = round * 10 * PROBE;
+            let probers: Vec<u64> = members
+                .iter()
+                .copied()
+                .filter(|me| is_prober(now, *me, 7, members.iter().copied()))
+                .collect();
+            assert_eq!(probers.len(), PROBES);
+            tried.extend(probers);
+        }
+        assert!(tried.len() > 80, "{}", tried.len());
+    }
+
+    #[test]
+    fn a_deaf_node_goes_on_by_its_own_tries() {
+        let mut deaf = Judge::new(0, 0);
+        (0..20).for_each(|_| deaf.ended(SECOND, false));
+        let now = 60 * SECOND;
+        let tries = (0..200).filter(|n| deaf.admits(now + n * SECOND / 10, false)).count();
+        assert_eq!(tries, 4, "one in 5 s");
+        (0..3).for_each(|n| deaf.ended(now + (200 + n) * SECOND / 10, true));
+        assert_eq!(deaf.mode(), Mode::Rising);
+        for n in 0..400 {
+            let now = now + 21 * SECOND + n * SECOND / 10;
+            if deaf.admits(now, false) {
+                deaf.ended(now, true);
+            }
+        }
+        assert_eq!(deaf.mode(), Mode::Open);
+    }
+
+    /// What was let in for its part of the load makes its call, unless the service closed meanwhile.
+    #[test]
+    fn what_was_thinned_before_is_not_thinned_again() {
+        let mut rising = Judge::new(0, 0);
+        (0..20).for_each(|_| rising.ended(SECOND, false));
+        assert!(!rising.admits(SECOND, true));
+        (0..3).for_each(|_| rising.ended(2 * SECOND, true));
+        assert_eq!((0..16).filter(|_| rising.admits(2 * SECOND, true)).count(), 16);
+        assert_eq!((0..16).filter(|_| rising.admits(2 * SECOND, false)).count(), 1);
     }
 
     /// A service that dies past what it can do, is dead for a minute under full demand, and is cold when it is back. Nodes hear
@@ -342,7 +507,8 @@
     fn play(seed: u64, steps: bool) -> (u32, u64, bool) {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let (nodes, tick) = (12usize, 10 * MILLISECOND);
-        let mut judges: Vec<Judge> = (0..nodes).map(|n| judge(n as u64 + 1, n as u32 % 3)).collect();
+        let mut judges: Vec<Judge> = (0..nodes).map(|n| Judge::new(0, n as u32 % 3)).collect();
+        let mut heard: Vec<Witnesses> = (0..nodes).map(|_| Witnesses::new(64)).collect();
         let (mut up, mut fell, mut tried_while_down) = (true, 0, 0);
         let (mut load, mut back_at) = (0.0f64, None);
         for step in 0..20_000u64 {
@@ -357,7 +523,7 @@
             let warm = back_at.map_or(1.0, |at| 0.15 + (now - at) as f64 / (20 * SECOND) as f64).min(1.0);
             let mut calls = 0;
             for n in 0..nodes {
-                if judges[n].admits(now) {
+                if judges[n].admits(now, false) {
                     calls += 1;
                     tried_while_down += u64::from(!up);
                     judges[n].ended(now, up);
@@ -369,10 +535,14 @@
                     let word = judges[n].evidence(now);
                     for m in (0..nodes).filter(|&m| m != n && m != 11 && n != 11) {
                         if !rng.random_bool(0.1) {
-                            judges[m].hear(now, word);
-                            judges[m].others_rise(now);
+                            heard[m].hear(now, who(n as u64 + 1), 7, word);
                         }
                     }
+                    let mut opinion = heard[n].opinion(now, 7);
+                    let members: &[u64] = if n == 11 { &[12] } else { &[1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11] };
+                    opinion.prober = is_prober(now, n as u64 + 1, 7, members.iter().copied());
+                    opinion.alone = n == 11;
+                    judges[n].told(now, opinion);
                 }
             }
             load = load * 0.98 + f64::from(calls) * 0.02;
--- a/crates/shared/src/keyed/wallet.rs
+++ b/crates/shared/src/keyed/wallet.rs
@@ -119,9 +119,34 @@
 type Place = (u32, u64);
 type Pockets = HashMap<Place, Pocket, BuildHasherDefault<NumberHasher>>;
 
+/// What is needed of a budget for each unit, worked out once.
+#[derive(Clone, Copy, Debug)]
+struct Terms {
+    kind: KeyKind,
+    floor: u32,
+    pool: u32,
+    floor_interval: Nanos,
+    /// How far ahead a floor may be used.
+    tolerance: Nanos,
+}
+
+impl Terms {
+    fn of(budget: &KeyBudget) -> Terms {
+        let floor_interval = budget.floor_interval();
+        let tolerance = floor_interval.saturating_mul(u64::from(budget.floor.saturating_sub(1)));
+        Terms { kind: budget.kind, floor: budget.floor, pool: budget.pool(), floor_interval, tolerance }
+    }
+
+    /// Whether the floor of a rate has a unit.
+    fn has_floor(&self, now: Nanos, pocket: &Pocket) -> bool {
+        self.floor > 0 && pocket.floor_due <= now.saturating_add(self.tolerance)
+    }
+}
+
 /// All pockets of a node.
 pub struct Wallet {
     budgets: BTreeMap<u32, KeyBudget>,
+    terms: BTreeMap<u32, Terms>,
     tallies: BTreeMap<u32, KeyTally>,
     rhythm: Rhythm,
     started: Nanos,
@@ -149,6 +174,7 @@
         let cells = (bytes / 8 / CELL_BYTES).max(64);
         let mut wallet = Wallet {
             budgets: BTreeMap::new(),
+            terms: BTreeMap::new(),
             tallies: BTreeMap::new(),
             rhythm,
             started: now,
@@ -172,6 +198,7 @@
     /// Other limits hold from now on. What lies in pockets stays until it is used or its time is over.
     pub fn rebudget(&mut self, budgets: &[KeyBudget]) {
         self.budgets = budgets.iter().map(|budget| (budget.id(), budget.clone())).collect();
+        self.terms = self.budgets.iter().map(|(id, budget)| (*id, Terms::of(budget))).collect();
         let ids = &self.budgets;
         self.pockets.retain(|(id, _), pocket| ids.contains_key(id) || pocket.in_hand > 0);
         for id in self.budgets.keys() {
@@ -181,8 +208,8 @@
     }
 
     /// When units of a floor come to a key that nobody used since the start.
-    fn floor_begins(&self, budget: &KeyBudget) -> Nanos {
-        self.started.saturating_add(budget.floor_interval().saturating_mul(u64::from(budget.floor)))
+    fn floor_begins(&self, of: &Terms) -> Nanos {
+        self.started.saturating_add(of.floor_interval.saturating_mul(u64::from(of.floor)))
     }
 
     /// The pocket of a key, made if it is not there; none if there is no room for one.
@@ -191,7 +218,7 @@
             if self.pockets.len() >= self.most && !self.make_room(now) {
                 return None;
             }
-            let begins = self.budgets.get(&place.0).map_or(0, |budget| self.floor_begins(budget));
+            let begins = self.terms.get(&place.0).map_or(0, |of| self.floor_begins(of));
             let floor_due = begins.max(self.times.due(place.0, place.1));
             let later = now + self.rhythm.renew;
             self.pockets.insert(place, Pocket { floor_due, asked_at: now, later, ..Pocket::default() });
@@ -232,7 +259,7 @@
 
     /// Whether one more of a key may go. Nothing is taken yet.
     pub fn fits(&mut self, now: Nanos, budget: u32, key: u64) -> Result<(), Refused> {
-        let Some(of) = self.budgets.get(&budget).cloned() else { return Ok(()) };
+        let Some(of) = self.terms.get(&budget).copied() else { return Ok(()) };
         let (place, deaf) = ((budget, key), self.is_deaf(now));
         let (life, next) = (self.rhythm.life, self.next_question(now));
         let Some(pocket) = self.pocket(now, place) else {
@@ -242,7 +269,7 @@
         let fits = match of.kind {
             KeyKind::Rate { .. } => {
                 pocket.tries = pocket.tries.saturating_add(1);
-                pocket.slip.units(now) > 0 || has_floor(now, &of, pocket)
+                pocket.slip.units(now) > 0 || of.has_floor(now, pocket)
             }
             KeyKind::InHand { .. } => {
                 pocket.tries = pocket.tries.max(pocket.in_hand.saturating_add(1));
@@ -254,7 +281,7 @@
             return Ok(());
         }
         let floor = match of.kind {
-            KeyKind::Rate { .. } if of.floor > 0 => pocket.floor_due.saturating_sub(tolerance(&of) + now),
+            KeyKind::Rate { .. } if of.floor > 0 => pocket.floor_due.saturating_sub(of.tolerance + now),
             _ => Nanos::MAX,
         };
         let (empty_until, was_asked) = (pocket.empty_until, pocket.urgent);
@@ -270,11 +297,11 @@
         Err(Refused { why, pause: pause.min(floor).max(MILLISECOND) })
     }
 
-    /// Takes one of a key that fits.
-    pub fn take(&mut self, now: Nanos, budget: u32, key: u64) {
-        let Some(of) = self.budgets.get(&budget).cloned() else { return };
+    /// Takes one of a key that fits. Whether it is in hand from here on, and must go back through [`Wallet::done`].
+    pub fn take(&mut self, now: Nanos, budget: u32, key: u64) -> bool {
+        let Some(of) = self.terms.get(&budget).copied() else { return false };
         let place = (budget, key);
-        let Some(pocket) = self.pocket(now, place) else { return };
+        let Some(pocket) = self.pocket(now, place) else { return false };
         let (is_lent, low) = match of.kind {
             KeyKind::Rate { .. } => {
                 let lent = pocket.slip.units(now) > 0;
@@ -284,7 +311,7 @@
                 if is_lent {
                     pocket.slip.spend();
                 } else {
-                    pocket.floor_due = pocket.floor_due.max(now).saturating_add(of.floor_interval());
+                    pocket.floor_due = pocket.floor_due.max(now).saturating_add(of.floor_interval);
                 }
                 (is_lent, pocket.slip.units(now) * 3 <= pocket.need)
             }
@@ -300,6 +327,7 @@
         if low && !quiet {
             self.urge(now, place);
         }
+        matches!(of.kind, KeyKind::InHand { .. })
     }
 
     /// What was taken of a number in hand is over.
@@ -387,7 +415,7 @@
 
     /// Says of a key what is left and kept, and what is wanted.
     fn question(&mut self, now: Nanos, no: u32, place: Place, keys: &mut Vec<KeyAsk>) {
-        let Some(of) = self.budgets.get(&place.0) else { return };
+        let Some(of) = self.terms.get(&place.0).copied() else { return };
         let Rhythm { renew, keep, .. } = self.rhythm;
         let Some(pocket) = self.pockets.get_mut(&place) else { return };
         let is_used = now < pocket.used + keep;
@@ -401,7 +429,7 @@
         pocket.lately = (f64::from(pocket.lately) * FADES).max(tries) as f32;
         let need = (f64::from(pocket.lately) * AHEAD).ceil() as u32;
         // Who uses a key now and then has one at hand.
-        let need = if is_used { need.max(1) } else { 0 }.min(of.pool());
+        let need = if is_used { need.max(1) } else { 0 }.min(of.pool);
         let in_use = match of.kind {
             KeyKind::Rate { .. } => 0,
             KeyKind::InHand { .. } => pocket.in_hand.saturating_sub(of.floor),
@@ -475,15 +503,6 @@
     }
 }
 
-fn tolerance(budget: &KeyBudget) -> Nanos {
-    budget.floor_interval().saturating_mul(u64::from(budget.floor.saturating_sub(1)))
-}
-
-/// Whether the floor of a rate has a unit.
-fn has_floor(now: Nanos, budget: &KeyBudget, pocket: &Pocket) -> bool {
-    budget.floor > 0 && pocket.floor_due <= now.saturating_add(tolerance(budget))
-}
-
 #[cfg(test)]
 mod tests {
     use super::super::KeyLent;
--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod allot;
 pub mod counts;
+pub mod gate;
 pub mod judge;
 pub mod keyed;
 pub mod lease;
@@ -20,7 +21,8 @@
 
 pub use allot::{Demand, allot};
 pub use counts::Counts;
-pub use judge::{Evidence, Judge, Mode};
+pub use gate::Gate;
+pub use judge::{Evidence, Judge, Mode, Opinion, Witnesses};
 pub use purse::{Budget, Ends, Kind, Purse};
 pub use shared::{Host, Message, Settings, Shared, Want};
 pub use treasury::Part;
--- a/crates/shared/src/purse.rs
+++ b/crates/shared/src/purse.rs
@@ -338,6 +338,40 @@
         Ok(())
     }
 
+    /// Calls a second that may be made now by the budgets of rates that all calls count for; none if there is no such.
+    pub fn a_second(&self, now: Nanos) -> Option<f64> {
+        let rates = self
+            .purses
+            .iter()
+            .filter(|purse| matches!(purse.budget.kind, Kind::Rate { .. }) && !purse.budget.repeats_only);
+        rates.map(|purse| f64::from(purse.units(now))).reduce(f64::min)
+    }
+
+    /// How long it takes until so many more calls have found room, if they come one after the other: a guess.
+    pub fn wait_for(&self, now: Nanos, calls: usize) -> Nanos {
+        let each = self.a_second(now).map_or(0.0, |units| SECOND as f64 / units.max(1e-3));
+        (each * calls as f64) as Nanos
+    }
+
+    /// When it is worth to ask again, if no more calls in hand are allowed now.
+    pub fn is_full(&self, now: Nanos) -> Option<Nanos> {
+        self.purses.iter().filter(|purse| !purse.budget.repeats_only).find_map(|purse| {
+            match purse.budget.kind {
+                Kind::InHand { longest } if purse.in_hand >= purse.units(now) => Some(longest / 8),
+                _ => None,
+            }
+        })
+    }
+
+    /// A call would have been made if there were room.
+    pub fn wished(&mut self, now: Nanos) {
+        for purse in self.purses.iter_mut().filter(|purse| !purse.budget.repeats_only) {
+            purse.roll(now);
+            purse.tries[0] = purse.tries[0].saturating_add(1);
+            purse.peak = purse.peak.max(purse.in_hand + 1);
+        }
+    }
+
     /// A call that was allowed is over.
     pub fn over(&mut self, repeats: bool) {
         self.purses.iter_mut().filter(|purse| repeats || !purse.budget.repeats_only).for_each(Purse::over);
--- a/crates/shared/src/wire.rs
+++ b/crates/shared/src/wire.rs
@@ -13,7 +13,7 @@
 //! | 8 | wants: 1 budget (FNV-1a of its name and kind), 2 book and 3 number of the part that is held, 4 units, 5 value |
 //! | 9 | parts: 1 budget, 2 book, 3 number, 4 units, 5 term in nanoseconds, 6 wanted by all, 7 borrowers, 8 pool |
 //! | 10 | counts: 1 process, 2 totals, 3 windows (1 number, 2 counts) |
-//! | 11 | evidence: 1 service, 2 process, 3 zone, 4 tries, 5 failed, 6 level |
+//! | 11 | evidence of the sender: 1 service, 3 zone, 4 tries, 5 failed, 6 level |
 //! | 12 | keys, in lists of equal length: 1 budgets, 2 keys, 3 left, 4 given back, 5 wanted or added, 6 milliseconds to wait |
 //! | 13 | for how long keys are lent, in nanoseconds |
 
@@ -95,8 +95,6 @@
 struct Witness {
     #[prost(fixed64, tag = "1")]
     service: u64,
-    #[prost(message, optional, tag = "2")]
-    who: Option<Process>,
     #[prost(uint32, tag = "3")]
     zone: u32,
     #[prost(uint32, tag = "4")]
@@ -198,7 +196,6 @@
                 .iter()
                 .map(|(service, e)| Witness {
                     service: *service,
-                    who: process(e.who),
                     zone: e.zone,
                     tries: e.tries,
                     failed: e.failed,
@@ -373,7 +370,7 @@
 fn witness(w: &Witness) -> Option<(u64, Evidence)> {
     let level = if w.level.is_finite() { w.level.clamp(0.0, 1.0) } else { return None };
     let failed = w.failed.min(w.tries);
-    Some((w.service, Evidence { who: who(w.who)?, zone: w.zone, tries: w.tries, failed, level }))
+    Some((w.service, Evidence { zone: w.zone, tries: w.tries, failed, level }))
 }
 
 #[cfg(test)]
@@ -411,7 +408,7 @@
         let mut told: Vec<Told> = budgets.into_iter().map(Told::Budgets).collect();
         let windows = vec![(180_000_000, vec![1, 0, 5])];
         told.push(Told::Counts(vec![Word { who: someone, total: vec![1, 2, 300], windows }]));
-        let evidence = Evidence { who: someone, zone: 1, tries: 20, failed: 3, level: 0.25 };
+        let evidence = Evidence { zone: 1, tries: 20, failed: 3, level: 0.25 };
         told.push(Told::Evidence(vec![(5, evidence)]));
         told
     }
@@ -446,8 +443,8 @@
     #[test]
     fn values_that_make_no_sense_are_taken_for_ones_that_do() {
         let wild = Told::Evidence(vec![
-            (5, Evidence { who: Who::default(), zone: 1, tries: 2, failed: 9, level: 7.0 }),
-            (6, Evidence { who: Who::default(), zone: 1, tries: 2, failed: 0, level: f64::NAN }),
+            (5, Evidence { zone: 1, tries: 2, failed: 9, level: 7.0 }),
+            (6, Evidence { zone: 1, tries: 2, failed: 0, level: f64::NAN }),
         ]);
         let Some(Told::Evidence(read)) = read(&write(&wild)) else { panic!("evidence") };
         assert_eq!((read.len(), read[0].1.failed, read[0].1.level), (1, 2, 1.0));
