--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -35,6 +35,11 @@
     fn sight(&mut self, sight: &Sight);
     /// A parcel of another package came from a member, whose process this is.
     fn parcel(&mut self, _from: Key, _life: Life, _topic: u32, _parcel: &[u8]) {}
+    /// Somebody who has the key asks what another package holds, from a place in it on: a page of that and the place of the next
+    /// one, 0 after the last. None if there is nothing, or not yet: then it will be asked again.
+    fn show(&mut self, _topic: u32, _from: u64) -> Option<(Vec<u8>, u64)> {
+        None
+    }
     /// The view has changed; told always, for those who measure.
     fn changed(&mut self, _kind: Kind, _key: Key) {}
 }
@@ -414,6 +419,11 @@
         (self.me, self.epoch.life)
     }
 
+    /// Its own name.
+    pub fn name(&self) -> &str {
+        &self.settings.name
+    }
+
     /// The bump that its own entry stands at: how often it had to say that it is there.
     pub fn bump(&self) -> u32 {
         self.bump
--- a/crates/fleet/src/fleet/incoming.rs
+++ b/crates/fleet/src/fleet/incoming.rs
@@ -244,6 +244,15 @@
             no: datagram.no,
             ..Datagram::default()
         });
+        if datagram.topic != 0 {
+            let Some((page, next)) = self.host.show(datagram.topic, datagram.cursor) else { return };
+            if page.len() > wire::PARCEL_MAX {
+                return self.count("pages that are too large", 1);
+            }
+            (pack.datagram.topic, pack.datagram.parcel, pack.datagram.cursor) = (datagram.topic, page, next);
+            self.send(at, to, pack.datagram);
+            return;
+        }
         if datagram.cursor == 0 {
             pack.datagram.report = Some(self.report(at));
             pack.datagram.cursor = 1;
--- a/crates/fleet/src/observer.rs
+++ b/crates/fleet/src/observer.rs
@@ -42,8 +42,14 @@
     no: u32,
     cursor: u64,
     holding: Holding,
+    /// What another package holds is asked for, and what has come of it.
+    topic: u32,
+    bytes: Vec<u8>,
 }
 
+/// The most bytes of what another package holds.
+const BYTES_MAX: usize = 64 << 10;
+
 impl Observer {
     /// For a node of this fleet. Its life is drawn from the seed.
     pub fn new(fleet: &str, keys: Keys, seed: u64, skew: Nanos) -> Observer {
@@ -52,16 +58,47 @@
             no: 0,
             cursor: 0,
             holding: Holding::default(),
+            topic: 0,
+            bytes: Vec::new(),
         }
     }
 
+    /// Asks for what another package holds from now on, in place of the view.
+    pub fn about(mut self, topic: u32) -> Observer {
+        self.topic = topic;
+        self
+    }
+
     /// The question to send: the next page, or the same one again.
     pub fn question(&mut self, unix_ms: u64) -> Vec<u8> {
         self.no += 1;
-        let datagram = Datagram { kind: kind::SHOW, no: self.no, cursor: self.cursor, ..Datagram::default() };
+        let (no, cursor, topic) = (self.no, self.cursor, self.topic);
+        let datagram = Datagram { kind: kind::SHOW, no, cursor, topic, ..Datagram::default() };
         self.seal.seal(unix_ms, &datagram.encode_to_vec())
     }
 
+    /// A datagram came; gives all that another package holds once the last page is there, and whether this was the page that
+    /// was asked for. Nodes that know nothing of such pages answer with their view, which is none.
+    pub fn page(
+        &mut self,
+        now: Nanos,
+        unix_ms: u64,
+        frame: &[u8],
+    ) -> Result<(bool, Option<Vec<u8>>), Dropped> {
+        let (_, message) = self.seal.open(now, unix_ms, frame)?;
+        let page = Datagram::decode(message).map_err(|_| Dropped::Unreadable)?;
+        if page.kind != kind::PAGE || page.no != self.no || page.topic != self.topic {
+            return Ok((false, None));
+        }
+        if self.cursor == 0 {
+            self.bytes.clear();
+        }
+        self.bytes.extend_from_slice(&page.parcel);
+        self.cursor = page.cursor;
+        let done = self.cursor == 0 || self.bytes.len() > BYTES_MAX;
+        Ok((true, done.then(|| std::mem::take(&mut self.bytes))))
+    }
+
     /// A datagram came; gives all that the node holds once the last page is there, and whether this was the page that was
     /// asked for.
     pub fn datagram(
--- a/crates/node/src/classify.rs
+++ b/crates/node/src/classify.rs
@@ -46,8 +46,8 @@
 pub enum Full {
     /// A limit of this node.
     Node(Over),
-    /// One of the whole fleet.
-    Fleet(Refused),
+    /// One of the whole fleet, with the key.
+    Fleet(Refused, u64),
 }
 
 /// What a rule gave to a request.
@@ -201,7 +201,7 @@
             let ticket = self.limits.ask(now, buckets).map_err(Full::Node)?;
             return Ok(Held { ticket, keys: Vec::new() });
         };
-        let (mut keys, mut full): (Vec<(u32, u64)>, Option<Refused>) = (Vec::new(), None);
+        let (mut keys, mut full): (Vec<(u32, u64)>, Option<(Refused, u64)>) = (Vec::new(), None);
         for (place, key) in buckets {
             for id in self.fleet.get(usize::from(*place)).into_iter().flatten() {
                 if keys.contains(&(*id, *key)) {
@@ -210,14 +210,14 @@
                 keys.push((*id, *key));
                 // All are looked at, so that all that lacks is asked for together.
                 if let Err(refused) = wallet.fits(now, *id, *key)
-                    && full.is_none_or(|before| before.pause < refused.pause)
+                    && full.is_none_or(|(before, _)| before.pause < refused.pause)
                 {
-                    full = Some(refused);
+                    full = Some((refused, *key));
                 }
             }
         }
-        if let Some(refused) = full {
-            return Err(Full::Fleet(refused));
+        if let Some((refused, key)) = full {
+            return Err(Full::Fleet(refused, key));
         }
         // The node's own limits come last, so that what they take is never for nothing.
         let ticket = self.limits.ask(now, buckets).map_err(Full::Node)?;
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod fleet;
+mod shared;
 
 use crate::serve::{self, Logging};
 use clap::{Args, Parser, Subcommand, ValueEnum};
@@ -73,6 +74,11 @@
         #[command(subcommand)]
         command: fleet::Command,
     },
+    /// Look at what a fleet shares.
+    Shared {
+        #[command(subcommand)]
+        command: shared::Command,
+    },
     /// Check a file of our settings, and show all that is wrong.
     #[command(after_help = "Example: madderpoint check deploy/translator.xml --config config.json")]
     Check {
@@ -176,6 +182,7 @@
             None => return Self::serves(self.settings, self.log),
             Some(Command::Serve { settings, log }) => return Self::serves(settings.or(self.settings), log),
             Some(Command::Fleet { command }) => command.run(),
+            Some(Command::Shared { command }) => command.run(),
             Some(Command::Check { file, format }) => check(&file, format),
             Some(Command::Identity { command: Identity::Check { file, bundle, audience, at, format } }) => {
                 identity(&file, &bundle, audience.as_deref(), at.as_deref(), format)
--- a/crates/node/src/cli/fleet.rs
+++ b/crates/node/src/cli/fleet.rs
@@ -22,6 +22,8 @@
 /// How long an answer is waited for, and how often a question is asked.
 const ANSWER: Duration = Duration::from_millis(500);
 const TRIES: u32 = 6;
+/// What another package holds is asked for again after this: the first question has it made ready.
+const SOON: Duration = Duration::from_millis(60);
 /// Changes that `watch` shows at its start.
 const SHOWN_BEFORE: usize = 5;
 
@@ -200,7 +202,7 @@
 }
 
 /// Asks a node, as often as that takes.
-struct Asker {
+pub struct Asker {
     socket: UdpSocket,
     at: SocketAddr,
     observer: Observer,
@@ -222,6 +224,40 @@
         Ok(Asker { socket, at, observer, begun: Instant::now() })
     }
 
+    /// Asks for what another package holds.
+    pub fn about(settings: &Path, at: SocketAddr, topic: u32) -> Result<Asker, String> {
+        let mut asker = Asker::new(settings, at)?;
+        asker.observer = asker.observer.about(topic);
+        let soon = asker.socket.set_read_timeout(Some(SOON));
+        soon.map_err(|e| format!("no socket: {e}"))?;
+        Ok(asker)
+    }
+
+    /// All pages of that; none if nothing comes.
+    pub fn ask_pages(&mut self, tries: u32) -> Result<Option<Vec<u8>>, String> {
+        let wrong = |e: std::io::Error| format!("{}: {e}", self.at);
+        let (mut buffer, mut left) = ([0; DATAGRAM_MAX + 1], tries);
+        while left > 0 {
+            left -= 1;
+            let question = self.observer.question(unix_ms());
+            self.socket.send_to(&question, self.at).map_err(wrong)?;
+            let until = Instant::now() + SOON;
+            while Instant::now() < until {
+                let Ok((n, _)) = self.socket.recv_from(&mut buffer) else { break };
+                let now = self.begun.elapsed().as_nanos() as Nanos;
+                match self.observer.page(now, unix_ms(), &buffer[..n]) {
+                    Ok((_, Some(bytes))) => return Ok(Some(bytes)),
+                    Ok((true, None)) => {
+                        left = tries; // the next page
+                        break;
+                    }
+                    _ => {}
+                }
+            }
+        }
+        Ok(None)
+    }
+
     fn ask(&mut self) -> Result<Holding, String> {
         let wrong = |e: std::io::Error| format!("{}: {e}", self.at);
         let (mut buffer, mut tries) = ([0; DATAGRAM_MAX + 1], 0);
@@ -271,6 +307,7 @@
     let mut members: Vec<&Shown> = holding.members.values().collect();
     members.sort_by(|a, b| (&a.zone, &a.name).cmp(&(&b.zone, &b.name)));
     let report = &holding.report;
+    let shared = super::shared::ask(settings, at, 4)?;
     if format == Format::Json {
         let counts: BTreeMap<_, _> = report.counts.iter().map(|c| (c.what.clone(), c.times)).collect();
         let changes: Vec<_> =
@@ -278,7 +315,8 @@
         let whole = json!({"node": report.name, "digest": format!("{:016x}", holding.digest), "size": report.size,
             "low": report.low, "high": report.high, "unsure_ms": report.unsure_ms, "doubt": report.doubt,
             "suspects": report.suspects, "dead": report.dead, "mute": report.mute, "counts": counts,
-            "changes": changes, "members": members.into_iter().map(row).collect::<Vec<_>>()});
+            "changes": changes, "members": members.into_iter().map(row).collect::<Vec<_>>(),
+            "shared": shared.as_ref().map(super::shared::as_json)});
         println!("{whole:#}");
         return Ok(true);
     }
@@ -305,6 +343,7 @@
     for count in &report.counts {
         println!("{:>8}  {}", count.times, count.what);
     }
+    shared.iter().for_each(super::shared::print);
     Ok(true)
 }
 
--- /dev/null
+++ b/crates/node/src/cli/shared.rs
@@ -0,0 +1,154 @@
+//! `madderpoint shared`: what a running node holds of all that its fleet shares, and why.
+
+use super::fleet::Asker;
+use super::{Ended, Format};
+use clap::Subcommand;
+use madderpoint_shared::counts::COLUMNS;
+use madderpoint_shared::shown::{Shown, ShownCount, ShownRow, columns};
+use prost::Message;
+use serde_json::{Map, Value, json};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Heavy keys that are shown of each kind.
+const HEAVY: usize = 5;
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Say why a running node holds what it holds of the fleet's budgets, keys and judgements.
+    #[command(
+        after_help = "Example: madderpoint shared explain --settings translator.xml --at 10.0.0.4:7946"
+    )]
+    Explain {
+        /// The settings with the fleet's name and keys.
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+        /// Where the node's part in the fleet listens.
+        #[arg(long, value_name = "ADDRESS")]
+        at: SocketAddr,
+        /// How it is shown.
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+}
+
+impl Command {
+    /// Carries the call out.
+    pub fn run(self) -> Ended {
+        match self {
+            Command::Explain { settings, at, format } => explain(&settings, at, format),
+        }
+    }
+}
+
+/// What a node shows of all that is shared; none if it shares nothing.
+pub fn ask(settings: &Path, at: SocketAddr, tries: u32) -> Result<Option<Shown>, String> {
+    let bytes = Asker::about(settings, at, madderpoint_node::driver::SHARED)?.ask_pages(tries)?;
+    bytes
+        .map(|bytes| {
+            Shown::decode(bytes.as_slice()).map_err(|e| format!("{at}: what it shows can't be read: {e}"))
+        })
+        .transpose()
+}
+
+fn explain(settings: &Path, at: SocketAddr, format: Format) -> Ended {
+    let Some(shown) = ask(settings, at, 12)? else {
+        return Err(format!("{at}: it shows nothing: nobody is there, or it shares nothing"));
+    };
+    match format {
+        Format::Json => println!("{:#}", as_json(&shown)),
+        Format::Text => {
+            println!("{}:", shown.node);
+            shown.why().iter().for_each(|line| println!("  {line}"));
+        }
+    }
+    Ok(true)
+}
+
+/// Budgets, keys, the judgement and counts, as a table.
+pub fn print(shown: &Shown) {
+    shown.why().iter().for_each(|line| println!("{line}"));
+    if shown.rows.is_empty() {
+        return;
+    }
+    println!(
+        "counts of {} processes and {} that are gone, {:.1} s old; of the last minute, and in all:",
+        shown.processes,
+        shown.gone,
+        shown.counts_age_ms as f64 / 1e3
+    );
+    for row in &shown.rows {
+        let heads = columns(row.name.is_empty());
+        let name = if row.name.is_empty() { "processes" } else { &row.name };
+        let mut line = format!("{name:<16}");
+        for (at, head) in heads.iter().enumerate() {
+            let number = |of: &[u64]| of.get(at).copied().unwrap_or(0);
+            line += &format!("  {head} {}/{}", number(&row.minute), number(&row.total));
+        }
+        if row.p99_us > 0 {
+            line +=
+                &format!("  p50 {:.1} ms, p99 {:.1} ms", row.p50_us as f64 / 1e3, row.p99_us as f64 / 1e3);
+        }
+        println!("{line}");
+    }
+    for kind in ["caller ", "caller that repeats ", "key over a limit "] {
+        let of = shown.heavy.iter().filter(|count| {
+            count.what.starts_with(kind) && (kind != "caller " || !count.what.starts_with("caller that"))
+        });
+        of.take(HEAVY).for_each(|count| println!("{:>8}  {}", count.times, count.what));
+    }
+    shown.counted.iter().for_each(|count| println!("{:>8}  {}", count.times, count.what));
+}
+
+fn row(row: &ShownRow) -> Value {
+    let heads = columns(row.name.is_empty());
+    let numbers = |of: &[u64]| -> Map<String, Value> {
+        (0..COLUMNS).map(|at| (heads[at].to_owned(), json!(of.get(at).copied().unwrap_or(0)))).collect()
+    };
+    json!({"name": row.name, "minute": numbers(&row.minute), "total": numbers(&row.total),
+        "p50_us": row.p50_us, "p99_us": row.p99_us})
+}
+
+/// All of it, for programs.
+pub fn as_json(shown: &Shown) -> Value {
+    let count = |c: &ShownCount| json!({"what": c.what, "times": c.times});
+    let budgets: Vec<Value> = shown
+        .budgets
+        .iter()
+        .map(|b| {
+            let part = b.part.as_ref().map(|p| {
+                json!({"units": p.units, "asked_ms": p.asked_ms, "came_ms": p.came_ms, "term_ms": p.term_ms,
+                    "wanted": p.wanted, "borrowers": p.borrowers, "pool": p.pool})
+            });
+            json!({"name": b.name, "kind": if b.rate { "a-second" } else { "in-hand" }, "limit": b.limit,
+                "floor": b.floor, "nodes_most": b.nodes_most, "repeats_only": b.repeats_only, "units": b.units,
+                "wants": b.wants, "in_hand": b.in_hand, "allowed": b.allowed, "refused": b.refused, "part": part})
+        })
+        .collect();
+    let keys: Vec<Value> = shown
+        .keys
+        .iter()
+        .map(|k| {
+            json!({"name": k.name, "count": k.count, "period_ms": k.period_ms, "burst": k.burst, "floor": k.floor,
+                "nodes_most": k.nodes_most, "lent": k.lent, "by_floor": k.by_floor, "refused": k.refused,
+                "units": k.units, "keys": k.keys})
+        })
+        .collect();
+    let service = shown.service.as_ref().map(|s| {
+        json!({"name": s.name, "mode": s.mode, "since_ms": s.since_ms, "level": s.level, "tries": s.tries,
+            "failed": s.failed, "witnesses": s.witnesses, "ill": s.ill, "zones": s.zones, "ill_zones": s.ill_zones,
+            "prober": s.prober, "alone": s.alone, "passed": s.passed, "kept_back": s.kept_back})
+    });
+    let books: Vec<Value> = shown
+        .books
+        .iter()
+        .map(|b| json!({"name": b.name, "out": b.out, "pool": b.pool, "borrowers": b.borrowers}))
+        .collect();
+    json!({"node": shown.node, "lends": shown.lends, "lender": shown.lender_name, "books": books,
+        "key_books": shown.key_books, "budgets": budgets, "keys": keys, "keys_heard_ms": shown.keys_heard_ms,
+        "keys_deaf": shown.keys_deaf, "service": service, "let_in": shown.let_in, "turned_away": shown.turned_away,
+        "calls_waiting": shown.calls_waiting, "processes": shown.processes, "gone": shown.gone,
+        "counts_age_ms": shown.counts_age_ms, "rows": shown.rows.iter().map(row).collect::<Vec<_>>(),
+        "heavy": shown.heavy.iter().map(count).collect::<Vec<_>>(),
+        "counted": shown.counted.iter().map(count).collect::<Vec<_>>(), "why": shown.why()})
+}
--- a/crates/node/src/company.rs
+++ b/crates/node/src/company.rs
@@ -5,7 +5,8 @@
 use madderpoint::Nanos;
 use madderpoint_fleet::{Phase, Sight};
 use madderpoint_shared::keyed::KeysAsked;
-use madderpoint_shared::{Evidence, Want};
+use madderpoint_shared::shown::Shown;
+use madderpoint_shared::{Evidence, Want, counts};
 
 /// Runs that succeeded before a node that started cold counts as warm.
 const WARM_AFTER: u32 = 64;
@@ -23,6 +24,10 @@
     Keys(KeysAsked),
     /// What it sees of the service below.
     Evidence(Evidence),
+    /// What it counted so far.
+    Counts(Box<counts::Word>),
+    /// What it holds of all that is shared, to be shown.
+    Shown(Box<Shown>),
     /// It holds nothing of the budgets any more; whether none of it is in hand.
     LetGo(bool),
 }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -5,6 +5,7 @@
 use crate::classify::{Classifier, Full, Ruled, Sheet};
 use crate::company::{Company, Word};
 use crate::config::Moved;
+use crate::desk::counting::Counting;
 use crate::desk::{Deferred, Desk, Given, Hands, Open, Timer};
 use crate::fastcgi;
 use crate::kernel::{End, Notice};
@@ -17,6 +18,7 @@
 use madderpoint_fleet::Sight;
 use madderpoint_rules::Verdict;
 use madderpoint_shared::keyed::{KeyBudget, KeysLent, Rhythm};
+use madderpoint_shared::shown::Shown;
 use madderpoint_shared::{Budget, Ends, Gate, Judge, Opinion, Part};
 use std::cell::RefCell;
 use std::net::IpAddr;
@@ -31,6 +33,18 @@
 /// Between two words about the service below.
 const EVIDENCE: Nanos = 500_000_000;
 
+/// Between two words of what was counted.
+const COUNTS: Nanos = 5_000_000_000;
+
+/// What a node shares with its fleet beside budgets.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct With {
+    /// The service below that is judged together.
+    pub service: Option<Service>,
+    /// Whether counts are added up.
+    pub counts: bool,
+}
+
 /// The service below that the fleet judges together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
@@ -85,6 +99,8 @@
     Rebudget(Vec<Budget>),
     /// What others say of the service below.
     Opinion(Opinion),
+    /// What is held of all that is shared is to be shown.
+    Show,
 }
 
 /// A reading of the clocks.
@@ -111,6 +127,10 @@
     choice: Option<Choice<Hands<O>>>,
     /// None where nodes keep no view of their fleet.
     company: Option<Company>,
+    /// The name of the service below that is judged, and what the budgets' ends were last said to be.
+    service: String,
+    at_floor: Vec<bool>,
+    keys_deaf: bool,
 }
 
 impl<O: Outward> Core<O> {
@@ -128,13 +148,17 @@
             rhythm: None,
             choice: None,
             company: None,
+            service: String::new(),
+            at_floor: Vec::new(),
+            keys_deaf: false,
         }
     }
 
     /// Takes part in a fleet from now on, and shares these budgets with it.
-    pub fn join_fleet(&mut self, now: Nanos, budgets: &[Budget], rhythm: Rhythm, service: Option<&Service>) {
+    pub fn join_fleet(&mut self, now: Nanos, budgets: &[Budget], rhythm: Rhythm, with: &With) {
         self.company = Some(Company::default());
         self.rhythm = Some(rhythm);
+        let service = with.service.as_ref();
         let mut desk = self.desk.borrow_mut();
         desk.now = now;
         desk.set_timer(PULSE, Timer::Pulse);
@@ -150,6 +174,11 @@
         if !budgets.is_empty() || service.is_some() {
             desk.gate = Some(Box::new(Gate::new(now)));
         }
+        if with.counts {
+            desk.counting = Some(Box::new(Counting::new(now, &self.start.operations)));
+            desk.set_timer(COUNTS, Timer::Counts);
+        }
+        self.service = service.map(|service| service.name.clone()).unwrap_or_default();
     }
 
     /// What is seen of the fleet, if there is one and its part has said anything.
@@ -207,11 +236,12 @@
             Timer::Doubt(id) => self.desk.borrow_mut().doubt_over(id),
             Timer::Leave => self.desk.borrow_mut().leave(),
             Timer::Look => self.desk.borrow_mut().look(),
-            Timer::Pulse => self.pulse(),
+            Timer::Pulse => self.pulse(now),
             Timer::Wants => self.wants(now),
             Timer::Keys => self.ask_keys(),
             Timer::CallRoom => self.desk.borrow_mut().send_waiting(),
             Timer::Evidence => self.evidence(),
+            Timer::Counts => self.tell_counts(),
         }
     }
 
@@ -264,6 +294,7 @@
                 if let Some(budgets) = &mut self.desk.borrow_mut().budgets {
                     budgets.lent(now, asked, &parts);
                 }
+                self.tell_floors(now);
             }
             Event::KeysLent(lent) => {
                 if let Some(rules) = &mut self.desk.borrow_mut().rules {
@@ -273,6 +304,7 @@
             Event::Opinion(opinion) => {
                 self.desk.borrow_mut().judged(|judge, now| judge.told(now, opinion));
             }
+            Event::Show => self.show(now),
             Event::Rebudget(limits) => {
                 if let Some(budgets) = &mut self.desk.borrow_mut().budgets {
                     budgets.rebudget(&limits);
@@ -428,6 +460,7 @@
             Ok(gated) => gated,
             Err(pause) => {
                 desk.count("throttled for the room below", 1);
+                desk.counts_refusal(head, None, true);
                 desk.verdict(conn, id, 429, pause, "no room below");
                 return None;
             }
@@ -447,15 +480,16 @@
         if !ruled.buckets.is_empty() {
             desk.arm_keys();
         }
-        let (pause, count) = match asked {
+        let (pause, count, over) = match asked {
             Ok(held) => {
                 let held = held.filter(|held| !held.is_empty());
                 return Some(Given { key, class: ruled.class, held, gated });
             }
-            Err(Full::Node(over)) => (over.pause, "throttled by a limit"),
-            Err(Full::Fleet(refused)) => (refused.pause, "throttled by a limit of the fleet"),
+            Err(Full::Node(over)) => (over.pause, "throttled by a limit", None),
+            Err(Full::Fleet(refused, key)) => (refused.pause, "throttled by a limit of the fleet", Some(key)),
         };
         desk.count(count, 1);
+        desk.counts_refusal(head, over, false);
         desk.verdict(conn, id, 429, pause, "over a limit");
         None
     }
@@ -532,6 +566,61 @@
         }
     }
 
+    /// Tells the fleet's part what was counted so far.
+    fn tell_counts(&mut self) {
+        let word = {
+            let mut desk = self.desk.borrow_mut();
+            desk.set_timer(COUNTS, Timer::Counts);
+            desk.counted_word()
+        };
+        if let Some(word) = word {
+            self.say(|_| Some(Word::Counts(Box::new(word))));
+        }
+    }
+
+    /// Tells the fleet's part what is held here of all that is shared.
+    fn show(&mut self, now: Nanos) {
+        let mut shown = Shown::default();
+        {
+            let mut desk = self.desk.borrow_mut();
+            let waiting = desk.calls_waiting();
+            desk.budgets.iter_mut().for_each(|ends| shown.with_ends(now, ends));
+            desk.judge.iter_mut().for_each(|judge| shown.with_judge(now, &self.service, judge));
+            desk.gate.iter().for_each(|gate| shown.with_gate(gate, waiting));
+            if let Some(wallet) = desk.rules.as_ref().and_then(|rules| rules.wallet()) {
+                shown.with_wallet(now, wallet);
+            }
+        }
+        self.say(|_| Some(Word::Shown(Box::new(shown))));
+    }
+
+    /// One line where the end of a budget falls to its floor or is lent something again, and where keys do.
+    fn tell_floors(&mut self, now: Nanos) {
+        let mut desk = self.desk.borrow_mut();
+        let desk = &mut *desk;
+        let mut lines = Vec::new();
+        if let Some(budgets) = &mut desk.budgets {
+            self.at_floor.resize(budgets.purses().len(), true);
+            for (purse, before) in budgets.purses().iter().zip(&mut self.at_floor) {
+                let at_floor = purse.is_at_floor(now);
+                if std::mem::replace(before, at_floor) != at_floor {
+                    let of = purse.budget();
+                    let word = if at_floor { "at its floor, nothing is lent" } else { "lent a part" };
+                    let (units, limit) = (purse.units(now), of.limit);
+                    lines.push(format!("budget '{}': {word}; may use {units} of {limit}", of.name));
+                }
+            }
+        }
+        if let Some(wallet) = desk.rules.as_ref().and_then(|rules| rules.wallet()) {
+            let deaf = wallet.hears_nobody(now);
+            if std::mem::replace(&mut self.keys_deaf, deaf) != deaf {
+                let word = if deaf { "nobody who lends is heard, floors only" } else { "heard again" };
+                lines.push(format!("keys of the fleet: {word}; {} keys here", wallet.keys()));
+            }
+        }
+        lines.iter().for_each(|line| desk.out.log(format_args!("{line}")));
+    }
+
     /// Asks the fleet for what is wanted of keys.
     fn ask_keys(&mut self) {
         let questions = self.desk.borrow_mut().questions();
@@ -551,7 +640,8 @@
         self.say(|_| Some(Word::LetGo(free)));
     }
 
-    fn pulse(&mut self) {
+    fn pulse(&mut self, now: Nanos) {
+        self.tell_floors(now);
         let (in_hand, advert) = {
             let mut desk = self.desk.borrow_mut();
             desk.set_timer(PULSE, Timer::Pulse);
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -18,17 +18,21 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 
+use counting::Counting;
+
 /// Counts what must hold and does not, and stops a debug build there.
 macro_rules! invariant {
     ($desk:expr, $holds:expr, $name:literal) => {
         if !$holds {
             debug_assert!(false, $name);
             $desk.count(concat!("invariant: ", $name), 1);
+            $desk.counts_own(madderpoint_shared::counts::own::INVARIANTS, 1);
         }
     };
 }
 
 mod calls;
+pub mod counting;
 mod front;
 mod runs;
 
@@ -100,6 +104,7 @@
     Keys,
     CallRoom,
     Evidence,
+    Counts,
 }
 
 /// What is open on a connection.
@@ -268,6 +273,8 @@
     pub judge: Option<Box<Judge>>,
     pub slow: Option<Nanos>,
     pub gate: Option<Box<Gate>>,
+    /// None where nothing is counted for the fleet.
+    pub counting: Option<Box<Counting>>,
     /// When a question about keys goes to the fleet, if one is to.
     keys_due: Option<Nanos>,
     checks: HashMap<u64, Open>,
@@ -310,6 +317,7 @@
             judge: None,
             slow: None,
             gate: None,
+            counting: None,
             keys_due: None,
             checks: HashMap::new(),
             health: (false, true),
@@ -379,6 +387,11 @@
         self.invs.len()
     }
 
+    /// Calls that wait for room below.
+    pub fn calls_waiting(&self) -> usize {
+        self.calls_waiting.len()
+    }
+
     /// What the decisions advertise.
     pub fn advert(&self) -> Option<f64> {
         self.advert
@@ -501,6 +514,7 @@
         self.out.step(&head.rid, format_args!("read, age {} ms", age / MILLISECOND));
         self.ids.insert(head.rid.clone(), id);
         self.invs.insert(id, invocation);
+        self.counts_arrival(head.op, head.dispatcher, repeats.is_some());
         if let Some(conn) = self.conns.get_mut(&front.conn) {
             conn.open.insert(front.id, Asked::Invocation(id));
         }
@@ -520,10 +534,12 @@
             &inv.rid,
             format_args!("answered {status} after {} ms", (self.now - arrived) / MILLISECOND),
         );
-        let timeout = self.start.premises.operations[inv.op.0].client_timeout;
+        let op = inv.op;
+        let timeout = self.start.premises.operations[op.0].client_timeout;
         if self.now > arrived + timeout {
             self.count("answers after the client timeout", 1);
         }
+        self.counts_answer(op, status, self.now.saturating_sub(arrived));
         match status {
             200 => self.succeeded(front.conn),
             _ => self.turned_away(front.conn),
--- a/crates/node/src/desk/calls.rs
+++ b/crates/node/src/desk/calls.rs
@@ -5,6 +5,7 @@
 use crate::kernel::Command;
 use crate::outward::{BackendLink, CallNo, Outward};
 use madderpoint::{CallEnding, InvId, Nanos};
+use madderpoint_shared::counts::own;
 use madderpoint_shared::{Judge, Mode};
 
 /// A link that so many replies on others have overtaken has gone silent: it is passed over, and closed when a call
@@ -37,6 +38,7 @@
         let (op, thinned, repeats) = (inv.op, inv.is_gated, inv.call_failed);
         if !self.judged(|judge, now| judge.admits(now, thinned)).unwrap_or(true) {
             self.count("calls kept back from a service that is ill", 1);
+            self.counts_own(own::CALLS_REFUSED, 1);
             return self.deferred.push_back(never_ran);
         }
         let longest = self.start.premises.operations[op.0].client_timeout;
@@ -53,6 +55,7 @@
         let most = CALL_WAITS.min(timeout / 4);
         if room.is_err_and(|pause| pause > most || self.calls_waiting.len() >= CALLS_WAITING) {
             self.count("calls that the fleet's budgets had no room for", 1);
+            self.counts_own(own::CALLS_REFUSED, 1);
             return self.deferred.push_back(never_ran);
         }
         self.next_call += 1;
@@ -82,10 +85,13 @@
             let bytes = backend::invoke(&inv.rid, timeout.div_ceil(MILLISECOND), &run.call_body);
             if self.out.call(place, call.no, id, bytes) {
                 (call.place, call.since) = (Place::Link(place), self.now);
-                return self.out.step(
+                let repeats = call.repeats;
+                self.out.step(
                     &inv.rid,
                     format_args!("calls below on link {place}, for {} ms", timeout / MILLISECOND),
                 );
+                self.counts_own(own::CALLS, 1);
+                return self.counts_own(own::CALLS_REPEATED, u64::from(repeats));
             }
         }
         if let Some(call) = inv.call.take() {
@@ -233,6 +239,7 @@
         if call.link().is_some() {
             let slow = self.slow.is_some_and(|slow| latency > slow);
             self.judged(|judge, now| judge.ended(now, ending == CallEnding::Succeeded && !slow));
+            self.counts_own(own::CALLS_FAILED, u64::from(ending != CallEnding::Succeeded));
         }
         Some(latency)
     }
--- /dev/null
+++ b/crates/node/src/desk/counting.rs
@@ -0,0 +1,100 @@
+//! What the node counts for the fleet: by operation, of itself, and who comes most. None of it where nothing is shared.
+
+use super::Desk;
+use crate::outward::Outward;
+use crate::request::Head;
+use madderpoint::{DispatcherId, Nanos, OpId};
+use madderpoint_shared::counts::{self, OWN, Tally, column, heavy, own};
+use madderpoint_shared::keyed::number;
+
+/// Billed value is counted in thousandths.
+const THOUSANDTHS: f64 = 1000.0;
+
+/// The node's counts.
+#[derive(Debug)]
+pub struct Counting {
+    pub tally: Tally,
+    /// The rows of operations, in their order.
+    rows: Vec<u32>,
+}
+
+impl Counting {
+    /// Of a node that has just started.
+    pub fn new(now: Nanos, operations: &[String]) -> Counting {
+        // A name that comes to the process's own row counts there: one in four thousand million.
+        let rows = operations.iter().map(|name| number(name)).collect();
+        Counting { tally: Tally::new(unix_ms(now)), rows }
+    }
+}
+
+/// The node's time counts from the Unix epoch.
+fn unix_ms(now: Nanos) -> u64 {
+    now / 1_000_000
+}
+
+impl<O: Outward> Desk<O> {
+    fn counting(&mut self, f: impl FnOnce(&mut Tally, u64)) {
+        if let Some(counting) = &mut self.counting {
+            f(&mut counting.tally, unix_ms(self.now));
+        }
+    }
+
+    /// Something of the node itself happened.
+    pub fn counts_own(&mut self, column: usize, times: u64) {
+        self.counting(|tally, unix| tally.add(unix, OWN, column, times));
+    }
+
+    /// An invocation was read.
+    pub fn counts_arrival(&mut self, op: OpId, dispatcher: DispatcherId, repeats: bool) {
+        let Some(row) = self.counting.as_ref().map(|counting| counting.rows[op.0]) else { return };
+        let value = self.start.premises.operations[op.0].billed_value;
+        self.counting(|tally, unix| {
+            tally.add(unix, row, column::ARRIVED, 1);
+            tally.add(unix, row, column::ASKED, (value * THOUSANDTHS) as u64);
+            tally.heavy(unix, heavy::CALLERS, dispatcher.0);
+            if repeats {
+                tally.add(unix, row, column::REPEATS, 1);
+                tally.heavy(unix, heavy::REPEATERS, dispatcher.0);
+            }
+        });
+    }
+
+    /// An invocation that arrived was answered so, after so long.
+    pub fn counts_answer(&mut self, op: OpId, status: u16, latency: Nanos) {
+        let Some(row) = self.counting.as_ref().map(|counting| counting.rows[op.0]) else { return };
+        let operation = &self.start.premises.operations[op.0];
+        let is_late = latency > operation.latency_objective;
+        let part = if is_late { operation.late_share } else { 1.0 };
+        let earned = (operation.billed_value * part * THOUSANDTHS) as u64;
+        self.counting(|tally, unix| match status {
+            200 => {
+                tally.add(unix, row, column::SUCCEEDED, 1);
+                tally.add(unix, row, column::LATE, u64::from(is_late));
+                tally.add(unix, row, column::EARNED, earned);
+                tally.took(unix, row, latency);
+            }
+            429 | 503 => tally.add(unix, row, column::THROTTLED, 1),
+            _ => tally.add(unix, row, column::ERRORED, 1),
+        });
+    }
+
+    /// An invocation was throttled before the decisions saw it: for a limit, of which the key is told where it is one of the
+    /// whole fleet, or for the room below.
+    pub fn counts_refusal(&mut self, head: &Head, over: Option<u64>, for_room: bool) {
+        self.counts_arrival(head.op, head.dispatcher, false);
+        self.counts_answer(head.op, 429, 0);
+        if for_room {
+            self.counts_own(own::NO_ROOM, 1);
+        }
+        if let Some(key) = over {
+            self.counts_own(own::OVER_LIMIT, 1);
+            self.counting(|tally, unix| tally.heavy(unix, heavy::OVER_LIMIT, key));
+        }
+    }
+
+    /// What there is to say of it, without who says it.
+    pub fn counted_word(&self) -> Option<counts::Word> {
+        // The window before this one too: what came to it since the last word is told with it.
+        Some(self.counting.as_ref()?.tally.word(Default::default(), 0, 2))
+    }
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -8,7 +8,7 @@
 mod places;
 mod reports;
 
-pub use fleet_link::{Part, Reset, zone_number};
+pub use fleet_link::{Part, Reset, SHARED, zone_number};
 
 use crate::classify::Sheet;
 use crate::company::Word;
@@ -251,11 +251,12 @@
     reports::start(Arc::clone(&addresses), who.name.clone(), Arc::clone(&leaving))?;
     let budgets = ours.fleet.as_ref().map_or(Vec::new(), |part| part.budgets.clone());
     let rhythm = ours.fleet.as_ref().map(|part| part.rhythm());
-    let service = ours.fleet.as_ref().and_then(|part| part.service.clone());
+    let with = ours.fleet.as_ref().map(|part| part.with()).unwrap_or_default();
     let fleet = match ours.fleet {
         Some(mut part) => {
             part.settings.bytes = room.fleet;
             part.key_bytes = room.key_books;
+            part.count_bytes = room.counts;
             let unix = move || {
                 let Moment { now, unix_ms } = clock.read();
                 madderpoint_fleet::Moment { now, unix_ms }
@@ -287,7 +288,7 @@
     let stop_after = who.stop_after.as_nanos() as Nanos;
     let mut core = Core::new(sockets, who.start.clone(), who.seed, stop_after, has_backend, &room);
     if let Some(rhythm) = rhythm {
-        core.join_fleet(clock.now(), &budgets, rhythm, service.as_ref());
+        core.join_fleet(clock.now(), &budgets, rhythm, &with);
     }
     if let Some(sheet) = ours.rules {
         core.handle(clock.read(), Event::Ruled(sheet));
--- a/crates/node/src/driver/fleet_link.rs
+++ b/crates/node/src/driver/fleet_link.rs
@@ -3,15 +3,17 @@
 
 use super::{Message, STACK};
 use crate::company::Word;
-use crate::core::{Event, Service};
+use crate::core::{Event, Service, With};
 use crate::log::log;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use madderpoint_fleet::seal::Keys;
 use madderpoint_fleet::wire::DATAGRAM_MAX;
 use madderpoint_fleet::{Fleet, Host, Key, Life, Moment, Nanos, Periods, Settings, Sight};
+use madderpoint_shared::counts::PROCESS_BYTES;
 use madderpoint_shared::keyed::{KeyBudget, KeysLent, Rhythm};
-use madderpoint_shared::wire::{Told, read as read_parcel, write as write_parcel};
+use madderpoint_shared::wire::{PARCEL_MAX, Told, read as read_parcel, write as write_parcel};
 use madderpoint_shared::{self as shared, Budget, Evidence, Shared, Want, Who, Witnesses, judge};
+use prost::Message as _;
 use rustix::event::{EventfdFlags, PollFd, PollFlags, Timespec, eventfd, poll};
 use rustix::fd::OwnedFd;
 use rustix::io::Errno;
@@ -43,6 +45,9 @@
     pub key_bytes: usize,
     /// The service below that the fleet judges together, if it does; and words of others about it that are kept.
     pub service: Option<Service>,
+    /// Names of the operations, for those who have counts shown; and the bytes for other processes' counts.
+    pub operations: Vec<String>,
+    pub count_bytes: usize,
 }
 
 impl Part {
@@ -51,6 +56,11 @@
         !self.arbiters.is_empty() || self.service.is_some()
     }
 
+    /// What the core takes part in.
+    pub fn with(&self) -> With {
+        With { service: self.service.clone(), counts: !self.arbiters.is_empty() }
+    }
+
     /// How often keys are asked for: by the most nodes that any limit is made for.
     pub fn rhythm(&self) -> Rhythm {
         let budgets = self.budgets.iter().map(|budget| budget.nodes_most);
@@ -107,11 +117,13 @@
 }
 
 /// The topic of parcels about what is shared.
-const SHARED: u32 = 1;
+pub const SHARED: u32 = 1;
+/// What is shown of it is made anew after this.
+const SHOWN_FOR: Nanos = 2_000_000_000;
 
 /// What the part that lends and borrows does to the world; what it sends goes out as parcels.
 struct Teller {
-    sent: Vec<(u64, shared::Message)>,
+    sent: Vec<(u64, Told)>,
     /// What the core said last that it wants, and when; and whether nothing is in hand as it leaves.
     wants: (Nanos, Vec<Want>),
     free: bool,
@@ -119,8 +131,8 @@
 }
 
 impl shared::Host for Teller {
-    fn send(&mut self, to: u64, message: shared::Message) {
-        self.sent.push((to, message));
+    fn send(&mut self, to: u64, told: Told) {
+        self.sent.push((to, told));
     }
     fn log(&mut self, line: &str) {
         crate::log::event("shared", "lends", format_args!("{line}"));
@@ -148,6 +160,10 @@
     events: Sender<Message>,
     /// What was seen and found no room in the core's queue.
     unseen: Option<Sight>,
+    /// What is shared, as it was shown last, and when; and this moment.
+    shown: Option<(Nanos, Vec<u8>)>,
+    shares: bool,
+    now: Nanos,
 }
 
 impl Host for Hands {
@@ -160,6 +176,20 @@
     fn parcel(&mut self, from: Key, life: Life, topic: u32, parcel: &[u8]) {
         self.parcels.push((Who { key: from.0, life: life.0 }, topic, parcel.to_vec()));
     }
+    fn show(&mut self, topic: u32, from: u64) -> Option<(Vec<u8>, u64)> {
+        if topic != SHARED || !self.shares {
+            return None;
+        }
+        let fresh = self.shown.as_ref().filter(|(at, _)| self.now < at + SHOWN_FOR);
+        let Some((_, bytes)) = fresh else {
+            // The core is asked; who asks comes again, and finds it then.
+            let _ = self.events.try_send(Message::Event(Event::Show));
+            return None;
+        };
+        let from = usize::try_from(from).unwrap_or(usize::MAX).min(bytes.len());
+        let to = (from + PARCEL_MAX).min(bytes.len());
+        Some((bytes[from..to].to_vec(), if to < bytes.len() { to as u64 } else { 0 }))
+    }
     fn sight(&mut self, sight: &Sight) {
         let event = Event::Fleet(Box::new(sight.clone()));
         match self.events.try_send(Message::Event(event)) {
@@ -189,9 +219,10 @@
         part.settings.address
     );
     let teller = Teller { sent: Vec::new(), wants: (0, Vec::new()), free: false, events: events.clone() };
-    let hands = Hands { socket, parcels: Vec::new(), events, unseen: None };
+    let shares = part.shares();
+    let hands = Hands { socket, parcels: Vec::new(), events, unseen: None, shown: None, shares, now: 0 };
     let most = part.settings.bytes / madderpoint_fleet::view::ENTRY_USUAL + 16;
-    let rhythm = part.rhythm();
+    let (rhythm, label) = (part.rhythm(), part.settings.settings.1);
     let fleet =
         Fleet::new(part.settings, seed, clock(), hands).map_err(|odd| io::Error::other(odd.to_string()))?;
     let (key, life) = fleet.me();
@@ -199,7 +230,8 @@
     let bank = (!part.arbiters.is_empty()).then(|| {
         let zone = zone_number(&zone);
         let usual = shared::Settings::usual(me, part.arbiters, part.budgets, part.keys);
-        let settings = shared::Settings { zone, most, rhythm, key_bytes: part.key_bytes, ..usual };
+        let counted = (part.count_bytes / PROCESS_BYTES).max(4);
+        let settings = shared::Settings { zone, most, rhythm, counted, key_bytes: part.key_bytes, ..usual };
         Shared::new(settings, seed ^ life.0, clock().now, teller)
     });
     let link = FleetLink { orders, bell: Arc::clone(&bell) };
@@ -209,7 +241,8 @@
         witnesses: Witnesses::new(WITNESSES),
         told: 0,
     });
-    let thread = thread.spawn(move || serve(fleet, bank, health, &clock, &inbox, &bell))?;
+    let told = (label, part.operations);
+    let thread = thread.spawn(move || serve(fleet, bank, health, told, &clock, &inbox, &bell))?;
     Ok((link, thread))
 }
 
@@ -257,6 +290,7 @@
     mut fleet: Fleet<Hands>,
     mut bank: Bank,
     mut health: Option<Health>,
+    (mut label, operations): (u64, Vec<String>),
     clock: &impl Fn() -> Moment,
     orders: &Receiver<Order>,
     bell: &OwnedFd,
@@ -279,10 +313,29 @@
                 Order::Word(Word::Evidence(evidence)) => {
                     health.iter_mut().for_each(|health| health.seen(&mut fleet, clock(), evidence));
                 }
+                Order::Word(Word::Counts(mut word)) => {
+                    let (key, life) = fleet.me();
+                    (word.who, word.label) = (Who { key: key.0, life: life.0 }, label);
+                    if let Some((_, window)) = word.windows.iter_mut().next_back() {
+                        window.gauges = gauges();
+                    }
+                    bank.iter_mut().for_each(|bank| bank.tell_counts(clock().now, &word));
+                    bank.iter_mut().for_each(|bank| tidy(bank, &fleet, clock().now));
+                }
+                Order::Word(Word::Shown(mut shown)) => {
+                    let now = clock().now;
+                    bank.iter().for_each(|bank| shown.with_shared(now, bank, &operations));
+                    shown.node = fleet.name().to_owned();
+                    if let Some(entry) = fleet.view().get(Key(shown.lender)) {
+                        shown.lender_name = entry.name.to_string();
+                    }
+                    fleet.host.shown = Some((now, shown.encode_to_vec()));
+                }
                 Order::Word(Word::LetGo(free)) => bank.iter_mut().for_each(|bank| bank.host.free = free),
                 Order::Reset(reset) => {
                     fleet.reset(clock(), reset.keys, reset.seeds, reset.periods);
                     fleet.set_settings(clock(), reset.number);
+                    label = reset.number.1;
                     if let Some(bank) = &mut bank {
                         bank.rebudget(reset.budgets.clone(), reset.key_budgets);
                         let event = Event::Rebudget(reset.budgets);
@@ -305,11 +358,11 @@
         for (from, topic, parcel) in std::mem::take(&mut fleet.host.parcels) {
             let told = if topic == SHARED { read_parcel(&parcel) } else { None };
             match (told, &mut bank, &mut health) {
-                (Some(Told::Budgets(message)), Some(bank), _) => bank.message(clock().now, from, message),
                 (Some(Told::Evidence(all)), _, Some(health)) => {
                     let all = all.into_iter().filter(|(service, _)| *service == health.service);
                     all.for_each(|(of, evidence)| health.witnesses.hear(clock().now, from, of, evidence));
                 }
+                (Some(told), Some(bank), _) => bank.told(clock().now, from, told),
                 _ => {}
             }
         }
@@ -325,8 +378,8 @@
 
 /// Sends what lending and borrowing have to say.
 fn post(fleet: &mut Fleet<Hands>, bank: &mut Bank, clock: &impl Fn() -> Moment) {
-    for (to, message) in bank.iter_mut().flat_map(|bank| std::mem::take(&mut bank.host.sent)) {
-        fleet.send_parcel(clock(), Key(to), SHARED, &write_parcel(&Told::Budgets(message)));
+    for (to, told) in bank.iter_mut().flat_map(|bank| std::mem::take(&mut bank.host.sent)) {
+        fleet.send_parcel(clock(), Key(to), SHARED, &write_parcel(&told));
     }
 }
 
@@ -344,7 +397,25 @@
     }
 }
 
+/// Memory in KB and descriptors of this process.
+fn gauges() -> [u64; 2] {
+    let pages = std::fs::read_to_string("/proc/self/statm").ok();
+    let pages = pages.and_then(|text| text.split_whitespace().nth(1)?.parse::<u64>().ok()).unwrap_or(0);
+    let descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, |all| all.count() as u64);
+    [pages * rustix::param::page_size() as u64 / 1024, descriptors]
+}
+
+/// Has an arbiter add those up who are gone.
+fn tidy(bank: &mut Shared<Teller>, fleet: &Fleet<Hands>, now: Nanos) {
+    let is_there = |who: Who| {
+        let entry = fleet.view().get(Key(who.key));
+        entry.is_some_and(|entry| entry.epoch.life.0 == who.life && entry.status().is_present())
+    };
+    bank.tidy(now, is_there);
+}
+
 fn read(fleet: &mut Fleet<Hands>, clock: &impl Fn() -> Moment) {
+    fleet.host.now = clock().now;
     // One byte more than a datagram may have, so that a larger one is known for it.
     let mut buffer = [0; DATAGRAM_MAX + 1];
     for _ in 0..TURN {
--- a/crates/node/src/room.rs
+++ b/crates/node/src/room.rs
@@ -42,6 +42,8 @@
     /// Bytes for keys of limits that the whole fleet shares, and for the books of them where this node lends.
     pub keys: usize,
     pub key_books: usize,
+    /// Bytes for counts of other processes, where this node is an arbiter.
+    pub counts: usize,
 }
 
 /// What a node has beside what it always has.
@@ -94,6 +96,7 @@
             fleet: fleet / 3 * 2,
             keys: shared / 3,
             key_books: shared / 3,
+            counts: shared / 4,
         }
     }
 
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -111,7 +111,19 @@
         slow: service.slow,
         zone: driver::zone_number(&settings.zone),
     });
-    Ok(Some(Box::new(Part { bind, settings, arbiters, budgets, keys, key_bytes: 0, service })))
+    let operations = who.start.operations.clone();
+    let (key_bytes, count_bytes) = (0, 0); // as there is room for
+    Ok(Some(Box::new(Part {
+        bind,
+        settings,
+        arbiters,
+        budgets,
+        keys,
+        key_bytes,
+        service,
+        operations,
+        count_bytes,
+    })))
 }
 
 /// Limits by key of the whole fleet, as the rules' buckets have them.
--- a/crates/shared/examples/compare.rs
+++ b/crates/shared/examples/compare.rs
@@ -26,6 +26,7 @@
         seed,
         keys: None,
         key_bytes: 0,
+        counted: 0,
     }
 }
 
--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -10,11 +10,14 @@
 pub mod allot;
 pub mod counts;
 pub mod gate;
+pub mod heavy;
 pub mod judge;
 pub mod keyed;
+pub mod latency;
 pub mod lease;
 pub mod purse;
 pub mod shared;
+pub mod shown;
 pub mod sim;
 pub mod treasury;
 pub mod wire;
--- a/crates/shared/src/shared.rs
+++ b/crates/shared/src/shared.rs
@@ -2,11 +2,13 @@
 //! arbiters, by name; one of these lends; all borrow.
 
 use crate::allot::Demand;
+use crate::counts::{Counts, Word};
 use crate::keyed::books::KeyBooks;
 use crate::keyed::{KeyBudget, KeysAsked, KeysLent, Rhythm};
 use crate::lease::{Arbiter, Candidate};
 use crate::purse::Budget;
 use crate::treasury::{Part, Treasury};
+use crate::wire::{HAVE_MAX, Have, Sums, Told, split};
 use crate::{MILLISECOND, Nanos, SECOND, Who};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -15,7 +17,7 @@
 /// What a part of the shared state does to the world. None of it may wait.
 pub trait Host {
     /// Send to a node, by the key of its name.
-    fn send(&mut self, to: u64, message: Message);
+    fn send(&mut self, to: u64, told: Told);
     /// Write a line to the log.
     fn log(&mut self, line: &str);
     /// What this node's ends of the budgets want, and what they hold; with the time of this node at which that was so.
@@ -73,6 +75,8 @@
     pub keys: Vec<KeyBudget>,
     pub rhythm: Rhythm,
     pub key_bytes: usize,
+    /// Processes whose counts an arbiter keeps apart; none where nothing is counted.
+    pub counted: usize,
     /// How long an arbiter's word holds, and how long a part does.
     pub term: Nanos,
     pub part: Nanos,
@@ -92,12 +96,21 @@
         let part = 5 * ask;
         let (term, rhythm) = (2 * part, Rhythm::of(most));
         let key_bytes = 1 << 20;
-        Settings { me, zone: 0, arbiters, budgets, keys, rhythm, key_bytes, term, part, ask, most: 4096 }
+        let (counted, most) = (0, 4096);
+        Settings { me, zone: 0, arbiters, budgets, keys, rhythm, key_bytes, counted, term, part, ask, most }
     }
 }
 
 /// Questions that one who lends can answer in a second.
 const QUESTIONS: u64 = 2000;
+/// Between two pages of counts that an arbiter compares with another one's, and between two questions for the sums.
+const HAVE: Nanos = 5 * SECOND;
+const SUMS: Nanos = 10 * SECOND;
+/// Windows of the sums' last minute.
+const MINUTE: u64 = 6;
+/// Processes whose counts are told for one page.
+const LACKED: usize = 8;
+
 /// A wake that is so late shows that the node stood still: an arbiter may not know what happened meanwhile.
 const STOOD_STILL: Nanos = SECOND;
 
@@ -110,6 +123,13 @@
     /// Books by budget, while this node lends.
     books: Option<Vec<Treasury>>,
     key_books: Option<KeyBooks>,
+    /// Counts of all, at an arbiter; with the next page that is compared with another one's, and when.
+    counts_of_all: Option<Counts>,
+    have_from: u64,
+    next_have: Nanos,
+    /// The counts of the whole fleet as an arbiter told them last, when that was, and when they are asked for.
+    sums: Option<(Sums, Nanos)>,
+    next_sums: Nanos,
     lender: Option<Who>,
     next_round: Nanos,
     next_ask: Nanos,
@@ -132,11 +152,15 @@
         let next_round = now + rng.random_range(0..settings.term / 4);
         Shared {
             host,
-            rng,
             arbiter: is_arbiter
                 .then(|| (Arbiter::new(now, settings.term), Candidate::new(arbiters, settings.term))),
             books: None,
             key_books: None,
+            counts_of_all: (is_arbiter && settings.counted > 0).then(|| Counts::new(settings.counted)),
+            have_from: 0,
+            next_have: now + rng.random_range(0..HAVE),
+            sums: None,
+            next_sums: now + rng.random_range(0..SUMS),
             lender: None,
             next_round,
             next_ask,
@@ -145,6 +169,7 @@
             left: false,
             tries: false,
             counts: BTreeMap::new(),
+            rng,
             settings,
         }
     }
@@ -184,7 +209,14 @@
 
     /// When it wants to be woken.
     pub fn next(&self) -> Nanos {
-        if self.arbiter.is_some() { self.next_ask.min(self.next_round) } else { self.next_ask }
+        let mut next = self.next_ask;
+        if self.arbiter.is_some() {
+            next = next.min(self.next_round);
+        }
+        if self.counts_of_all.is_some() {
+            next = next.min(self.next_have);
+        }
+        if self.settings.counted > 0 { next.min(self.next_sums) } else { next }
     }
 
     /// An arbiter that stood still begins anew: its name may have been taken, and its word given, meanwhile.
@@ -211,6 +243,14 @@
             self.next_ask = now + self.settings.ask;
             self.ask(now);
         }
+        if self.settings.counted > 0 && now >= self.next_sums {
+            self.next_sums = now + SUMS;
+            self.ask_sums(now);
+        }
+        if self.counts_of_all.is_some() && now >= self.next_have {
+            self.next_have = now + HAVE;
+            self.compare_counts();
+        }
         self.promised = self.next().max(now);
     }
 
@@ -247,7 +287,7 @@
             if key == self.settings.me.key {
                 self.want(now, self.settings.me, no);
             } else {
-                self.host.send(key, Message::Want { no });
+                self.host.send(key, Told::Budgets(Message::Want { no }));
             }
         }
     }
@@ -255,7 +295,7 @@
     fn tell_arbiters(&mut self, message: Message) {
         let me = self.settings.me.key;
         for key in self.settings.arbiters.iter().filter(|key| **key != me) {
-            self.host.send(*key, message.clone());
+            self.host.send(*key, Told::Budgets(message.clone()));
         }
     }
 
@@ -269,7 +309,7 @@
         if from == me {
             return self.word(now, me, no, given);
         }
-        self.host.send(from.key, Message::Word { no, given, holder, left });
+        self.host.send(from.key, Told::Budgets(Message::Word { no, given, holder, left }));
     }
 
     fn word(&mut self, now: Nanos, from: Who, no: u64, given: bool) {
@@ -313,7 +353,7 @@
         if to == self.settings.me.key {
             return self.asked(now, self.settings.me, stamp, zone, &wants);
         }
-        self.host.send(to, Message::Ask { stamp, zone, wants });
+        self.host.send(to, Told::Budgets(Message::Ask { stamp, zone, wants }));
     }
 
     fn asked(&mut self, now: Nanos, from: Who, stamp: Nanos, zone: u32, wants: &[Want]) {
@@ -321,7 +361,7 @@
         if !self.lends(now) {
             let lender = self.lender.filter(|lender| *lender != me);
             if from != me {
-                self.host.send(from.key, Message::Elsewhere { lender });
+                self.host.send(from.key, Told::Budgets(Message::Elsewhere { lender }));
             }
             return;
         }
@@ -339,7 +379,7 @@
         if from == me {
             return self.lent(now, stamp, &parts);
         }
-        self.host.send(from.key, Message::Lend { stamp, parts });
+        self.host.send(from.key, Told::Budgets(Message::Lend { stamp, parts }));
     }
 
     fn lent(&mut self, now: Nanos, stamp: Nanos, parts: &[(u32, Part)]) {
@@ -359,7 +399,7 @@
         match self.lender {
             _ if self.left => {}
             Some(lender) if lender == self.settings.me => self.keys_asked(now, lender, &asked),
-            Some(lender) => self.host.send(lender.key, Message::AskKeys(asked)),
+            Some(lender) => self.host.send(lender.key, Told::Budgets(Message::AskKeys(asked))),
             None => self.count("questions about keys with nobody known who lends"),
         }
     }
@@ -371,7 +411,7 @@
         let lent = self.key_books.as_mut().and_then(|books| books.ask(now, from, asked));
         match lent {
             Some(lent) if from == self.settings.me => self.keys_lent(now, lent),
-            Some(lent) => self.host.send(from.key, Message::LendKeys(lent)),
+            Some(lent) => self.host.send(from.key, Told::Budgets(Message::LendKeys(lent))),
             None => {}
         }
     }
@@ -382,6 +422,112 @@
         }
     }
 
+    // ---- Counts ----
+
+    /// The node counted so far: all arbiters hear it.
+    pub fn tell_counts(&mut self, now: Nanos, word: &Word) {
+        self.noticed(now);
+        let arbiters = self.settings.arbiters.clone();
+        for part in split(word) {
+            for key in arbiters.iter().filter(|key| **key != self.settings.me.key) {
+                self.host.send(*key, Told::Counts(Box::new(part.clone())));
+            }
+        }
+        self.counts_of_all.iter_mut().for_each(|counts| counts.hear(now, word));
+    }
+
+    /// Tells another arbiter how far it knows the counts of some processes; what is lacked there or here then follows.
+    fn compare_counts(&mut self) {
+        let others: Vec<u64> =
+            self.settings.arbiters.iter().copied().filter(|key| *key != self.settings.me.key).collect();
+        let (Some(counts), false) = (&self.counts_of_all, others.is_empty()) else { return };
+        let to = others[self.rng.random_range(0..others.len())];
+        let from = self.have_from;
+        let mut marks: Vec<(Who, u64)> =
+            counts.marks().filter(|(who, _)| who.key >= from).take(HAVE_MAX + 1).collect();
+        // The last page ends with the last key; another one before the first key that it has no room for.
+        let (last, next) = match marks.get(HAVE_MAX).map(|(who, _)| who.key) {
+            Some(next) if next > from => (next - 1, next),
+            _ => (u64::MAX, 0),
+        };
+        marks.truncate(HAVE_MAX);
+        marks.retain(|(who, _)| who.key <= last);
+        self.have_from = next;
+        self.host.send(to, Told::Have(Have { from, to: last, marks }));
+    }
+
+    fn compared(&mut self, from: Who, have: &Have) {
+        let Some(counts) = &self.counts_of_all else { return };
+        let theirs: BTreeMap<Who, u64> = have.marks.iter().copied().collect();
+        let in_page = counts.marks().filter(|(who, _)| (have.from..=have.to).contains(&who.key));
+        let lacked = in_page.filter(|(who, mark)| theirs.get(who).is_none_or(|theirs| theirs < mark));
+        let words: Vec<Word> = lacked.take(LACKED).filter_map(|(who, _)| counts.word(who)).collect();
+        for part in words.iter().flat_map(split) {
+            self.host.send(from.key, Told::Counts(Box::new(part)));
+        }
+    }
+
+    fn ask_sums(&mut self, now: Nanos) {
+        let arbiters = &self.settings.arbiters;
+        if self.counts_of_all.is_some() {
+            self.sums = self.sums_now(now).map(|sums| (sums, now));
+        } else if !arbiters.is_empty() {
+            let to = arbiters[self.rng.random_range(0..arbiters.len())];
+            self.host.send(to, Told::AskSums);
+        }
+    }
+
+    /// The counts of the whole fleet, at an arbiter. Clocks count from the Unix epoch here.
+    fn sums_now(&self, now: Nanos) -> Option<Sums> {
+        let counts = self.counts_of_all.as_ref()?;
+        let until_ms = now / MILLISECOND / crate::counts::WINDOW_MS * crate::counts::WINDOW_MS;
+        Some(Sums {
+            processes: counts.processes().count() as u32,
+            gone: counts.gone() as u32,
+            total: counts.total(),
+            minute: counts.lately(until_ms, MINUTE, |_, _| true),
+            until_ms,
+        })
+    }
+
+    /// The counts of the whole fleet as they were told last, and how long ago.
+    pub fn sums(&self, now: Nanos) -> Option<(&Sums, Nanos)> {
+        self.sums.as_ref().map(|(sums, at)| (sums, now.saturating_sub(*at)))
+    }
+
+    /// The counts of all processes, at an arbiter.
+    pub fn counts_of_all(&self) -> Option<&Counts> {
+        self.counts_of_all.as_ref()
+    }
+
+    /// Those who are gone, by the view of the fleet, are added up after a while.
+    pub fn tidy(&mut self, now: Nanos, is_there: impl Fn(Who) -> bool) {
+        self.counts_of_all.iter_mut().for_each(|counts| counts.tidy(now, &is_there));
+    }
+
+    /// Something was told.
+    pub fn told(&mut self, now: Nanos, from: Who, told: Told) {
+        let by_arbiter = self.settings.arbiters.contains(&from.key);
+        match told {
+            Told::Budgets(message) => return self.message(now, from, message),
+            // Each counts for itself; arbiters tell each other what they heard.
+            Told::Counts(word) if word.who == from || by_arbiter => {
+                self.counts_of_all.iter_mut().for_each(|counts| counts.hear(now, &word));
+            }
+            Told::Counts(_) => self.count("counts of others by one who is no arbiter"),
+            Told::Have(have) if by_arbiter => self.compared(from, &have),
+            Told::AskSums => {
+                if let Some(sums) = self.sums_now(now) {
+                    self.host.send(from.key, Told::Sums(Box::new(sums)));
+                }
+            }
+            Told::Sums(sums) if by_arbiter => self.sums = Some((*sums, now)),
+            Told::Have(_) | Told::Sums(_) | Told::Evidence(_) => {}
+        }
+        self.noticed(now);
+        self.promised = self.next().max(now);
+    }
+
     /// A message came.
     pub fn message(&mut self, now: Nanos, from: Who, message: Message) {
         self.noticed(now);
@@ -427,7 +573,7 @@
         self.left = true;
         let let_go = self.host.let_go(now);
         if let (Some(lender), true) = (self.lender, let_go) {
-            self.host.send(lender.key, Message::Leave);
+            self.host.send(lender.key, Told::Budgets(Message::Leave));
         }
         if self.close_books() {
             let no = self.arbiter.as_ref().map_or(0, |(_, candidate)| candidate.no);
--- a/crates/shared/src/sim.rs
+++ b/crates/shared/src/sim.rs
@@ -2,11 +2,13 @@
 //! crash, pause and return, clocks that drift; and a service below that keeps the record. Beside the machines of this package
 //! two plain ways are played: an even part by the number of nodes in sight, and a central counter.
 
+use crate::counts::{Counts, OWN, Tally, own};
 use crate::keyed::wallet::Wallet;
 use crate::keyed::{KeyBudget, KeyKind, KeysLent};
 use crate::purse::{Budget, Ends, Kind};
-use crate::shared::{Host, Message, Settings, Shared, Want};
+use crate::shared::{Host, Settings, Shared, Want};
 use crate::treasury::Part;
+use crate::wire::{Told, write};
 use crate::{MILLISECOND, Nanos, SECOND, Who};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -41,8 +43,13 @@
     /// A limit by key beside it, and the bytes for the keys of a node, and of books.
     pub keys: Option<KeyBudget>,
     pub key_bytes: usize,
+    /// Processes whose counts arbiters keep apart; none are counted if it is 0.
+    pub counted: usize,
 }
 
+/// Between two words of a node's counts.
+const TELLS: Nanos = 5 * SECOND;
+
 /// Tries of keys in a step: which node, which key.
 pub type KeyLoad = Box<dyn FnMut(Nanos, &mut Pcg64Mcg) -> Vec<(usize, u64)>>;
 
@@ -77,14 +84,14 @@
 pub type Load = Box<dyn Fn(usize, Nanos) -> f64>;
 
 struct Out {
-    sent: Vec<(u64, Message)>,
+    sent: Vec<(u64, Told)>,
     ends: Ends,
     wallet: Wallet,
 }
 
 impl Host for Out {
-    fn send(&mut self, to: u64, message: Message) {
-        self.sent.push((to, message));
+    fn send(&mut self, to: u64, told: Told) {
+        self.sent.push((to, told));
     }
     fn log(&mut self, _: &str) {}
     fn wants(&mut self, now: Nanos) -> (Nanos, Vec<Want>) {
@@ -113,6 +120,9 @@
     saved: f64,
     /// For the counter: tries that wait for an answer are not counted; this is what was allowed.
     up_since: Nanos,
+    /// What it counted, and when it tells that.
+    tally: Tally,
+    tells: Nanos,
 }
 
 /// What came of a play.
@@ -157,7 +167,7 @@
     nodes: Vec<Node>,
     rng: Pcg64Mcg,
     queue: BinaryHeap<Reverse<(Nanos, u64, usize, u64)>>,
-    under_way: BTreeMap<u64, (Who, Message)>,
+    under_way: BTreeMap<u64, (Who, Told)>,
     sent: u64,
     load: Load,
     cut: Box<dyn Fn(usize, usize) -> bool>,
@@ -196,6 +206,8 @@
                 owed: 0.0,
                 saved: 0.0,
                 up_since: 0,
+                tally: Tally::default(),
+                tells: 0,
             })
             .collect();
         let mut sim = Sim {
@@ -235,7 +247,7 @@
         let arbiters = (1..=ARBITERS.min(self.plan.nodes) as u64).collect();
         let keys: Vec<KeyBudget> = self.plan.keys.iter().cloned().collect();
         let mut settings = Settings::usual(me, arbiters, vec![self.plan.budget.clone()], keys);
-        settings.key_bytes = self.plan.key_bytes;
+        (settings.key_bytes, settings.counted) = (self.plan.key_bytes, self.plan.counted);
         settings.zone = (n % self.plan.zones.max(1)) as u32;
         let seed = self.plan.seed.wrapping_mul(7919).wrapping_add(self.lives);
         let now = self.clock(n);
@@ -244,6 +256,7 @@
         let wallet = Wallet::new(now, &settings.keys, settings.rhythm, self.plan.key_bytes, seed);
         node.shared = Some(Shared::new(settings, seed, now, Out { sent: Vec::new(), ends, wallet }));
         (node.life, node.owed, node.saved, node.up_since) = (self.lives, 0.0, 0.0, self.now);
+        (node.tally, node.tells) = (Tally::new(now / MILLISECOND), now + self.rng.random_range(0..TELLS));
         self.changed();
     }
 
@@ -302,9 +315,9 @@
     }
 
     /// What it takes on the way, with the frame of the fleet and the heads of UDP and IP.
-    fn bytes(&self, message: &Message) -> u64 {
+    fn bytes(told: &Told) -> u64 {
         const FRAME: usize = 32 + 16 + 24 + 28;
-        (crate::wire::write(&crate::wire::Told::Budgets(message.clone())).len() + FRAME) as u64
+        (write(told).len() + FRAME) as u64
     }
 
     /// Has keys tried for.
@@ -367,6 +380,31 @@
             .sum()
     }
 
+    /// The counts that a node knows of all, if it is an arbiter.
+    pub fn counts(&self, n: usize) -> Option<&Counts> {
+        self.nodes[n].shared.as_ref()?.counts_of_all()
+    }
+
+    /// Has arbiters add up those who are gone.
+    pub fn tidy(&mut self) {
+        let there: Vec<Who> = (0..self.nodes.len())
+            .filter(|n| self.nodes[*n].shared.is_some())
+            .map(|n| Who { key: n as u64 + 1, life: self.nodes[n].life })
+            .collect();
+        for n in 0..self.nodes.len() {
+            let now = self.clock(n);
+            if let Some(shared) = &mut self.nodes[n].shared {
+                shared.tidy(now, |who| there.contains(&who));
+            }
+        }
+    }
+
+    /// Calls of the whole fleet as a node was told last.
+    pub fn calls_told(&self, n: usize) -> Option<u64> {
+        let shared = self.nodes[n].shared.as_ref()?;
+        Some(shared.sums(self.clock(n))?.0.total.get(&OWN)?[own::CALLS])
+    }
+
     /// Keys that all wallets tell apart, and keys and pockets in the books of the one who lends.
     pub fn key_figures(&self) -> (usize, Option<(usize, usize, u64)>) {
         let shared = || self.nodes.iter().filter_map(|node| node.shared.as_ref());
@@ -379,7 +417,7 @@
         let Some(shared) = &mut self.nodes[n].shared else { return };
         for (to, message) in std::mem::take(&mut shared.host.sent) {
             self.measured.messages += 1;
-            self.measured.bytes += self.bytes(&message);
+            self.measured.bytes += Self::bytes(&message);
             let to = to as usize - 1;
             if self.rng.random_bool(self.plan.loss) || (self.cut)(n, to) {
                 continue;
@@ -414,7 +452,7 @@
             let Some((from, message)) = self.under_way.remove(&id) else { continue };
             let now = self.clock(to);
             if let Some(shared) = &mut self.nodes[to].shared {
-                shared.message(now, from, message);
+                shared.told(now, from, message);
                 self.carry(to);
             }
         }
@@ -425,10 +463,16 @@
                 continue;
             }
             let now = self.clock(n);
-            if let Some(shared) = &mut self.nodes[n].shared {
+            let node = &mut self.nodes[n];
+            if let Some(shared) = &mut node.shared {
                 if shared.next() <= now {
                     shared.wake(now);
                 }
+                if self.plan.counted > 0 && now >= node.tells {
+                    let who = Who { key: n as u64 + 1, life: node.life };
+                    shared.tell_counts(now, &node.tally.word(who, 0, 2));
+                    node.tells = now + TELLS;
+                }
                 while let Some(asked) = shared.host.wallet.ask(now) {
                     shared.ask_keys(now, asked);
                 }
@@ -463,6 +507,8 @@
             if self.may(n) {
                 self.measured.made += 1;
                 self.measured.by_node[n] += 1;
+                let unix_ms = self.clock(n) / MILLISECOND;
+                self.nodes[n].tally.add(unix_ms, OWN, own::CALLS, 1);
                 grow(&mut self.measured.by_second, second);
                 self.recent.push_back(self.now);
                 if let Kind::InHand { longest } = self.plan.budget.kind {
--- a/crates/shared/tests/budgets.rs
+++ b/crates/shared/tests/budgets.rs
@@ -31,6 +31,7 @@
         seed,
         keys: None,
         key_bytes: 0,
+        counted: 0,
     }
 }
 
@@ -253,3 +254,47 @@
         "{counter} and {leases} in 10 s, of a floor of 2 a second"
     );
 }
+
+/// Counts of calls, by way of arbiters that lose each other, with killed nodes and cold returns: all come to the same, never to
+/// more than was made, and to less only by what the killed had not told.
+#[test]
+fn counts_of_all_are_the_same_everywhere_and_lose_only_what_was_not_told() {
+    for seed in 0..6 {
+        let mut sim = Sim::new(Plan { counted: 64, ..plan(9, seed) }, Box::new(|_, _| 20.0));
+        run_within(&mut sim, 10 * S);
+        // Each of three sides has one of the arbiters, 0 to 2.
+        sim.cut(|a, b| a % 3 != b % 3);
+        run_within(&mut sim, 20 * S);
+        let known: Vec<u64> = (0..3).map(|n| calls(&sim, n)).collect();
+        assert!(known.iter().all(|known| *known < sim.measured.made), "{known:?}");
+        sim.cut(|_, _| false);
+        let mut lost = 0;
+        for n in [4, 7, 0] {
+            let before = sim.measured.by_node[n];
+            run_within(&mut sim, 5 * S);
+            sim.crash(n);
+            lost += sim.measured.by_node[n] - before; // at most what it made since
+            sim.start(n);
+        }
+        // Two arbiters only for a while, and one that knows nothing is told all by the others.
+        run_within(&mut sim, 30 * S);
+        sim.load(Box::new(|_, _| 0.0));
+        run_within(&mut sim, 40 * S);
+        let (made, known) = (sim.measured.made, (0..3).map(|n| calls(&sim, n)).collect::<Vec<_>>());
+        assert!(known.iter().all(|k| *k == known[0]), "seed {seed}: {known:?}");
+        assert!(
+            known[0] <= made && known[0] + lost >= made,
+            "seed {seed}: {known:?} of {made}, {lost} at risk"
+        );
+        assert!((0..9).all(|n| sim.calls_told(n) == Some(known[0])), "seed {seed}: all are told the sums");
+        // Long after, the processes that are gone are one sum.
+        run_within(&mut sim, 700 * S);
+        sim.tidy();
+        assert_eq!((calls(&sim, 1), sim.counts(1).unwrap().gone()), (known[0], 3));
+    }
+}
+
+fn calls(sim: &Sim, n: usize) -> u64 {
+    use madderpoint_shared::counts::{OWN, own};
+    sim.counts(n).unwrap().total().get(&OWN).map_or(0, |row| row[own::CALLS])
+}
--- a/crates/shared/tests/keys.rs
+++ b/crates/shared/tests/keys.rs
@@ -28,6 +28,7 @@
         seed,
         keys: Some(keys),
         key_bytes: 1 << 20,
+        counted: 0,
     }
 }
 
