The rig plays all that is shared: a service below that keeps the record and dies, keys, loads

Need: that limits, keys and judgements hold through faults is shown by processes, with a record over all nodes as the judge, and the service below must die past what it survives as the users' does.

Change: a stand-in service shared by all nodes (works for a while, records calls and hands, dies, is cold when it is back, is slow or ill for a zone); a record of what runs by key; timetables say budgets, keys, callers, changes of load and what a node must hold (holds, used). Calls that hang close a service after three in a row and two seconds.

Found by the plays: a node whose calls hang made too few tries to close a service.

--- a/crates/node/src/classify.rs
+++ b/crates/node/src/classify.rs
@@ -201,7 +201,8 @@
             let ticket = self.limits.ask(now, buckets).map_err(Full::Node)?;
             return Ok(Held { ticket, keys: Vec::new() });
         };
-        let (mut keys, mut full): (Vec<(u32, u64)>, Option<(Refused, u64)>) = (Vec::new(), None);
+        let mut keys: Vec<(u32, u64)> = Vec::new();
+        let mut full: Option<(Refused, u64)> = None;
         for (place, key) in buckets {
             for id in self.fleet.get(usize::from(*place)).into_iter().flatten() {
                 if keys.contains(&(*id, *key)) {
--- a/crates/node/src/cli/fleet.rs
+++ b/crates/node/src/cli/fleet.rs
@@ -610,7 +610,12 @@
                 };
                 Some((within.as_nanos() as Nanos, Box::new(sees)))
             }
-            Action::Hup(_) | Action::Stranger { .. } => {
+            Action::Hup(_)
+            | Action::Stranger { .. }
+            | Action::Load { .. }
+            | Action::Service { .. }
+            | Action::Holds { .. }
+            | Action::Used { .. } => {
                 println!("{:>8.2} s  {:?}: only the rig plays that", step.at.as_secs_f64(), step.action);
                 None
             }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -239,6 +239,7 @@
             Timer::Pulse => self.pulse(now),
             Timer::Wants => self.wants(now),
             Timer::Keys => self.ask_keys(),
+            Timer::Lingered(repeats) => self.desk.borrow_mut().room_came(repeats),
             Timer::CallRoom => self.desk.borrow_mut().send_waiting(),
             Timer::Evidence => self.evidence(),
             Timer::Counts => self.tell_counts(),
--- a/crates/node/src/core/tests/shared.rs
+++ b/crates/node/src/core/tests/shared.rs
@@ -90,6 +90,24 @@
     assert!(node.run_to_call(3, "/call/pay", "00000000000000cc") && node.calls() == 2);
 }
 
+/// What lies below may be at work yet on a call that was given up: it counts as in hand for as long as the longest call.
+#[test]
+fn a_call_that_was_given_up_counts_as_in_hand_for_its_longest_time() {
+    let kind = Kind::InHand { longest: 500 * MS };
+    let in_hand = Budget { name: "hands".into(), kind, ..rate(1) };
+    let ends = |node: &Node| node.core.desk.borrow_mut().budgets.as_mut().unwrap().purses()[0].in_hand();
+    for (outcome, frees) in [(Outcome::Ok, true), (Outcome::Overload, false), (Outcome::Internal, false)] {
+        let mut node = Node::joined(std::slice::from_ref(&in_hand), None);
+        assert!(node.run_to_call(1, "/call/read", A) && ends(&node) == 1);
+        node.reply(0, A, outcome);
+        node.reap(A, End::Ok, b"r");
+        // One that never ran was called again, and that call is given up with the run.
+        assert_eq!(ends(&node) == 0, frees, "{outcome:?}");
+        node.wait(501);
+        assert_eq!(ends(&node), 0);
+    }
+}
+
 /// What can't make its call is turned away before it runs, with the time when there is room.
 #[test]
 fn what_needs_a_call_is_let_in_for_the_room_there_is() {
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -103,6 +103,7 @@
     Wants,
     Keys,
     CallRoom,
+    Lingered(bool),
     Evidence,
     Counts,
 }
@@ -418,15 +419,25 @@
         questions
     }
 
-    /// A call that was allowed under the fleet's budgets is over.
-    fn call_is_over(&mut self, call: &Call) {
-        if let Some(budgets) = self.budgets.as_mut().filter(|_| call.budgeted) {
-            budgets.over(call.repeats);
-            // Where what is limited is in hand there is room now.
-            if !self.calls_waiting.is_empty() && budgets.is_full(self.now).is_none() {
-                self.calls_due = None;
-                self.set_timer(0, Timer::CallRoom);
-            }
+    /// A call that was allowed under the fleet's budgets is over. What lies below may still be at work on one that was given up
+    /// or whose connection broke: it counts as in hand for as long as the longest call.
+    fn call_is_over(&mut self, call: &Call, may_linger: bool) {
+        let longest = self.budgets.as_ref().and_then(|budgets| budgets.longest());
+        let Some(longest) = longest.filter(|_| call.budgeted) else { return };
+        let left = (call.since + longest).saturating_sub(self.now);
+        if may_linger && call.link().is_some() && left > 0 {
+            return self.set_timer(left, Timer::Lingered(call.repeats));
+        }
+        self.room_came(call.repeats);
+    }
+
+    /// One call in hand less.
+    pub fn room_came(&mut self, repeats: bool) {
+        let Some(budgets) = &mut self.budgets else { return };
+        budgets.over(repeats);
+        if !self.calls_waiting.is_empty() && budgets.is_full(self.now).is_none() {
+            self.calls_due = None;
+            self.set_timer(0, Timer::CallRoom);
         }
     }
 
--- a/crates/node/src/desk/calls.rs
+++ b/crates/node/src/desk/calls.rs
@@ -95,7 +95,7 @@
             }
         }
         if let Some(call) = inv.call.take() {
-            self.call_is_over(&call);
+            self.call_is_over(&call, false);
         }
         self.deferred.push_back(Deferred::CallEnded(id, CallEnding::NeverRan));
     }
@@ -235,7 +235,7 @@
         let Some(call) = inv.call.take() else { return Some(0) };
         inv.call_failed = ending != CallEnding::Succeeded;
         let latency = self.now - call.since;
-        self.call_is_over(&call);
+        self.call_is_over(&call, matches!(ending, CallEnding::Abandoned | CallEnding::MayHaveRun));
         if call.link().is_some() {
             let slow = self.slow.is_some_and(|slow| latency > slow);
             self.judged(|judge, now| judge.ended(now, ending == CallEnding::Succeeded && !slow));
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -227,7 +227,7 @@
         self.out.step(rid, format_args!("run over: {end:?}"));
         let call = inv.call.take();
         if let Some(call) = call {
-            self.call_is_over(&call);
+            self.call_is_over(&call, true);
             call.link().into_iter().for_each(|place| self.cancel(rid, place));
         }
         match end {
--- a/crates/node/src/driver/fleet_link.rs
+++ b/crates/node/src/driver/fleet_link.rs
@@ -119,7 +119,7 @@
 /// The topic of parcels about what is shared.
 pub const SHARED: u32 = 1;
 /// What is shown of it is made anew after this.
-const SHOWN_FOR: Nanos = 2_000_000_000;
+const SHOWN_FOR: Nanos = 200_000_000;
 
 /// What the part that lends and borrows does to the world; what it sends goes out as parcels.
 struct Teller {
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -74,7 +74,7 @@
     let script = read("budget.xml");
     let outcome = play(&script);
     outcome.expect_good(&script);
-    let (most, all) = outcome.calls;
+    let (most, all) = (outcome.below.most_in_a_second, outcome.below.calls);
     assert!(most <= 110 && all > 500, "{all} calls, {most} in the busiest second");
     let without = Script { calls_a_second: 0, time: Duration::from_secs(4), steps: Vec::new(), ..script };
     let answers = play(&without).statuses["200"];
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -141,6 +141,64 @@
         held: String,
         within: Duration,
     },
+    /// Nodes are asked so often, with keys of this range where it is told.
+    Load {
+        to: Ends,
+        a_second: u64,
+        keys: Option<(u64, u64)>,
+    },
+    /// The service below dies, or has a trouble, for all or for a zone.
+    Service {
+        time: Duration,
+        dies: bool,
+        zone: Option<String>,
+        slower: Duration,
+        fails: f64,
+    },
+    /// A node holds this of what is shared.
+    Holds {
+        node: String,
+        what: String,
+        within: Duration,
+    },
+    /// So much of the limit on calls is used.
+    Used {
+        over: Duration,
+        least: f64,
+        within: Duration,
+    },
+}
+
+/// The service below, in a timetable.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Below {
+    /// How long it works on a call.
+    pub work: Duration,
+    /// Calls in hand that it survives; any number if it is 0.
+    pub survives: usize,
+    /// How long it is down when it died, and how long it then takes to be warm.
+    pub down: Duration,
+    /// The same.
+    pub warm: Duration,
+    /// Whether nodes judge it together.
+    pub judged: bool,
+    /// Tries while it was down, over all nodes, at most.
+    pub tries_most: Option<usize>,
+}
+
+/// A limit by key of the whole fleet, in a timetable.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Keys {
+    /// How many keys there are.
+    pub count: u64,
+    /// Of each key, a second, and so many saved.
+    pub a_second: u32,
+    /// The same.
+    pub burst: u32,
+    /// Of each key in hand.
+    pub in_hand: u32,
+    /// Of these, what is each node's own.
+    pub floor: u32,
 }
 
 /// A step of a timetable.
@@ -167,10 +225,20 @@
     pub absent: Vec<String>,
     /// Requests a second to each node.
     pub load: u64,
-    /// A budget of calls below for all nodes together, and what of it is each node's own; none if it is 0.
+    /// Connections by which a node is asked.
+    pub callers: u64,
+    /// A budget of calls below for all nodes together; none if it is 0.
     pub calls_a_second: u32,
-    /// The same of each node.
+    /// One of calls in hand, and one of calls that repeat another.
+    pub calls_in_hand: u32,
+    /// The same.
+    pub repeats_a_second: u32,
+    /// What of the budgets is each node's own.
     pub floor: u32,
+    /// The service below.
+    pub below: Below,
+    /// A limit by key; none if there are no keys.
+    pub keys: Keys,
     /// How long it takes.
     pub time: Duration,
     /// Periods of the fleet, as its settings have them.
@@ -244,6 +312,31 @@
             within: span(element, "within")?,
             sides: number(element, "sides").map_or(1, |n| n as usize),
         },
+        "load" => Action::Load {
+            to: ends("to"),
+            a_second: number(element, "a-second")?,
+            keys: text(element, "keys").and_then(|text| {
+                let (first, last) = text.split_once('-')?;
+                Some((first.parse().ok()?, last.parse().ok()?))
+            }),
+        },
+        "service" => Action::Service {
+            time: time()?,
+            dies: is(element, "dies"),
+            zone: text(element, "zone").map(str::to_owned),
+            slower: span(element, "slower").unwrap_or_default(),
+            fails: share(element, "fails"),
+        },
+        "holds" => Action::Holds {
+            node: node(),
+            what: text(element, "what")?.to_owned(),
+            within: span(element, "within")?,
+        },
+        "used" => Action::Used {
+            over: span(element, "over")?,
+            least: share(element, "least"),
+            within: span(element, "within")?,
+        },
         "sees" => Action::Sees {
             node: node(),
             other: text(element, "other")?.to_owned(),
@@ -278,7 +371,12 @@
         zones: number(&root, "zones").unwrap_or(1) as usize,
         absent: words("absent"),
         load: number(&root, "load").unwrap_or(0),
+        callers: number(&root, "callers").unwrap_or(1),
         calls_a_second: number(&root, "calls-a-second").unwrap_or(0) as u32,
+        calls_in_hand: number(&root, "calls-in-hand").unwrap_or(0) as u32,
+        repeats_a_second: number(&root, "repeats-a-second").unwrap_or(0) as u32,
+        below: Below::default(),
+        keys: Keys::default(),
         floor: number(&root, "floor").unwrap_or(1) as u32,
         time: span(&root, "time").unwrap_or_default(),
         periods: Vec::new(),
@@ -290,6 +388,26 @@
     if let Some(periods) = root.one("periods") {
         script.periods = periods.attributes.iter().map(|a| (a.name.clone(), a.value.value.clone())).collect();
     }
+    if let Some(below) = root.one("below") {
+        script.below = Below {
+            work: span(below, "work").unwrap_or_default(),
+            survives: number(below, "survives").unwrap_or(0) as usize,
+            down: span(below, "down").unwrap_or(Duration::from_secs(2)),
+            warm: span(below, "warm").unwrap_or(Duration::from_secs(3)),
+            judged: is(below, "judged"),
+            tries_most: number(below, "tries-most").map(|n| n as usize),
+        };
+    }
+    if let Some(keys) = root.one("keys") {
+        let number = |name: &str| number(keys, name).unwrap_or(0) as u32;
+        script.keys = Keys {
+            count: u64::from(number("count")),
+            a_second: number("a-second"),
+            burst: number("burst").max(1),
+            in_hand: number("in-hand"),
+            floor: number("floor"),
+        };
+    }
     let known = |name: &str| {
         name.strip_prefix('n').and_then(|n| n.parse::<usize>().ok()).is_some_and(|n| n < script.nodes)
     };
--- a/crates/shared/src/judge.rs
+++ b/crates/shared/src/judge.rs
@@ -197,6 +197,8 @@
     in_a_row: u32,
     /// Tries in a row that failed: so many say more than a window that was good before.
     failed_in_a_row: u32,
+    /// Since when no try went well.
+    failing_since: Nanos,
     probed: Nanos,
     /// What others say, and when that came.
     others: Option<(Opinion, Nanos)>,
@@ -227,6 +229,7 @@
             half: now / (WINDOW / 2),
             in_a_row: 0,
             failed_in_a_row: 0,
+            failing_since: now,
             probed: 0,
             others: None,
             owed: 0.0,
@@ -306,7 +309,9 @@
     /// Looks at what there is, of which some may have aged out.
     pub fn judge(&mut self, now: Nanos) {
         let own = self.evidence(now);
-        let is_ill = own.tries >= TRIES && own.failing() >= ILL || self.failed_in_a_row >= TRIES;
+        // Where calls hang there are few, and each says more.
+        let hangs = self.failed_in_a_row >= PROVED && now >= self.failing_since + WINDOW;
+        let is_ill = own.tries >= TRIES && own.failing() >= ILL || self.failed_in_a_row >= TRIES || hangs;
         let others_ill = self.others(now).is_some_and(|opinion| opinion.is_ill());
         match self.mode {
             Mode::Open | Mode::Careful | Mode::Rising if is_ill => self.enter(now, Mode::Closed),
@@ -377,6 +382,9 @@
         self.roll(now);
         self.halves[0].tries += 1;
         self.halves[0].failed += u32::from(!well);
+        if well || self.failed_in_a_row == 0 {
+            self.failing_since = now;
+        }
         self.failed_in_a_row = if well { 0 } else { self.failed_in_a_row + 1 };
         if self.mode == Mode::Closed {
             self.in_a_row = if well { self.in_a_row + 1 } else { 0 };
@@ -424,6 +432,17 @@
         assert_eq!((0..100).filter(|_| others.admits(SECOND, false)).count(), 25);
     }
 
+    /// Calls that hang are few: three in a row, with nothing well for two seconds, are enough.
+    #[test]
+    fn calls_that_hang_close_it_though_they_are_few() {
+        let mut hangs = Judge::new(0, 0);
+        (0..9).for_each(|_| hangs.ended(10 * SECOND, false));
+        assert_eq!(hangs.mode(), Mode::Open, "nine at once may be one broken connection");
+        hangs.ended(11 * SECOND, true);
+        (0..3).for_each(|n| hangs.ended((12 + n) * SECOND, false));
+        assert_eq!(hangs.mode(), Mode::Closed);
+    }
+
     #[test]
     fn one_sick_node_or_one_zone_is_told_from_a_sick_service() {
         let failed = |one: bool| if one { 100 } else { 0 };
--- a/crates/shared/src/purse.rs
+++ b/crates/shared/src/purse.rs
@@ -347,6 +347,15 @@
         rates.map(|purse| f64::from(purse.units(now))).reduce(f64::min)
     }
 
+    /// How long a call may be in hand, where that is limited.
+    pub fn longest(&self) -> Option<Nanos> {
+        let of = self.purses.iter().filter_map(|purse| match purse.budget.kind {
+            Kind::InHand { longest } => Some(longest),
+            Kind::Rate { .. } => None,
+        });
+        of.max()
+    }
+
     /// How long it takes until so many more calls have found room, if they come one after the other: a guess.
     pub fn wait_for(&self, now: Nanos, calls: usize) -> Nanos {
         let each = self.a_second(now).map_or(0.0, |units| SECOND as f64 / units.max(1e-3));
--- a/crates/standins/src/bin/madderpoint-rig.rs
+++ b/crates/standins/src/bin/madderpoint-rig.rs
@@ -66,13 +66,16 @@
             for (what, seconds) in &outcome.took {
                 println!("  {what}: {seconds:.2} s");
             }
-            if script.calls_a_second > 0 {
-                let (most, all) = outcome.calls;
+            let below = outcome.below;
+            if script.calls_a_second + script.calls_in_hand > 0 || script.below.judged {
                 println!(
-                    "  calls below: {all}, {most} in the busiest second, {} allowed",
-                    script.calls_a_second
+                    "  calls below: {}, {} in the busiest second, {} in hand at most, {} tries while it was down",
+                    below.calls, below.most_in_a_second, below.most_in_hand, below.came_while_down
                 );
             }
+            if script.keys.count > 0 {
+                println!("  runs by key: {}", outcome.keys_ran);
+            }
             println!("  answers {:?}, datagrams {:?}", outcome.statuses, outcome.datagrams);
             for failure in &outcome.failures {
                 println!("  {failure}");
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,14 +5,15 @@
 
 pub use madderpoint_settings::script;
 
-pub mod backend;
 pub mod checker;
 pub mod faults;
+pub mod keys;
 pub mod load;
 pub mod peers;
 pub mod program;
 pub mod record;
 pub mod relay;
 pub mod rig;
+pub mod service;
 pub mod wire;
 pub mod worker;
--- a/crates/standins/src/rig.rs
+++ b/crates/standins/src/rig.rs
@@ -1,19 +1,22 @@
 //! Several processes of the program, each with its kernel, back end and load, every link through a relay of ours; faults by a
 //! timetable; what must hold is looked at while it runs and over the joined record afterwards.
 
-use crate::backend::{Backend, Calls};
 use crate::checker::{Checker, Statuses};
 use crate::faults::{Faults, Place};
+use crate::keys::KeyRecord;
 use crate::load::rid;
 use crate::peers::{nobody, unix_ms};
 use crate::record::Record;
 use crate::relay::{Datagrams, Stream};
-use crate::script::{Action, Ends, Links, Script};
+use crate::script::{Action, Ends, Keys as LimitedKeys, Links, Script};
+use crate::service::{Nature, Recorded, Service};
 use crate::wire::{self, Answer};
 use crate::worker::Worker;
 use madderpoint_fleet::Status;
 use madderpoint_fleet::observer::{Holding, Observer};
 use madderpoint_fleet::seal::Keys;
+use madderpoint_shared::shown::Shown;
+use prost::Message as _;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustix::process::{Pid, Signal, kill_process};
@@ -76,7 +79,16 @@
     child: Option<Child>,
     state: Arc<Mutex<State>>,
     checker: Arc<Mutex<Checker>>,
-    load: Option<JoinHandle<()>>,
+    load: Vec<JoinHandle<()>>,
+    /// How often it is asked, and with which keys.
+    pace: Arc<Mutex<Pace>>,
+}
+
+/// How often a node is asked by each caller, and with which keys.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    every: Duration,
+    keys: (u64, u64),
 }
 
 impl Node {
@@ -112,8 +124,9 @@
     pub took: Vec<(String, f64)>,
     /// Answers of all loads, by status.
     pub statuses: Statuses,
-    /// Calls at the back ends: the most in any second, and all.
-    pub calls: (usize, usize),
+    /// What the service below recorded, and what ran by key.
+    pub below: Recorded,
+    pub keys_ran: usize,
     /// What became of datagrams at the relay.
     pub datagrams: BTreeMap<&'static str, u64>,
     /// The end of the joined record, where something failed.
@@ -148,8 +161,10 @@
     stop: Arc<AtomicBool>,
     outcome: Outcome,
     files: usize,
-    /// Calls that came to the back ends.
-    calls: Calls,
+    /// The service below, and the record of keys.
+    service: Service,
+    keys: KeyRecord,
+    pauses: usize,
 }
 
 static RIGS: AtomicU8 = AtomicU8::new(1);
@@ -174,16 +189,25 @@
             })
             .collect();
         let datagrams = Datagrams::start(places.clone(), Arc::clone(&faults))?;
-        let (mut nodes, calls) = (Vec::new(), Calls::default());
+        let below = &script.below;
+        let (work, survives) = (below.work, below.survives);
+        let service = Service::start(Nature { work, survives, down: below.down, warm: below.warm });
+        let (mut nodes, keys) = (Vec::new(), KeyRecord::default());
+        let callers = script.callers.max(1);
+        let every = Duration::from_secs(1) * callers as u32 / script.load.max(1) as u32;
+        let pace = Pace { every, keys: (0, script.keys.count.saturating_sub(1)) };
         for (n, (place, bind)) in places.into_iter().enumerate() {
-            let (worker, backend) = (Worker::start(), Backend::start(&calls)?);
+            let (worker, backend) = (Worker::start(), service.listen(&place.zone)?);
             worker.calls(true);
+            if script.keys.count > 0 {
+                worker.record_keys(keys.clone());
+            }
             let relay = |on, to| Stream::start(on, place.clone(), to, Arc::clone(&faults));
             nodes.push(Node {
                 bind,
                 reached: datagrams.addresses[n],
                 kernel: relay(Links::Kernel, worker.address)?,
-                backend: relay(Links::Backend, backend.address)?,
+                backend: relay(Links::Backend, backend)?,
                 members: relay(Links::Members, members()?)?,
                 front: relay(Links::Load, nobody())?,
                 worker,
@@ -192,7 +216,8 @@
                 child: None,
                 state: Arc::default(),
                 checker: Arc::default(),
-                load: None,
+                load: Vec::new(),
+                pace: Arc::new(Mutex::new(pace)),
             });
         }
         let seen = Arc::new((Mutex::new(vec![None; nodes.len()]), Condvar::new()));
@@ -207,7 +232,9 @@
             stop: Arc::default(),
             outcome: Outcome::default(),
             files: 0,
-            calls,
+            service,
+            keys,
+            pauses: 0,
         };
         for n in 0..rig.nodes.len() {
             if !rig.script.absent.contains(&rig.nodes[n].place.name) {
@@ -226,6 +253,48 @@
         Ok(path)
     }
 
+    /// What the settings say of all that is shared.
+    fn shared(&self) -> String {
+        let Script { calls_a_second, calls_in_hand, repeats_a_second, floor, below, keys, .. } = &self.script;
+        let mut text = String::new();
+        if calls_a_second + calls_in_hand + repeats_a_second > 0 || keys.count > 0 || below.judged {
+            text += "<arbiter name=\"n0\"/><arbiter name=\"n1\"/><arbiter name=\"n2\"/>";
+        }
+        let most = self.nodes.len();
+        let mut budget = |name: &str, limit: u32, kind: &str, more: &str| {
+            if limit > 0 {
+                text += &format!(
+                    "<calls-budget name=\"{name}\" {kind}=\"{limit}\" floor=\"{floor}\" nodes-most=\"{most}\" {more}/>"
+                );
+            }
+        };
+        budget("below", *calls_a_second, "a-second", "");
+        budget("hands", *calls_in_hand, "in-hand", "longest=\"1500ms\"");
+        budget("repeats", *repeats_a_second, "a-second", "of=\"repeats\"");
+        if below.judged {
+            text += "<service name=\"below\" slow=\"700ms\"/>";
+        }
+        text
+    }
+
+    /// Rules, where there is a limit by key: its bucket.
+    fn rules(&self) -> String {
+        let LimitedKeys { count, a_second, burst, in_hand, floor } = self.script.keys;
+        if count == 0 {
+            return String::new();
+        }
+        let most = self.nodes.len();
+        let rate =
+            if a_second > 0 { format!(" rate=\"{a_second}/s\" burst=\"{burst}\"") } else { String::new() };
+        let hands =
+            if in_hand > 0 { format!(" in-hand=\"{in_hand}\" longest=\"1500ms\"") } else { String::new() };
+        format!(
+            "<rules><parameter name=\"HTTP_X_KEY\" most=\"64B\"/><bucket name=\"by-key\"{rate}{hands} scope=\"fleet\" \
+             floor=\"{floor}\" nodes-most=\"{most}\"/><rule name=\"all\"><when>true</when><give>\
+             <limit bucket=\"by-key\">params.HTTP_X_KEY</limit></give></rule></rules>"
+        )
+    }
+
     fn start_node(&mut self, n: usize, name: Option<&str>, program: Option<&str>) -> std::io::Result<()> {
         let key: String = KEY.iter().map(|b| format!("{b:02x}")).collect();
         let keys = self.file("keys", &key)?;
@@ -234,19 +303,10 @@
         let periods: String =
             self.script.periods.iter().map(|(name, value)| format!(" {name}=\"{value}\"")).collect();
         let program = program.map_or_else(String::new, |program| format!(" program=\"{program}\""));
-        let budget = match self.script.calls_a_second {
-            0 => String::new(),
-            limit => {
-                let arbiters = "<arbiter name=\"n0\"/><arbiter name=\"n1\"/><arbiter name=\"n2\"/>";
-                let (floor, most) = (self.script.floor, self.nodes.len());
-                format!(
-                    "{arbiters}<calls-budget name=\"below\" a-second=\"{limit}\" floor=\"{floor}\" nodes-most=\"{most}\"/>"
-                )
-            }
-        };
+        let (shared, rules) = (self.shared(), self.rules());
         let settings = format!(
-            "<translator version=\"1\" number=\"1\"><fleet name=\"{FLEET}\" keys=\"{}\"{program}>{seeds}{budget}<periods{periods}/>\
-             </fleet>{}</translator>",
+            "<translator version=\"1\" number=\"1\">{rules}<fleet name=\"{FLEET}\" keys=\"{}\"{program}>{seeds}{shared}\
+             <periods{periods}/></fleet>{}</translator>",
             keys.display(),
             self.setting.more
         );
@@ -296,16 +356,19 @@
         }
         node.excuse_ends();
         self.record.note(&node.place.name, "rig", format!("started as {} on {listen}", node.name));
-        if node.load.is_none() && self.script.load > 0 {
+        let callers = if self.script.load > 0 { self.script.callers.max(1) } else { 0 };
+        for caller in node.load.len() as u64..callers {
             let load = Load {
                 front: node.front.address,
-                every: Duration::from_secs(1) / self.script.load as u32,
+                pace: Arc::clone(&node.pace),
+                caller: (n as u64) << 32 | caller,
+                seed: self.script.seed,
                 state: Arc::clone(&node.state),
                 checker: Arc::clone(&node.checker),
                 worker: node.worker.clone(),
                 stop: Arc::clone(&self.stop),
             };
-            node.load = Some(thread::spawn(move || load.run()));
+            node.load.push(thread::spawn(move || load.run()));
         }
         Ok(())
     }
@@ -398,6 +461,7 @@
             }
             Action::Pause { node, time } => {
                 let n = self.node(node);
+                self.pauses += 1;
                 self.nodes[n].excuse(Some(Instant::now() + *time + Duration::from_secs(1)));
                 lock(&self.nodes[n].state).paused = true;
                 self.nodes[n].signal(Signal::STOP);
@@ -423,6 +487,47 @@
                     self.fail(format!("step {at}: {e}"));
                 }
             }
+            Action::Load { to, a_second, keys } => {
+                let callers = self.script.callers.max(1) as u32;
+                for node in &self.nodes {
+                    if to.has(&node.place.name, &node.place.zone) {
+                        let mut pace = lock(&node.pace);
+                        pace.every = Duration::from_secs(1) * callers / (*a_second).max(1) as u32;
+                        pace.keys = keys.unwrap_or(pace.keys);
+                    }
+                }
+            }
+            Action::Service { time, dies: true, .. } => self.service.dies(*time),
+            Action::Service { time, zone, slower, fails, .. } => {
+                self.service.trouble(zone.clone(), *time, *slower, *fails);
+            }
+            Action::Holds { node, what, within } => {
+                let (begun, n) = (Instant::now(), self.node(node));
+                match self.holds(n, what, begun + *within) {
+                    Ok(()) => self.took(format!("{node} holds {what}, step {at}"), begun),
+                    Err(found) => {
+                        self.fail(format!(
+                            "step {at}: {node} did not hold {what} within {within:?}: {found}"
+                        ));
+                    }
+                }
+            }
+            Action::Used { over, least, within } => {
+                let begun = Instant::now();
+                let limit = f64::from(self.script.calls_a_second.max(1)) * over.as_secs_f64();
+                let mut used = 0.0;
+                while begun.elapsed() < *within && used < *least {
+                    thread::sleep(Duration::from_millis(50));
+                    used = self.service.lately(*over) as f64 / limit;
+                }
+                if used >= *least {
+                    self.took(format!("{least} of the limit is used, step {at}"), begun);
+                } else {
+                    self.fail(format!(
+                        "step {at}: {used:.2} of the limit is used after {within:?}, {least} wanted"
+                    ));
+                }
+            }
             Action::Stranger { to, a_second, time } => self.stranger(to, *a_second, *time),
             Action::Settled { within, sides } => {
                 let begun = Instant::now();
@@ -442,6 +547,29 @@
         }
     }
 
+    /// Asks a node for all that it holds of what is shared, until it holds this; else gives what it held last.
+    fn holds(&self, n: usize, what: &str, until: Instant) -> Result<(), String> {
+        let node = &self.nodes[n];
+        let socket = UdpSocket::bind((node.bind.ip(), 0)).map_err(|e| e.to_string())?;
+        socket.set_read_timeout(Some(LOOK)).map_err(|e| e.to_string())?;
+        let seed =
+            u64::from(std::process::id()) << 24 | u64::from(socket.local_addr().map_or(1, |a| a.port()));
+        let keys = Keys::new(&[KEY.to_vec()])?;
+        let mut observer = Observer::new(FLEET, keys, seed | 1 << 50, 600_000_000_000).about(1);
+        let (begun, mut last) = (Instant::now(), "nothing".to_owned());
+        while Instant::now() < until {
+            if let Some(bytes) = pages(&socket, node.bind, &mut observer, begun) {
+                let shown = Shown::decode(bytes.as_slice()).map_err(|e| e.to_string())?;
+                if has(&shown, what) {
+                    return Ok(());
+                }
+                last = shown.why().join("; ");
+            }
+            thread::sleep(BETWEEN);
+        }
+        Err(last)
+    }
+
     fn took(&mut self, what: String, begun: Instant) {
         self.record.note("rig", "took", format!("{what}: {} ms", begun.elapsed().as_millis()));
         self.outcome.took.push((what, begun.elapsed().as_secs_f64()));
@@ -588,6 +716,46 @@
         }
     }
 
+    /// The records of the service below and of keys are the judges of all limits.
+    fn limits(&mut self) {
+        let below = self.service.recorded();
+        (self.outcome.below, self.outcome.keys_ran) = (below, self.keys.ran());
+        let nodes = self.nodes.len();
+        let mut wrong = Vec::new();
+        let limit = self.script.calls_a_second as usize;
+        // What may be saved: 50 ms of the limit, or a call of each node; and of a second's edges a call of each.
+        let saved = (limit / 20).max(nodes) + nodes;
+        if limit > 0 && below.most_in_a_second > limit + saved {
+            let most = below.most_in_a_second;
+            wrong.push(format!("{most} calls below in a second, {limit} and {saved} saved allowed"));
+        }
+        let hands = self.script.calls_in_hand as usize;
+        // A call that was checked just before a node stood still goes out when it wakes.
+        if hands > 0 && below.most_in_hand > hands + self.pauses {
+            wrong.push(format!("{} calls below in hand, {hands} allowed", below.most_in_hand));
+        }
+        if below.falls > 0 {
+            wrong.push(format!("the service below died {} times by itself", below.falls));
+        }
+        let tries = self.script.below.tries_most.filter(|most| below.came_while_down > *most);
+        if let Some(most) = tries {
+            wrong.push(format!(
+                "{} tries while the service below was down, {most} allowed",
+                below.came_while_down
+            ));
+        }
+        let keys = &self.script.keys;
+        let (in_hand, over) = self.keys.worst(f64::from(keys.a_second), f64::from(keys.burst));
+        // Runs begin when the kernel hears of them: those let in one after the other may come together, one of each node.
+        if keys.a_second > 0 && over > nodes as f64 {
+            wrong.push(format!("a key was over its limit by {over:.1}"));
+        }
+        if keys.in_hand > 0 && in_hand > keys.in_hand as usize + self.pauses {
+            wrong.push(format!("{in_hand} of a key in hand, {} allowed", keys.in_hand));
+        }
+        self.outcome.failures.extend(wrong);
+    }
+
     /// Stops all and looks at the whole of it.
     fn end(mut self) -> Outcome {
         for n in 0..self.nodes.len() {
@@ -601,7 +769,7 @@
         }
         self.stop.store(true, SeqCst);
         for node in &mut self.nodes {
-            if let Some(load) = node.load.take() {
+            for load in node.load.drain(..) {
                 let _ = load.join();
             }
         }
@@ -622,18 +790,7 @@
                 }
             }
         }
-        let limit = self.script.calls_a_second as usize;
-        if limit > 0 {
-            let (most, all) = self.calls.most_in_a_second();
-            // What may be saved: 50 ms of the limit, or a call of each node; and of a second's edges a call of each.
-            let saved = (limit / 20).max(self.nodes.len()) + self.nodes.len();
-            self.outcome.calls = (most, all);
-            if most > limit + saved {
-                self.outcome
-                    .failures
-                    .push(format!("{most} calls below in a second, {limit} and {saved} saved allowed"));
-            }
-        }
+        self.limits();
         let joined = self.record.joined();
         for line in &joined {
             if line.what.contains("panicked") || line.what.contains("invariant:") {
@@ -698,10 +855,47 @@
     None
 }
 
+/// One look at what a node shares: all pages, or nothing if it does not answer yet.
+fn pages(socket: &UdpSocket, at: SocketAddr, observer: &mut Observer, begun: Instant) -> Option<Vec<u8>> {
+    let unix = || unix_ms().parse::<u64>().unwrap_or(0);
+    let mut buffer = [0; 2048];
+    for _ in 0..64 {
+        socket.send_to(&observer.question(unix()), at).ok()?;
+        loop {
+            let (n, _) = socket.recv_from(&mut buffer).ok()?;
+            match observer.page(begun.elapsed().as_nanos() as u64, unix(), &buffer[..n]) {
+                Ok((_, Some(bytes))) => return Some(bytes),
+                Ok((true, None)) => break,
+                _ => {}
+            }
+        }
+    }
+    None
+}
+
+/// Whether a node holds this.
+fn has(shown: &Shown, what: &str) -> bool {
+    let mode = shown.service.as_ref().map_or("", |service| service.mode.as_str());
+    match what {
+        "floor" => shown.budgets.iter().all(|budget| budget.units <= budget.floor),
+        "lent" => shown.budgets.iter().any(|budget| budget.units > budget.floor),
+        "lends" => shown.lends,
+        "keys-deaf" => shown.keys_deaf,
+        "keys-heard" => !shown.keys_deaf && shown.keys_heard_ms.is_some(),
+        what => match what.strip_prefix("counts-") {
+            Some(processes) => processes.parse() == Ok(shown.processes),
+            None => what == mode,
+        },
+    }
+}
+
 /// Requests to one node, one after the other, through the relay.
 struct Load {
     front: SocketAddr,
-    every: Duration,
+    pace: Arc<Mutex<Pace>>,
+    /// Its number, and the seed of its keys.
+    caller: u64,
+    seed: u64,
     state: Arc<Mutex<State>>,
     checker: Arc<Mutex<Checker>>,
     worker: Worker,
@@ -713,8 +907,10 @@
         let mut stream: Option<TcpStream> = None;
         let mut next = Instant::now();
         let mut turn = 0usize;
+        let mut rng = Pcg64Mcg::seed_from_u64(self.seed ^ self.caller);
         while !self.stop.load(SeqCst) {
-            next = (next + self.every).max(Instant::now());
+            let Pace { every, keys: (first, last) } = *lock(&self.pace);
+            next = (next + every).max(Instant::now());
             thread::sleep(next.saturating_duration_since(Instant::now()));
             let is_up = lock(&self.state).running;
             if !is_up {
@@ -725,21 +921,24 @@
             let path = ["/call/read", "/call/book", "/call/pay"][turn % 3];
             let kept = stream.take().or_else(|| TcpStream::connect(self.front).ok());
             let Some(connected) = kept else { continue };
-            stream = self.ask(connected, path, &rid());
+            let key = format!("k{}", rng.random_range(first..=last.max(first)));
+            stream = self.ask(connected, path, &rid(), &key);
         }
     }
 
     /// Sends one and waits for its answer; gives the connection back if it can be used again.
-    fn ask(&self, stream: TcpStream, path: &str, id: &str) -> Option<TcpStream> {
-        let kept = self.exchange(stream, path, id);
+    fn ask(&self, stream: TcpStream, path: &str, id: &str, key: &str) -> Option<TcpStream> {
+        let kept = self.exchange(stream, path, id, key);
         self.worker.request_over(id);
         kept
     }
 
-    fn exchange(&self, mut stream: TcpStream, path: &str, id: &str) -> Option<TcpStream> {
+    fn exchange(&self, mut stream: TcpStream, path: &str, id: &str, key: &str) -> Option<TcpStream> {
         let begun = Instant::now();
         let arrived = unix_ms();
-        let bytes = wire::request(1, &wire::call(path, id, &arrived), b"body");
+        let mut params = wire::call(path, id, &arrived);
+        params.push(("HTTP_X_KEY", key));
+        let bytes = wire::request(1, &params, key.as_bytes());
         stream.set_nodelay(true).ok()?;
         stream.set_read_timeout(Some(Duration::from_millis(100))).ok()?;
         // A connection that the node closed while it was idle is no loss: nothing was read from it.
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -1,5 +1,6 @@
 //! A kernel that works by itself: takes links one after the other, tells gauges, and ends each run by a script.
 
+use crate::keys::KeyRecord;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::Value;
@@ -32,6 +33,9 @@
     calling: HashMap<String, String>,
     /// How many runs end as ERROR, by route.
     errors: HashMap<String, usize>,
+    /// What runs, by key, where that is recorded: bodies are keys then.
+    record: Option<KeyRecord>,
+    running: HashMap<String, String>,
     notices: u64,
     /// What was said of runs, by number, for a link that missed it.
     told: VecDeque<(u64, String)>,
@@ -99,6 +103,7 @@
                 let body = STANDARD.decode(text("b64")).unwrap_or_default();
                 let started = Started { rid: text("rid"), route: text("route"), body };
                 if state.started.iter().all(|s| s.rid != started.rid) {
+                    state.began(&started);
                     if state.holds {
                         state.held.push(started.rid.clone());
                     } else if state.calls {
@@ -156,6 +161,13 @@
         state.told.clear();
         state.held.clear();
         state.calling.clear();
+        let running: Vec<String> = state.running.keys().cloned().collect();
+        running.iter().for_each(|rid| state.over(rid));
+    }
+
+    /// From here on what runs is recorded by key; the bodies of requests are their keys.
+    pub fn record_keys(&self, record: KeyRecord) {
+        self.state.0.lock().unwrap().record = Some(record);
     }
 
     /// From here on runs call below, once each, or not.
@@ -222,7 +234,22 @@
         self.reap(rid, if fails { "ERROR" } else { "OK" });
     }
 
+    fn began(&mut self, started: &Started) {
+        if let Some(record) = &self.record {
+            let key = String::from_utf8_lossy(&started.body).into_owned();
+            record.began(&key);
+            self.running.insert(started.rid.clone(), key);
+        }
+    }
+
+    fn over(&mut self, rid: &str) {
+        if let (Some(record), Some(key)) = (&self.record, self.running.remove(rid)) {
+            record.ended(&key);
+        }
+    }
+
     fn reap(&mut self, rid: &str, status: &str) {
+        self.over(rid);
         let body = STANDARD.encode(result(rid));
         self.notice(|no| {
             format!(
