--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -27,7 +27,6 @@
 mod tests;
 
 use sketch::{Counts, Times};
-pub use table::NumberHasher;
 use table::{Entry, Table};
 use wheel::Wheel;
 
--- a/crates/limits/src/table.rs
+++ b/crates/limits/src/table.rs
@@ -15,11 +15,11 @@
     pub in_hand: u32,
 }
 
-/// Hashes keys that are numbers: they came out of a hash with a secret, so that they need no other.
+/// Keys are numbers that came out of a hash with a secret, so that they need no other.
 #[derive(Clone, Copy, Default)]
-pub struct NumberHasher(u64);
+struct Plain(u64);
 
-impl Hasher for NumberHasher {
+impl Hasher for Plain {
     fn finish(&self) -> u64 {
         self.0
     }
@@ -35,7 +35,7 @@
 }
 
 pub struct Table {
-    by_key: HashMap<(u32, u64), u32, BuildHasherDefault<NumberHasher>>,
+    by_key: HashMap<(u32, u64), u32, BuildHasherDefault<Plain>>,
     entries: slab::Slab<Entry>,
     /// Places that were ever in use.
     places: usize,
--- a/crates/shared/examples/compare.rs
+++ b/crates/shared/examples/compare.rs
@@ -1,13 +1,17 @@
-//! Three ways to keep a limit for a whole fleet, by the same scripts: leases (this package), an even part by the nodes in sight
-//! (sight 5 s late), a central counter. Prints one table.
+//! Ways to keep a limit for a whole fleet, by the same scripts: this package (leases for calls, units for keys), an even part by the
+//! nodes in sight (sight 5 s late), a central counter. Prints tables.
 //!
-//!     cargo run --release -p madderpoint-shared --example compare -- 10 100 300
+//!     cargo run --release -p madderpoint-shared --example compare -- 10 300 3000
+//!     cargo run --release -p madderpoint-shared --example compare -- keys 10 300
 
-use madderpoint_shared::sim::{Load, Measured, Plan, Sim, Way};
+use madderpoint_shared::keyed::{KeyBudget, KeyKind};
+use madderpoint_shared::sim::{KeyLoad, Load, Plan, Sim, Way};
 use madderpoint_shared::{Budget, Kind, Nanos};
+use rand::RngExt;
 
 const MS: Nanos = 1_000_000;
 const S: Nanos = 1000 * MS;
+const WAYS: [Way; 3] = [Way::Leases, Way::EvenByView, Way::Counter];
 
 fn plan(nodes: usize, way: Way, seed: u64) -> Plan {
     let limit = 100 * nodes as u32;
@@ -44,44 +48,64 @@
     Box::new(|n, now| if (n as u64 + now / (4 * S)).is_multiple_of(5) { 1000.0 } else { 1.0 })
 }
 
+/// Seconds that a fleet of this size has to settle: terms get longer with it.
 fn settle(sim: &mut Sim) {
-    sim.run(12 * S);
-    sim.measured = Measured::of(sim.plan.nodes);
+    let time = if sim.plan.nodes > 600 { 60 } else { 12 };
+    sim.run(time * S);
+    sim.measure_anew();
 }
 
-fn line(name: &str, way: Way, nodes: usize, seconds: u64, sim: &Sim) {
+fn line(name: &str, way: Way, seconds: u64, sim: &Sim) {
     let m = &sim.measured;
     let limit = f64::from(sim.plan.budget.limit);
+    let nodes = sim.plan.nodes as f64;
     println!(
-        "| {nodes} | {name} | {way:?} | {:.2} | {:.2} | {} | {:.1} |",
+        "| {} | {name} | {way:?} | {:.2} | {:.2} | {} | {:.1} | {:.0} |",
+        sim.plan.nodes,
         m.made as f64 / seconds as f64 / limit,
         m.worst_over / limit,
         m.seconds_over,
-        m.messages as f64 / seconds as f64 / nodes as f64
+        m.messages as f64 / seconds as f64 / nodes,
+        m.bytes as f64 / seconds as f64 / nodes
     );
 }
 
-fn main() {
-    let sizes: Vec<usize> = std::env::args().skip(1).filter_map(|text| text.parse().ok()).collect();
+/// Until nine tenths of the limit are in use after all demand has moved to others.
+fn adapts(nodes: usize, way: Way) -> Option<Nanos> {
+    let mut sim = Sim::new(plan(nodes, way, 1), skewed());
+    settle(&mut sim);
+    sim.load(Box::new(|n, _| if n % 5 == 1 { 1000.0 } else { 1.0 }));
+    let begun = sim.now;
+    while sim.now < begun + 60 * S {
+        let before = sim.measured.made;
+        sim.run(200 * MS);
+        if (sim.measured.made - before) as f64 >= 0.9 * f64::from(sim.plan.budget.limit) / 5.0 {
+            return Some(sim.now - begun);
+        }
+    }
+    None
+}
+
+fn calls(sizes: &[usize]) {
     println!(
-        "| nodes | script | way | share of the limit in use | worst over, of the limit | seconds over | messages/s a node |"
+        "| nodes | script | way | share of the limit in use | worst over, of the limit | seconds over | messages/s a node | B/s a node |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- |");
-    for nodes in if sizes.is_empty() { vec![10] } else { sizes } {
-        for way in [Way::Leases, Way::EvenByView, Way::Counter] {
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for nodes in sizes.iter().copied() {
+        for way in WAYS {
             for (name, load) in
                 [("even demand", even as fn() -> Load), ("skewed", skewed), ("moving", moving)]
             {
                 let mut sim = Sim::new(plan(nodes, way, 1), load());
                 settle(&mut sim);
                 sim.run(20 * S);
-                line(name, way, nodes, 20, &sim);
+                line(name, way, 20, &sim);
             }
             let mut sim = Sim::new(plan(nodes, way, 1), even());
             settle(&mut sim);
             sim.cut(|a, b| a % 3 != b % 3);
             sim.run(20 * S);
-            line("cut in thirds", way, nodes, 20, &sim);
+            line("cut in thirds", way, 20, &sim);
             let mut sim = Sim::new(plan(nodes, way, 1), even());
             settle(&mut sim);
             for n in 0..nodes / 2 {
@@ -89,12 +113,106 @@
                 sim.run(20 * S / (nodes as u64 / 2).max(1));
                 sim.start(n * 2);
             }
-            line("half replaced in 20 s", way, nodes, 20, &sim);
+            line("half replaced in 20 s", way, 20, &sim);
             let mut sim = Sim::new(plan(nodes, way, 1), even());
             settle(&mut sim);
             sim.crash(0);
             sim.run(20 * S);
-            line("the first node dies", way, nodes, 20, &sim);
+            line("the first node dies", way, 20, &sim);
+            let adapted =
+                adapts(nodes, way).map_or("never".to_owned(), |time| format!("{:.1} s", time as f64 / 1e9));
+            println!("| {nodes} | nine tenths in use after a move | {way:?} | {adapted} | | | | |");
+        }
+    }
+}
+
+/// Keys of a tenth as many as nodes, at least five; each 20 a second, 4 a node saved.
+fn key_plan(nodes: usize, way: Way, seed: u64) -> (Plan, u64) {
+    let (most, keys) = (nodes as u32 * 5 / 4, (nodes as u64 / 10).max(5));
+    let kind = KeyKind::Rate { count: 20, period: S, burst: 4 * most };
+    let budget = KeyBudget { name: "k".into(), kind, floor: 1, nodes_most: most };
+    (Plan { keys: Some(budget), key_bytes: 4 << 20, ..plan(nodes, way, seed) }, keys)
+}
+
+fn spread(nodes: usize, keys: u64, a_second: f64) -> KeyLoad {
+    let mut owed = 0.0;
+    Box::new(move |_, rng| {
+        owed += a_second * keys as f64 / 200.0;
+        let n = owed as usize;
+        owed -= n as f64;
+        (0..n).map(|_| (rng.random_range(0..nodes), rng.random_range(0..keys))).collect()
+    })
+}
+
+/// All tries of a key at one node of twenty, which moves every 10 s where it does.
+fn at_few(nodes: usize, keys: u64, a_second: f64, moves: bool) -> KeyLoad {
+    let mut owed = 0.0;
+    Box::new(move |now, rng| {
+        owed += a_second * keys as f64 / 200.0;
+        let n = owed as usize;
+        owed -= n as f64;
+        let step = if moves { now / (10 * S) } else { 0 };
+        let one = |key: u64, rng: &mut rand_pcg::Pcg64Mcg| {
+            let few = (nodes / 20).max(1);
+            (((key + step) as usize * 7 + rng.random_range(0..few)) % nodes, key)
+        };
+        (0..n)
+            .map(|_| {
+                let key = rng.random_range(0..keys);
+                one(key, rng)
+            })
+            .collect()
+    })
+}
+
+fn keys(sizes: &[usize]) {
+    println!(
+        "| nodes | keys | script | way | let through, of what may be | refused at the end, of what was wanted | worst over, units | messages/s a node | B/s a node |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for nodes in sizes.iter().copied() {
+        for way in WAYS {
+            for (name, wanted) in [
+                ("under: 6 of 20 a second, spread", 6.0),
+                ("over: 60 of 20 a second, spread", 60.0),
+                ("over, at one node of twenty", 60.0),
+                ("over, and it moves every 10 s", 60.0),
+                ("over, cut in thirds", 60.0),
+            ] {
+                let (plan, keys) = key_plan(nodes, way, 1);
+                let mut sim = Sim::new(plan, Box::new(|_, _| 0.0));
+                sim.key_load(match name {
+                    "over, at one node of twenty" => at_few(nodes, keys, wanted, false),
+                    "over, and it moves every 10 s" => at_few(nodes, keys, wanted, true),
+                    _ => spread(nodes, keys, wanted),
+                });
+                sim.run(if nodes > 600 { 150 * S } else { 40 * S });
+                if name == "over, cut in thirds" {
+                    sim.cut(|a, b| a % 3 != b % 3);
+                }
+                sim.measure_anew();
+                sim.run(30 * S);
+                let m = &sim.measured;
+                let may = wanted.min(20.0) * keys as f64 * 30.0;
+                println!(
+                    "| {nodes} | {keys} | {name} | {way:?} | {:.2} | {:.2} | {:.0} | {:.1} | {:.0} |",
+                    m.keys_made as f64 / may,
+                    m.keys_refused as f64 / m.keys_wanted.max(1) as f64,
+                    m.keys_over.max(0.0),
+                    m.messages as f64 / 30.0 / nodes as f64,
+                    m.bytes as f64 / 30.0 / nodes as f64
+                );
+            }
         }
     }
 }
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let sizes: Vec<usize> = arguments.iter().filter_map(|text| text.parse().ok()).collect();
+    let sizes = if sizes.is_empty() { vec![10] } else { sizes };
+    match arguments.first().map(String::as_str) {
+        Some("keys") => keys(&sizes),
+        _ => calls(&sizes),
+    }
+}
--- a/crates/shared/src/keyed/books.rs
+++ b/crates/shared/src/keyed/books.rs
@@ -91,8 +91,9 @@
     }
 }
 
-/// Keys by their budget and number, which came out of a hash with a secret.
-type Keys = HashMap<(u32, u64), Entry, std::hash::BuildHasherDefault<madderpoint_limits::NumberHasher>>;
+/// Keys by their budget and number. All nodes number them alike, so that whoever knows by what could choose numbers: the map's
+/// own hash has a secret of its own.
+type Keys = HashMap<(u32, u64), Entry>;
 
 /// What is lent of all keys.
 #[derive(Clone, Debug)]
@@ -234,18 +235,21 @@
         let (pool, out) = (budget.pool(), entry.out());
         let interval = budget.interval().unwrap_or(Nanos::MAX).max(1);
         let needs: u64 = entry.pockets.iter().map(|pocket| u64::from(pocket.need)).sum();
-        let part = f64::from(need) / needs.max(1) as f64;
+        // What they lack, each as it was told last: who has what he needs has no claim on more.
+        let lack = |pocket: &Pocket| u64::from(pocket.need.saturating_sub(pocket.units));
+        let lacks = entry.pockets.iter().map(lack).sum::<u64>().max(1);
         let share = match budget.kind {
             KeyKind::InHand { .. } => {
                 entry.free = pool.saturating_sub(out);
+                let part = f64::from(need) / needs.max(1) as f64;
                 f64::from(need).min(f64::from(pool.max(out)) * part) - f64::from(units)
             }
-            _ if needs <= u64::from(entry.free) + u64::from(out) => f64::from(ask.wants),
+            _ if lacks <= u64::from(entry.free) => f64::from(ask.wants),
             // Where it is short each gets its part of what was made since it asked last, and with time of what is left over.
             _ => {
+                let part = f64::from(ask.wants) / lacks as f64;
                 let in_turn = rhythm.urgent as f64 / interval as f64;
-                let left_over =
-                    (f64::from(entry.free) - in_turn).max(0.0) * passed as f64 / rhythm.renew as f64;
+                let left_over = (f64::from(entry.free) - in_turn).max(0.0) * passed as f64 / rhythm.renew as f64;
                 (passed as f64 / interval as f64 + left_over) * part
             }
         };
@@ -265,7 +269,7 @@
             (false, _) => 0,
             // Its part of what is made: one in so long.
             (true, KeyKind::Rate { .. }) => {
-                interval.saturating_mul(needs / u64::from(need.max(1))).clamp(rhythm.urgent, rhythm.life)
+                interval.saturating_mul(lacks / u64::from(ask.wants.max(1))).clamp(rhythm.urgent, rhythm.life)
             }
             (true, KeyKind::InHand { .. }) => rhythm.renew,
         };
@@ -333,6 +337,7 @@
 mod tests {
     use super::*;
     use crate::SECOND;
+    use rand::seq::SliceRandom;
 
     fn who(key: u64) -> Who {
         Who { key, life: key }
@@ -439,10 +444,12 @@
         let budget = rate(100, 100);
         let mut books = books(&budget);
         let mut now = books.opens() + 100 * SECOND;
-        let mut got = [0, 0, 0];
+        let (mut got, mut rng) = ([0, 0, 0], Pcg64Mcg::seed_from_u64(1));
         for no in 1..400 {
             now += SECOND / 4;
-            for (n, needs) in [60u32, 30, 30].into_iter().enumerate() {
+            let mut turn = [(0, 60), (1, 30), (2, 30)];
+            turn.shuffle(&mut rng);
+            for (n, needs) in turn {
                 let lent = books.ask(now, who(n as u64), &ask(&budget, no, 0, 0, needs));
                 got[n] += adds(lent).unwrap_or(0);
             }
--- a/crates/shared/src/keyed/wallet.rs
+++ b/crates/shared/src/keyed/wallet.rs
@@ -3,18 +3,16 @@
 
 use super::{KEYS_ASKED, KeyAsk, KeyBudget, KeyKind, KeysAsked, KeysLent, Rhythm};
 use crate::{MILLISECOND, Nanos, shorter};
-use madderpoint_limits::NumberHasher;
 use madderpoint_limits::sketch::Times;
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::hash::BuildHasherDefault;
 
-/// What a pocket takes, with its place in the map and the queue; and a cell of the sketch.
-pub const POCKET_BYTES: usize = 184;
+/// What a pocket takes, with its place in the map (which may just have doubled) and the queues; and a cell of the sketch.
+pub const POCKET_BYTES: usize = 280;
 const CELL_BYTES: usize = 8;
 /// What is asked for beyond what was used lately.
 const AHEAD: f64 = 1.25;
 /// What was used lately fades by this with each question.
-const FADES: f64 = 0.7;
+const FADES: f64 = 0.5;
 /// A refusal is followed by a question this soon, so that some that come together are asked for together; and an answer
 /// usually comes within that.
 const TOGETHER: Nanos = 10 * MILLISECOND;
@@ -117,7 +115,8 @@
 }
 
 type Place = (u32, u64);
-type Pockets = HashMap<Place, Pocket, BuildHasherDefault<NumberHasher>>;
+/// By a hash with a secret of its own: see [`super::books`].
+type Pockets = HashMap<Place, Pocket>;
 
 /// What is needed of a budget for each unit, worked out once.
 #[derive(Clone, Copy, Debug)]
@@ -171,7 +170,7 @@
 impl Wallet {
     /// Of a node that has just started: nothing is lent, and floors are empty. It takes about so many bytes.
     pub fn new(now: Nanos, budgets: &[KeyBudget], rhythm: Rhythm, bytes: usize, seed: u64) -> Wallet {
-        let cells = (bytes / 8 / CELL_BYTES).max(64);
+        let cells = (bytes / 4 / CELL_BYTES).max(64);
         let mut wallet = Wallet {
             budgets: BTreeMap::new(),
             terms: BTreeMap::new(),
@@ -179,7 +178,7 @@
             rhythm,
             started: now,
             pockets: Pockets::default(),
-            most: (bytes / 8 * 7 / POCKET_BYTES).max(16),
+            most: (bytes / 4 * 3 / POCKET_BYTES).max(16),
             times: Times::new(cells, seed),
             urgent: Vec::new(),
             urgent_since: 0,
@@ -207,24 +206,22 @@
         self.tallies.retain(|id, _| ids.contains_key(id));
     }
 
-    /// When units of a floor come to a key that nobody used since the start.
-    fn floor_begins(&self, of: &Terms) -> Nanos {
-        self.started.saturating_add(of.floor_interval.saturating_mul(u64::from(of.floor)))
-    }
-
     /// The pocket of a key, made if it is not there; none if there is no room for one.
     fn pocket(&mut self, now: Nanos, place: Place) -> Option<&mut Pocket> {
-        if !self.pockets.contains_key(&place) {
-            if self.pockets.len() >= self.most && !self.make_room(now) {
-                return None;
-            }
-            let begins = self.terms.get(&place.0).map_or(0, |of| self.floor_begins(of));
-            let floor_due = begins.max(self.times.due(place.0, place.1));
-            let later = now + self.rhythm.renew;
-            self.pockets.insert(place, Pocket { floor_due, asked_at: now, later, ..Pocket::default() });
-            self.later.push_back((later, place));
+        if self.pockets.len() >= self.most && !self.pockets.contains_key(&place) && !self.make_room(now) {
+            return None;
         }
-        self.pockets.get_mut(&place)
+        let Wallet { pockets, terms, times, later, rhythm, started, .. } = self;
+        Some(pockets.entry(place).or_insert_with(|| {
+            // A floor begins empty, and goes on where it was before the key was pushed out.
+            let begins = terms.get(&place.0).map_or(0, |of| {
+                started.saturating_add(of.floor_interval.saturating_mul(u64::from(of.floor)))
+            });
+            let floor_due = begins.max(times.due(place.0, place.1));
+            let due = now + rhythm.renew;
+            later.push_back((due, place));
+            Pocket { floor_due, asked_at: now, later: due, ..Pocket::default() }
+        }))
     }
 
     /// Lets go of the pocket that was used least lately of some, unless something of it is in hand. What was lent in it is
--- a/crates/shared/src/sim.rs
+++ b/crates/shared/src/sim.rs
@@ -6,7 +6,7 @@
 use crate::keyed::wallet::Wallet;
 use crate::keyed::{KeyBudget, KeyKind, KeysLent};
 use crate::purse::{Budget, Ends, Kind};
-use crate::shared::{Host, Settings, Shared, Want};
+use crate::shared::{Host, Message, Settings, Shared, Want};
 use crate::treasury::Part;
 use crate::wire::{Told, write};
 use crate::{MILLISECOND, Nanos, SECOND, Who};
@@ -181,9 +181,11 @@
     pub lenders_most: usize,
     key_load: Option<KeyLoad>,
     key_record: KeyRecord,
-    /// Callers who come back: when, how often they came, which key. And what is in hand: until when, of whom, which key.
-    key_retries: BinaryHeap<Reverse<(Nanos, u32, u64)>>,
+    /// Callers who come back: when, to whom, how often they came, which key. And what is in hand: until when, of whom, which key.
+    key_retries: BinaryHeap<Reverse<(Nanos, usize, u32, u64)>>,
     key_hands: BinaryHeap<Reverse<(Nanos, usize, u64, u64)>>,
+    /// For plain ways: when a next one of a key would come evenly, at a node.
+    plain_keys: HashMap<(usize, u64), Nanos>,
 }
 
 /// Tries of a caller who is told to come back.
@@ -230,6 +232,7 @@
             key_record: KeyRecord::default(),
             key_retries: BinaryHeap::new(),
             key_hands: BinaryHeap::new(),
+            plain_keys: HashMap::new(),
             plan,
         };
         (0..sim.nodes.len()).for_each(|n| sim.start(n));
@@ -320,11 +323,59 @@
         (write(told).len() + FRAME) as u64
     }
 
+    /// From here on what happens is measured anew; what is in hand stays.
+    pub fn measure_anew(&mut self) {
+        self.measured = Measured::of(self.nodes.len());
+        self.key_record.keys.values_mut().for_each(|(due, _)| *due = 0);
+    }
+
     /// Has keys tried for.
     pub fn key_load(&mut self, load: KeyLoad) {
         self.key_load = Some(load);
     }
 
+    /// Whether one of a key may go by a plain way, for rates: an even part by the nodes in sight, or a central counter.
+    fn plain_key(&mut self, way: Way, n: usize, key: u64, kind: KeyKind) -> Result<(), Nanos> {
+        let KeyKind::Rate { count, period, burst } = kind else { return Err(SECOND) };
+        let even = period / u64::from(count);
+        let (place, interval, most) = match way {
+            Way::EvenByView => {
+                let there = self.in_sight(n).max(1) as u64;
+                ((n, key), even * there, (u64::from(burst) / there).max(1))
+            }
+            _ => {
+                let lost = self.plan.loss > 0.0 && self.rng.random_bool(1.0 - (1.0 - self.plan.loss).powi(2));
+                self.asks_counter();
+                let reached = n == 0 || !(self.cut)(n, 0) && !(self.cut)(0, n);
+                let counts = self.nodes[0].shared.is_some() && self.nodes[0].still_until <= self.now;
+                if lost || !reached || !counts {
+                    return Err(SECOND / 10);
+                }
+                ((0, key), even, u64::from(burst))
+            }
+        };
+        let due = self.plain_keys.entry(place).or_default();
+        let wait = due.saturating_sub(self.now + interval * (most - 1));
+        if wait > 0 {
+            return Err(wait);
+        }
+        *due = (*due).max(self.now) + interval;
+        Ok(())
+    }
+
+    /// A question to a central counter and its answer.
+    fn asks_counter(&mut self) {
+        self.measured.messages += 2;
+        self.measured.bytes += 2 * Self::bytes(&Told::Budgets(Message::Want { no: 1 }));
+    }
+
+    /// Nodes that one has in sight: whom it saw some time ago, but for those whom it can't hear.
+    fn in_sight(&self, n: usize) -> usize {
+        let then = self.now.saturating_sub(self.plan.sight);
+        let seen = self.changes.iter().rev().find(|(at, _)| *at <= then).or(self.changes.front());
+        seen.map_or(1, |(_, up)| (0..up.len()).filter(|&m| up[m] && !(self.cut)(m, n)).count())
+    }
+
     fn try_keys(&mut self) {
         let Some(budget) = self.plan.keys.clone() else { return };
         while self.key_hands.peek().is_some_and(|Reverse((end, ..))| *end <= self.now) {
@@ -342,16 +393,25 @@
         }
         self.measured.keys_wanted += tries.len() as u64;
         while self.key_retries.peek().is_some_and(|Reverse((due, ..))| *due <= now) {
-            let Some(Reverse((_, times, key))) = self.key_retries.pop() else { break };
-            tries.push((self.rng.random_range(0..self.nodes.len()), key, times));
+            let Some(Reverse((_, n, times, key))) = self.key_retries.pop() else { break };
+            tries.push((n, key, times));
         }
         for (n, key, times) in tries {
             let (clock, life) = (self.clock(n), self.nodes[n].life);
             let still = self.nodes[n].still_until > now;
             let Some(shared) = self.nodes[n].shared.as_mut().filter(|_| !still) else { continue };
-            match shared.host.wallet.fits(clock, budget.id(), key) {
+            let fits = match self.plan.way {
+                Way::Leases => {
+                    let fits = shared.host.wallet.fits(clock, budget.id(), key);
+                    if fits.is_ok() {
+                        shared.host.wallet.take(clock, budget.id(), key);
+                    }
+                    fits.map_err(|refused| refused.pause)
+                }
+                way => self.plain_key(way, n, key, budget.kind),
+            };
+            match fits {
                 Ok(()) => {
-                    shared.host.wallet.take(clock, budget.id(), key);
                     self.measured.keys_made += 1;
                     self.measured.keys_by_node[n] += 1;
                     let over = self.key_record.came(now, key, budget.kind);
@@ -363,8 +423,8 @@
                         self.key_record.over(key);
                     }
                 }
-                Err(refused) if times < KEY_TRIES => {
-                    self.key_retries.push(Reverse((now + refused.pause, times + 1, key)));
+                Err(pause) if times < KEY_TRIES => {
+                    self.key_retries.push(Reverse((now + pause, n, times + 1, key)));
                 }
                 Err(_) => self.measured.keys_refused += 1,
             }
@@ -465,7 +525,7 @@
             let now = self.clock(n);
             let node = &mut self.nodes[n];
             if let Some(shared) = &mut node.shared {
-                if shared.next() <= now {
+                if shared.next() <= now && self.plan.way == Way::Leases {
                     shared.wake(now);
                 }
                 if self.plan.counted > 0 && now >= node.tells {
@@ -526,11 +586,7 @@
                 self.nodes[n].shared.as_mut().is_some_and(|shared| shared.host.ends.take(now, false).is_ok())
             }
             Way::EvenByView => {
-                // Whom it saw some time ago, but for those whom it can't hear.
-                let then = self.now.saturating_sub(self.plan.sight);
-                let seen = self.changes.iter().rev().find(|(at, _)| *at <= then).or(self.changes.front());
-                let there =
-                    seen.map_or(1, |(_, up)| (0..up.len()).filter(|&m| up[m] && !(self.cut)(m, n)).count());
+                let there = self.in_sight(n);
                 let share = f64::from(self.plan.budget.limit) / there.max(1) as f64;
                 let node = &mut self.nodes[n];
                 let passed = (self.now - node.up_since) as f64 / SECOND as f64;
@@ -543,7 +599,7 @@
             Way::Counter => {
                 let reached = n == 0 || !(self.cut)(n, 0) && !(self.cut)(0, n);
                 let lost = self.plan.loss > 0.0 && self.rng.random_bool(1.0 - (1.0 - self.plan.loss).powi(2));
-                self.measured.messages += 2;
+                self.asks_counter();
                 let counts = self.nodes[0].shared.is_some() && self.nodes[0].still_until <= self.now;
                 let may = reached && counts && !lost && self.counter_saved >= 1.0;
                 self.counter_saved -= if may { 1.0 } else { 0.0 };
