--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -547,7 +547,11 @@
         let wants = {
             let mut desk = self.desk.borrow_mut();
             desk.set_timer(WANTS, Timer::Wants);
-            desk.budgets.as_mut().map(|budgets| budgets.wants(now))
+            let value = desk.mean_value();
+            desk.budgets.as_mut().map(|budgets| {
+                value.into_iter().for_each(|value| budgets.set_value(value));
+                budgets.wants(now)
+            })
         };
         if let Some(wants) = wants {
             self.say(|_| Some(Word::Wants { at: now, wants }));
--- a/crates/node/src/desk/counting.rs
+++ b/crates/node/src/desk/counting.rs
@@ -92,6 +92,13 @@
         }
     }
 
+    /// The mean billed value of what came lately: what a unit of the fleet's budgets is worth here.
+    pub fn mean_value(&self) -> Option<f64> {
+        let tally = &self.counting.as_ref()?.tally;
+        let (asked, arrived) = (tally.lately(column::ASKED), tally.lately(column::ARRIVED));
+        (arrived > 0).then(|| asked as f64 / THOUSANDTHS / arrived as f64)
+    }
+
     /// What there is to say of it, without who says it.
     pub fn counted_word(&self) -> Option<counts::Word> {
         // The window before this one too: what came to it since the last word is told with it.
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -4,6 +4,7 @@
 use madderpoint::Effect;
 use madderpoint_settings::schema::Schema;
 use madderpoint_settings::{Complaints, Known, SCHEMA, read, xml};
+use madderpoint_shared::keyed::KeyKind;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -286,6 +287,15 @@
             "0 arbiters; expected an odd number",
         ),
         ("<arbiter name=\"a\"/><arbiter name=\"a\"/>", "", "a second arbiter 'a'"),
+        ("<arbiter name=\"a\"/><arbiter name=\"b\"/>", "", "2 arbiters; expected an odd number"),
+        (
+            "<arbiter name=\"a\"/><calls-budget name=\"b\" a-second=\"50\" floor=\"1\" nodes-most=\"9\"/>\
+             <calls-budget name=\"b\" a-second=\"60\" floor=\"1\" nodes-most=\"9\"/>",
+            "",
+            "a second budget 'b'",
+        ),
+        ("<service name=\"s\" slow=\"20m\"/>", "", "fleet/service/@slow: \"20m\" is out of range"),
+        ("<service name=\"s\"/><service name=\"t\"/>", "", "one too many"),
         ("", "zone=\"a b\"", "does not fit"),
         ("", "port=\"1\"", "unknown attribute"),
     ] {
@@ -298,3 +308,41 @@
             .contains("'keys' is missing")
     );
 }
+
+/// A limit by key of the whole fleet: what it needs, and what is wrong with it, is told with its bucket.
+#[test]
+fn limits_by_key_of_the_fleet_are_read_or_told_with_their_place() {
+    let file = |bucket: &str, fleet: &str| {
+        format!("<translator version=\"1\">\n<rules><bucket {bucket}/></rules>{fleet}</translator>")
+    };
+    let fleet = "<fleet name=\"f\" keys=\"k\"><arbiter name=\"a\"/></fleet>";
+    let good = "name=\"b\" scope=\"fleet\" rate=\"90/m\" burst=\"60\" in-hand=\"50\" floor=\"1\" nodes-most=\"40\" longest=\"2s\"";
+    let read = read("t.xml", &file(good, fleet), &known()).unwrap();
+    let rules = read.rules.unwrap();
+    let kinds: Vec<KeyKind> = rules.fleet.iter().map(|(_, budget)| budget.kind).collect();
+    let (period, longest) = (60_000_000_000, 2_000_000_000);
+    assert_eq!(
+        kinds,
+        [KeyKind::Rate { count: 90, period, burst: 60 }, KeyKind::InHand { limit: 50, longest }]
+    );
+    assert_eq!((rules.fleet[0].1.floor, rules.fleet[1].1.nodes_most, rules.buckets[0].rate), (1, 40, None));
+    for (bucket, fleet, told) in [
+        (good, "", "t.xml:2:2: bucket 'b': a limit of the whole fleet, and no fleet with arbiters"),
+        ("name=\"b\" scope=\"fleet\" rate=\"9/s\"", fleet, "'nodes-most' is missing"),
+        (
+            "name=\"b\" scope=\"fleet\" rate=\"9/s\" burst=\"40\" floor=\"1\" nodes-most=\"40\"",
+            fleet,
+            "the floors of 40 nodes are 40, and nothing of the burst of 40 is left to lend",
+        ),
+        ("name=\"b\" rate=\"9/s\" floor=\"1\"", fleet, "'floor' of a limit that each node has"),
+        (
+            "name=\"b\" scope=\"fleet\" total=\"9\" nodes-most=\"40\"",
+            fleet,
+            "'total' of a limit of the whole fleet",
+        ),
+        ("name=\"b\" scope=\"world\" rate=\"9/s\"", fleet, "does not fit"),
+    ] {
+        let shown = wrong(&file(bucket, fleet)).to_string();
+        assert!(shown.contains(told), "{bucket}: {shown}");
+    }
+}
--- a/crates/shared/src/counts.rs
+++ b/crates/shared/src/counts.rs
@@ -237,6 +237,13 @@
         Word { who, label, total: self.total.clone(), windows: latest }
     }
 
+    /// Of all operations, in the latest two windows.
+    pub fn lately(&self, column: usize) -> u64 {
+        let latest = self.windows.values().rev().take(2);
+        let rows = latest.flat_map(|window| window.rows.iter().filter(|(row, _)| **row != OWN));
+        rows.map(|(_, numbers)| numbers[column]).sum()
+    }
+
     /// Since the start.
     pub fn total(&self, row: u32, column: usize) -> u64 {
         self.total.get(&row).map_or(0, |row| row[column])
--- a/crates/shared/src/keyed/books.rs
+++ b/crates/shared/src/keyed/books.rs
@@ -249,7 +249,8 @@
             _ => {
                 let part = f64::from(ask.wants) / lacks as f64;
                 let in_turn = rhythm.urgent as f64 / interval as f64;
-                let left_over = (f64::from(entry.free) - in_turn).max(0.0) * passed as f64 / rhythm.renew as f64;
+                let left_over =
+                    (f64::from(entry.free) - in_turn).max(0.0) * passed as f64 / rhythm.renew as f64;
                 (passed as f64 / interval as f64 + left_over) * part
             }
         };
