--- /dev/null
+++ b/crates/rollout/src/change.rs
@@ -0,0 +1,448 @@
+//! What the fleet knows of a change: a value that merges in any order, any number of times, and only ever moves on. Of two words
+//! about one change the later stage holds, and the fate that is nearer to safety: whoever halts needs nobody, and nothing that is
+//! said later brings a change back.
+
+use crate::Nanos;
+use crate::stages::{Plan, Reach};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Changes that are remembered; the oldest that are over go first.
+pub const CHANGES_MAX: usize = 16;
+/// Bytes of a reason.
+pub const REASON_MAX: usize = 160;
+
+/// What a node may run: a number, and the first bytes of a hash that name it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Version {
+    pub number: u64,
+    pub hash: u64,
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({:08x})", self.number, self.hash >> 32)
+    }
+}
+
+/// One change, drawn from who offered what and when.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ChangeId(pub u64);
+
+impl fmt::Display for ChangeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// What is changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Kind {
+    /// Our settings: the file's text is spread by the nodes.
+    #[default]
+    Settings,
+    /// The program: its directory is laid on each machine by others.
+    Program,
+}
+
+/// What has become of a change, from the farthest to the nearest to safety.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Fate {
+    /// It goes on, as far as stages are agreed.
+    #[default]
+    Open,
+    /// The whole fleet runs it, and it is the last good version.
+    Done,
+    /// It never began: another one did, or it can't be run.
+    Refused,
+    /// It goes no further; who runs it runs it on.
+    Halted,
+    /// It is taken back: all run what was before.
+    Back,
+}
+
+impl Fate {
+    /// Its word, as tables show it.
+    pub fn word(self) -> &'static str {
+        ["open", "done", "refused", "halted", "back"][self as usize]
+    }
+
+    pub(crate) fn from_number(number: u32) -> Option<Fate> {
+        [Fate::Open, Fate::Done, Fate::Refused, Fate::Halted, Fate::Back].get(number as usize).copied()
+    }
+}
+
+/// Why, by whom and when.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Reason {
+    /// Unix milliseconds.
+    pub at_ms: u64,
+    /// The key of the node that said so.
+    pub by: u64,
+    pub why: String,
+}
+
+impl Reason {
+    /// A reason, cut to its bound.
+    pub fn new(at_ms: u64, by: u64, why: &str) -> Reason {
+        let end = (0..=REASON_MAX.min(why.len())).rev().find(|end| why.is_char_boundary(*end)).unwrap_or(0);
+        Reason { at_ms, by, why: why[..end].to_owned() }
+    }
+}
+
+/// A change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    pub id: ChangeId,
+    pub kind: Kind,
+    /// What it brings, and what it replaces.
+    pub version: Version,
+    pub base: Version,
+    /// SHA-256 of the content, and its bytes.
+    pub digest: [u8; 32],
+    pub bytes: u32,
+    /// Who offered it, and when by the Unix clock, in milliseconds.
+    pub by: u64,
+    pub at_ms: u64,
+    pub plan: Plan,
+    // What grows.
+    pub reach: Reach,
+    pub fate: Fate,
+    pub reason: Reason,
+}
+
+impl Change {
+    /// The place of a change among those that have not begun: the higher version first, of these the one offered first.
+    pub fn order(&self) -> (std::cmp::Reverse<u64>, u64, ChangeId) {
+        (std::cmp::Reverse(self.version.number), self.at_ms, self.id)
+    }
+
+    /// Whether it has begun, and is not over.
+    pub fn is_under_way(&self) -> bool {
+        self.fate == Fate::Open && self.reach.stage > 0
+    }
+
+    /// Whether nothing more becomes of it by itself.
+    pub fn is_over(&self) -> bool {
+        matches!(self.fate, Fate::Done | Fate::Refused | Fate::Back)
+    }
+
+    /// Whether a node is to run the new version by what is known here; none if it is to stay as it is.
+    pub fn wants(&self, node: u64, zone: u32) -> Option<bool> {
+        match self.fate {
+            Fate::Open => Some(self.reach.has(self.id, node, zone)),
+            Fate::Done => Some(true),
+            Fate::Halted => None,
+            Fate::Refused | Fate::Back => Some(false),
+        }
+    }
+
+    /// Moves towards safety. What is nearer to it already stays.
+    pub fn end(&mut self, fate: Fate, reason: Reason) -> bool {
+        let ends = fate > self.fate;
+        if ends {
+            (self.fate, self.reason) = (fate, reason);
+        }
+        ends
+    }
+
+    /// Another word about the same change; whether anything is new in it.
+    pub fn merge(&mut self, said: &Change) -> bool {
+        // Of two reasons for the same the one that was first, so that all come to one.
+        let nearer = said.fate > self.fate
+            || said.fate == self.fate && said.fate > Fate::Open && said.reason < self.reason;
+        if nearer {
+            (self.fate, self.reason) = (said.fate, said.reason.clone());
+        }
+        let farther = self.reached(&said.reach);
+        nearer || farther
+    }
+
+    /// It was agreed that it has come this far. Agreements are numbered; there are no two of a number.
+    fn reached(&mut self, reach: &Reach) -> bool {
+        let farther = reach.seq > self.reach.seq;
+        if farther {
+            self.reach = reach.clone();
+        }
+        if self.fate <= Fate::Done && self.plan.is_beyond(self.reach.stage) {
+            (self.fate, self.reason) = (Fate::Done, Reason::default());
+        }
+        farther
+    }
+
+    /// A number that two words share if they say the same.
+    fn print(&self) -> u64 {
+        let print = crate::mix(self.id.0 ^ crate::mix(self.reach.seq << 3 ^ self.fate as u64));
+        crate::mix(print ^ self.reason.at_ms ^ self.reason.by)
+    }
+
+    /// The place among those that are remembered: what is under way, then what may begin, by its order, then what is over, the
+    /// latest first.
+    fn rank(&self) -> (u8, std::cmp::Reverse<u64>, u64, ChangeId) {
+        let (number, at, id) = self.order();
+        match self.fate {
+            Fate::Open | Fate::Halted if self.reach.seq > 0 => (0, std::cmp::Reverse(self.reach.seq), at, id),
+            Fate::Open => (1, number, at, id),
+            _ => (2, std::cmp::Reverse(self.at_ms), self.reach.seq, id),
+        }
+    }
+}
+
+/// All changes that a node knows.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Changes {
+    all: BTreeMap<ChangeId, Change>,
+}
+
+impl Changes {
+    /// All of them.
+    pub fn iter(&self) -> impl Iterator<Item = &Change> {
+        self.all.values()
+    }
+
+    pub fn get(&self, id: ChangeId) -> Option<&Change> {
+        self.all.get(&id)
+    }
+
+    /// The one of the last agreement: it is never forgotten, so that agreements keep their numbers.
+    pub fn head(&self, kind: Kind) -> Option<&Change> {
+        let of = self.all.values().filter(|change| change.kind == kind && change.reach.seq > 0);
+        of.max_by_key(|change| change.reach.seq)
+    }
+
+    /// A word about a change; whether anything is new in it. Which ones are remembered follows from what was heard, and not from
+    /// the order, so that all come to the same.
+    pub fn hear(&mut self, said: &Change) -> bool {
+        if let Some(known) = self.all.get_mut(&said.id) {
+            return known.merge(said);
+        }
+        let mut said = said.clone();
+        if said.fate == Fate::Open {
+            said.reason = Reason::default();
+        }
+        let reach = std::mem::take(&mut said.reach);
+        said.reached(&reach);
+        let id = said.id;
+        self.all.insert(id, said);
+        if self.all.len() <= CHANGES_MAX {
+            return true;
+        }
+        let heads = [Kind::Settings, Kind::Program].map(|kind| self.head(kind).map(|head| head.id));
+        let last =
+            self.all.values().filter(|c| !heads.contains(&Some(c.id))).max_by_key(|change| change.rank());
+        let Some(last) = last.map(|last| last.id) else { return true };
+        self.all.remove(&last);
+        last != id
+    }
+
+    /// Moves a change towards safety.
+    pub fn end(&mut self, id: ChangeId, fate: Fate, reason: Reason) -> bool {
+        self.all.get_mut(&id).is_some_and(|change| change.end(fate, reason))
+    }
+
+    /// It was agreed that a change has come this far.
+    pub fn advance(&mut self, id: ChangeId, reach: &Reach) -> bool {
+        self.all.get_mut(&id).is_some_and(|change| change.reached(reach))
+    }
+
+    /// The change that is under way, of a kind. While this node lacks the end of one there may seem to be two: the later holds.
+    pub fn under_way(&self, kind: Kind) -> Option<&Change> {
+        self.all.values().filter(|c| c.kind == kind && c.is_under_way()).max_by_key(|change| change.reach.seq)
+    }
+
+    /// The one that goes next: the first in the order of those that have not begun.
+    pub fn next(&self, kind: Kind) -> Option<&Change> {
+        let waits = |c: &&Change| c.kind == kind && c.fate == Fate::Open && c.reach.stage == 0;
+        self.all.values().filter(waits).min_by_key(|change| change.order())
+    }
+
+    /// The one that a node goes by now: under way, or halted and not taken back, or else the next.
+    pub fn current(&self, kind: Kind) -> Option<&Change> {
+        let halted = || {
+            let halted = self.all.values().filter(|c| c.kind == kind && c.fate == Fate::Halted);
+            halted.max_by_key(|change| change.reach.seq)
+        };
+        self.under_way(kind).or_else(halted).or_else(|| self.next(kind))
+    }
+
+    /// A number that two nodes share if they know the same.
+    pub fn digest(&self) -> u64 {
+        self.all.values().fold(0, |sum, change| sum.wrapping_add(change.print()))
+    }
+
+    /// Forgets what was over long ago.
+    pub fn tidy(&mut self, now_ms: u64, keep: Nanos) {
+        let keep_ms = keep / crate::MILLISECOND;
+        let heads = [Kind::Settings, Kind::Program].map(|kind| self.head(kind).map(|head| head.id));
+        self.all.retain(|id, change| {
+            heads.contains(&Some(*id))
+                || !change.is_over()
+                || now_ms < change.reason.at_ms.max(change.at_ms).saturating_add(keep_ms)
+        });
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+    use rand::seq::SliceRandom;
+    use rand::{RngExt, SeedableRng};
+    use rand_pcg::Pcg64Mcg;
+
+    pub(crate) fn change(id: u64, number: u64) -> Change {
+        Change {
+            id: ChangeId(id),
+            kind: Kind::Settings,
+            version: Version { number, hash: crate::mix(number ^ id) },
+            base: Version { number: 1, hash: 11 },
+            digest: [id as u8; 32],
+            bytes: 100,
+            by: 5,
+            at_ms: 1000 + id,
+            plan: Plan::default(),
+            reach: Reach::default(),
+            fate: Fate::Open,
+            reason: Reason::default(),
+        }
+    }
+
+    fn reach(stage: u32) -> Reach {
+        let until = BTreeMap::from([(0, u64::from(stage) << 50)]);
+        Reach { seq: u64::from(stage), stage, until, ..Reach::default() }
+    }
+
+    /// Words in any order, in any groups, any number of times come to the same, and nothing moves away from safety.
+    #[test]
+    fn words_merge_in_any_order_and_only_towards_safety() {
+        for seed in 0..300 {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let mut words: Vec<Change> = Vec::new();
+            for id in 1..4 {
+                for _ in 0..rng.random_range(1..8) {
+                    let mut word = change(id, 2);
+                    word.reach = reach(rng.random_range(0..8));
+                    if rng.random_bool(0.4) {
+                        word.fate = Fate::from_number(rng.random_range(1..5)).unwrap();
+                        let why = ["a", "b"][rng.random_range(0..2)];
+                        word.reason = Reason::new(rng.random_range(0..9), rng.random_range(0..3), why);
+                    }
+                    words.push(word);
+                }
+            }
+            let mut heard: Vec<Changes> = vec![Changes::default(); 4];
+            for changes in &mut heard {
+                words.shuffle(&mut rng);
+                let again = rng.random_range(0..words.len());
+                for word in words.iter().chain(&words[..again]) {
+                    let before = changes.get(word.id).cloned();
+                    changes.hear(word);
+                    let after = changes.get(word.id).unwrap();
+                    assert!(
+                        before.is_none_or(|b| after.fate >= b.fate && after.reach.stage >= b.reach.stage)
+                    );
+                }
+            }
+            // One more hears by way of the first.
+            let mut second = Changes::default();
+            heard[0].iter().for_each(|change| _ = second.hear(change));
+            heard.push(second);
+            assert!(
+                heard.windows(2).all(|two| two[0] == two[1] && two[0].digest() == two[1].digest()),
+                "{seed}"
+            );
+        }
+    }
+
+    #[test]
+    fn a_halt_is_not_undone_and_nothing_advances_after_it() {
+        let mut changes = Changes::default();
+        changes.hear(&change(1, 2));
+        assert!(changes.advance(ChangeId(1), &reach(1)) && !changes.advance(ChangeId(1), &reach(1)));
+        assert!(changes.end(ChangeId(1), Fate::Halted, Reason::new(5, 1, "seen")));
+        assert!(!changes.end(ChangeId(1), Fate::Done, Reason::new(6, 2, "no")));
+        let late = Change { reach: reach(2), ..change(1, 2) };
+        changes.hear(&late); // it was agreed on elsewhere before the halt was heard there
+        let known = changes.get(ChangeId(1)).unwrap();
+        assert_eq!((known.reach.stage, known.fate, known.wants(3, 0)), (2, Fate::Halted, None));
+        assert!(changes.end(ChangeId(1), Fate::Back, Reason::new(9, 1, "back")));
+        assert_eq!(changes.get(ChangeId(1)).unwrap().wants(3, 0), Some(false));
+    }
+
+    #[test]
+    fn the_highest_version_goes_next_and_of_like_ones_the_first() {
+        let mut changes = Changes::default();
+        [(1, 5), (2, 9), (3, 9), (4, 7)]
+            .iter()
+            .for_each(|(id, number)| _ = changes.hear(&change(*id, *number)));
+        assert_eq!(changes.next(Kind::Settings).unwrap().id, ChangeId(2));
+        changes.advance(ChangeId(4), &reach(1));
+        assert_eq!(changes.current(Kind::Settings).unwrap().id, ChangeId(4), "what has begun goes first");
+        assert!(changes.next(Kind::Program).is_none());
+    }
+
+    /// A hundred versions are offered: memory stays, what is under way stays, and the highest ones are kept.
+    #[test]
+    fn changes_are_bounded_and_what_is_under_way_is_kept() {
+        let mut changes = Changes::default();
+        changes.hear(&change(1, 2));
+        changes.advance(ChangeId(1), &reach(1));
+        for id in 2..=100 {
+            changes.hear(&change(id, id));
+        }
+        assert_eq!(
+            (changes.iter().count(), changes.under_way(Kind::Settings).unwrap().id),
+            (CHANGES_MAX, ChangeId(1))
+        );
+        assert_eq!(changes.next(Kind::Settings).unwrap().version.number, 100);
+        let mut over = Changes::default();
+        for id in 1..=40 {
+            over.hear(&change(id, id));
+            over.end(ChangeId(id), Fate::Refused, Reason::new(id, 1, ""));
+        }
+        assert!(over.iter().count() <= CHANGES_MAX && over.get(ChangeId(40)).is_some());
+        over.tidy(10_000_000, 3600 * crate::SECOND);
+        assert_eq!(over.iter().count(), 0);
+    }
+
+    /// Whatever the order in which they are heard, the same ones are remembered.
+    #[test]
+    fn which_changes_are_remembered_does_not_depend_on_the_order() {
+        for seed in 0..200 {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let mut all: Vec<Change> = (1..=40).map(|id| change(id, rng.random_range(2..30))).collect();
+            for change in &mut all {
+                if rng.random_bool(0.5) {
+                    change.fate = Fate::Refused;
+                }
+            }
+            all[5].reach = reach(3);
+            let heard = |all: &[Change]| {
+                let mut changes = Changes::default();
+                all.iter().for_each(|change| _ = changes.hear(change));
+                changes
+            };
+            let one = heard(&all);
+            all.shuffle(&mut rng);
+            assert_eq!(one, heard(&all), "{seed}");
+            assert_eq!(one.head(Kind::Settings).map(|head| head.reach.seq), Some(3));
+        }
+    }
+
+    /// The agreement beyond the last stage is that it is done.
+    #[test]
+    fn beyond_the_last_stage_a_change_is_done() {
+        let mut changes = Changes::default();
+        changes.hear(&change(1, 2));
+        (1..=6).for_each(|stage| _ = changes.advance(ChangeId(1), &reach(stage)));
+        assert_eq!(changes.get(ChangeId(1)).unwrap().fate, Fate::Done);
+        let mut halted = Changes::default();
+        halted.hear(&Change { fate: Fate::Halted, ..change(1, 2) });
+        halted.hear(changes.get(ChangeId(1)).unwrap());
+        assert_eq!(halted.get(ChangeId(1)).unwrap().fate, Fate::Halted);
+    }
+
+    #[test]
+    fn a_reason_is_cut_between_letters() {
+        assert_eq!(Reason::new(1, 2, &"ş".repeat(200)).why.len(), REASON_MAX);
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/conduct.rs
@@ -0,0 +1,589 @@
+//! Conducting a change: one arbiter asks all nodes how they stand, judges the stage by what was counted, and has the arbiters agree
+//! on what comes next. Safety does not rest on there being one: see [`crate::quorum`]. What it knows beside is asked for anew by
+//! whoever conducts next.
+//!
+//! A change goes on only if more than half of the fleet as last agreed on, and all nodes of its stage that are there, have answered
+//! lately and know of no end. Towards safety it needs nobody.
+
+use crate::change::{Change, ChangeId, Changes, Fate, Kind, Version};
+use crate::judge::{self, Deaths, Judgement, Verdict, Way};
+use crate::local::{DEATHS, Report, Stand};
+use crate::quorum::{Ask, Ballot, Next, Proposal, Round, Say, known};
+use crate::record::{Record, Sample, Side};
+use crate::stages::{Reach, seconds};
+use crate::wire::Told;
+use crate::{MILLISECOND, Nanos, SECOND, mix};
+use std::collections::BTreeMap;
+
+/// A node, as the fleet's view has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    pub node: u64,
+    pub zone: u32,
+    /// Whether it is there; one that is known and lost is not. One that left is not given at all.
+    pub there: bool,
+}
+
+/// Deaths are counted by windows of about this length.
+const WINDOW: Nanos = 10 * SECOND;
+/// All nodes are asked once in this time, or in so much for each of them if that is longer.
+const POLL: Nanos = 2 * SECOND;
+const POLL_EACH: Nanos = 5 * MILLISECOND;
+/// A round that came to nothing is followed by another after about this.
+const AGAIN: Nanos = 500 * MILLISECOND;
+/// What the fleet was agreed to be holds so long against seeing fewer.
+const ELECTORATE_HOLDS: Nanos = 3600 * SECOND;
+/// A change begins without those who don't answer after this; others take the place of a stage's nodes that are all gone.
+const STRAGGLERS: Nanos = 60 * SECOND;
+/// A change whose content most nodes can't get hold of in this time does not begin: who offered it is gone.
+const NOWHERE: Nanos = 180 * SECOND;
+const REPLACED: Nanos = 30 * SECOND;
+/// With nobody left to compare with: so much less succeeds than before, as a share, and the change goes no further.
+const COLLAPSE: f64 = 0.3;
+const COLLAPSE_SAMPLE: u64 = 200;
+
+/// What is to be done next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Nothing, and why.
+    Wait(String),
+    Propose(Proposal),
+    End {
+        change: ChangeId,
+        fate: Fate,
+        why: String,
+    },
+}
+
+/// What the one who conducts wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    Send(u64, Told),
+    End { change: ChangeId, fate: Fate, why: String },
+    Agreed(Proposal),
+}
+
+#[derive(Clone, Debug)]
+struct Heard {
+    no: u32,
+    report: Report,
+}
+
+/// The part of an arbiter: it keeps the record of what is under way, and conducts when it is its turn.
+#[derive(Clone, Debug)]
+pub struct Conduct {
+    me: u64,
+    kind: Kind,
+    arbiters: Vec<u64>,
+    poll: u32,
+    polled: Nanos,
+    heard: BTreeMap<u64, Heard>,
+    round: Option<Round>,
+    highest: Ballot,
+    not_before: Nanos,
+    /// Since when the last agreement is known here, and since when a change that has not begun is.
+    seq: u64,
+    since: Nanos,
+    offered: Option<(ChangeId, Nanos)>,
+    /// Since when no node of the stage is there.
+    deserted: Option<Nanos>,
+    record: Option<Record>,
+    counted: u64,
+    judgement: Option<Judgement>,
+    line: String,
+    way: Way,
+}
+
+/// What a step is decided by.
+struct Facts<'a> {
+    now: Nanos,
+    unix_ms: u64,
+    changes: &'a Changes,
+    members: &'a [Member],
+    electorate: u32,
+}
+
+impl Conduct {
+    /// The part of this node among these arbiters.
+    pub fn new(now: Nanos, me: u64, kind: Kind, arbiters: Vec<u64>) -> Conduct {
+        Conduct {
+            me,
+            kind,
+            arbiters,
+            // Answers to a conductor before it under the same name must not be taken for answers to this one.
+            poll: (mix(me ^ now) as u32) & 0x0fff_ffff,
+            polled: 0,
+            heard: BTreeMap::new(),
+            round: None,
+            highest: Ballot::default(),
+            not_before: 0,
+            seq: 0,
+            since: now,
+            offered: None,
+            deserted: None,
+            record: None,
+            counted: 0,
+            judgement: None,
+            line: String::new(),
+            way: Way::Nodes,
+        }
+    }
+
+    /// Judged in another way, to compare.
+    pub fn with_way(mut self, way: Way) -> Conduct {
+        self.way = way;
+        self
+    }
+
+    /// The arbiters are others from here on.
+    pub fn set_arbiters(&mut self, arbiters: Vec<u64>) {
+        if arbiters != self.arbiters {
+            self.arbiters = arbiters;
+            self.round = None;
+        }
+    }
+
+    /// Whether this node keeps a record.
+    pub fn is_arbiter(&self) -> bool {
+        self.arbiters.contains(&self.me)
+    }
+
+    /// Whether it is its turn: the first of the arbiters that are there conducts.
+    pub fn conducts(&self, members: &[Member]) -> bool {
+        let is_there = |node: u64| node == self.me || members.iter().any(|m| m.node == node && m.there);
+        self.arbiters.iter().find(|node| is_there(**node)) == Some(&self.me)
+    }
+
+    /// The record of the change that is under way, or was last.
+    pub fn record(&self) -> Option<&Record> {
+        self.record.as_ref()
+    }
+
+    /// The last judgement.
+    pub fn judgement(&self) -> Option<&Judgement> {
+        self.judgement.as_ref()
+    }
+
+    /// What it waits for, in words.
+    pub fn line(&self) -> &str {
+        &self.line
+    }
+
+    /// How a node stood when it was last heard.
+    pub fn report(&self, node: u64) -> Option<&Report> {
+        self.heard.get(&node).map(|heard| &heard.report)
+    }
+
+    fn is_fresh(&self, heard: &Heard) -> bool {
+        self.poll.wrapping_sub(heard.no) <= 1
+    }
+
+    // ---- What is counted ----
+
+    /// The next window that is wanted; nothing while no change is under way here.
+    pub fn wants_counts(&self, changes: &Changes) -> Option<u64> {
+        let begun = changes.under_way(self.kind).is_some() && self.record.is_some() && self.is_arbiter();
+        begun.then_some(self.counted)
+    }
+
+    /// What nodes did in a window that is over.
+    pub fn counted(&mut self, window: u64, samples: &[Sample]) {
+        if let Some(record) = self.record.as_mut().filter(|_| window >= self.counted) {
+            record.after(window, samples);
+            self.counted = window + 1;
+        }
+    }
+
+    /// Looks at what is known; if a change has begun, what was counted before is asked for.
+    fn follow(
+        &mut self,
+        now: Nanos,
+        changes: &Changes,
+        windows: &mut dyn FnMut() -> Vec<(u64, Vec<Sample>)>,
+    ) {
+        let seq = known(changes, self.kind);
+        if seq != self.seq {
+            (self.seq, self.since) = (seq, now);
+            (self.deserted, self.judgement) = (None, None);
+        }
+        let next = changes.next(self.kind).map(|change| change.id);
+        if self.offered.map(|(id, _)| id) != next {
+            self.offered = next.map(|id| (id, now));
+        }
+        let Some(change) = changes.under_way(self.kind).filter(|_| self.is_arbiter()) else { return };
+        if self.record.as_ref().is_none_or(|record| record.change != change.id) {
+            let mut record = Record::new(change.id, change.version, change.base);
+            for (window, samples) in windows() {
+                self.counted = self.counted.max(window + 1);
+                let old = samples.iter().filter(|sample| sample.label == change.base.hash);
+                old.for_each(|sample| record.before(window, sample));
+            }
+            record.begin();
+            self.record = Some(record);
+        }
+        if let Some(record) = self.record.as_mut().filter(|record| record.stage() != change.reach.stage) {
+            record.stage_begins(change.reach.stage);
+        }
+    }
+
+    // ---- Words ----
+
+    /// A node answered.
+    pub fn report_came(&mut self, from: u64, no: u32, report: Report) {
+        self.heard.insert(from, Heard { no, report });
+    }
+
+    /// An arbiter answered.
+    pub fn said(&mut self, now: Nanos, from: u64, say: &Say) -> Vec<Act> {
+        let Some(round) = self.round.as_mut().filter(|_| self.arbiters.contains(&from)) else {
+            return Vec::new();
+        };
+        match round.said(from, say) {
+            Next::Wait => Vec::new(),
+            Next::Ask(ask) => self.ask(&ask),
+            Next::Agreed(proposal) => {
+                self.round = None;
+                vec![Act::Agreed(proposal)]
+            }
+            Next::GiveUp(highest) => {
+                self.highest = self.highest.max(highest);
+                self.give_up(now);
+                Vec::new()
+            }
+        }
+    }
+
+    fn ask(&self, ask: &Ask) -> Vec<Act> {
+        self.arbiters.iter().map(|to| Act::Send(*to, Told::Ask(self.kind, ask.clone()))).collect()
+    }
+
+    fn give_up(&mut self, now: Nanos) {
+        self.round = None;
+        // Two who conduct at once must not go on getting into each other's way.
+        let part = mix(self.me ^ now) % AGAIN;
+        self.not_before = now + AGAIN + part;
+    }
+
+    // ---- Time ----
+
+    /// Does what is due; to be called some times a second.
+    pub fn wake(
+        &mut self,
+        now: Nanos,
+        unix_ms: u64,
+        changes: &Changes,
+        members: &[Member],
+        windows: &mut dyn FnMut() -> Vec<(u64, Vec<Sample>)>,
+    ) -> Vec<Act> {
+        self.follow(now, changes, windows);
+        if !self.conducts(members) {
+            self.round = None;
+            self.heard.clear();
+            self.line.clear();
+            return Vec::new();
+        }
+        let Some(change) = changes.under_way(self.kind).or_else(|| changes.next(self.kind)) else {
+            self.line.clear();
+            return Vec::new();
+        };
+        let mut acts = Vec::new();
+        if now >= self.polled + POLL.max(POLL_EACH * members.len() as u64) {
+            (self.polled, self.poll) = (now, self.poll.wrapping_add(1));
+            let poll =
+                Told::Poll { no: self.poll, change: change.id, stage: change.reach.stage, fate: change.fate };
+            acts.extend(
+                members.iter().filter(|member| member.there).map(|m| Act::Send(m.node, poll.clone())),
+            );
+            let is_known = |node: &u64| members.iter().any(|member| member.node == *node);
+            self.heard.retain(|node, _| is_known(node));
+        }
+        if self.round.as_ref().is_some_and(|round| round.is_over(now)) {
+            self.give_up(now);
+        }
+        if self.round.is_some() || now < self.not_before {
+            return acts;
+        }
+        match self.step(now, unix_ms, changes, members) {
+            Step::Wait(why) => self.line = why,
+            Step::End { change, fate, why } => acts.push(Act::End { change, fate, why }),
+            Step::Propose(proposal) => {
+                let ballot = Ballot { round: self.highest.round + 1, by: self.me };
+                self.highest = ballot;
+                self.line = format!("has stage {} agreed on", proposal.reach.stage);
+                let (round, ask) = Round::begin(now, ballot, proposal, self.arbiters.len());
+                self.round = Some(round);
+                acts.extend(self.ask(&ask));
+            }
+        }
+        acts
+    }
+
+    /// How many the fleet is to be taken for: those that are known, and no fewer than was agreed on lately.
+    fn electorate(&self, now: Nanos, changes: &Changes, members: &[Member]) -> u32 {
+        let agreed = changes.head(self.kind).filter(|_| now < self.since + ELECTORATE_HOLDS);
+        (members.len() as u32).max(agreed.map_or(0, |head| head.reach.electorate))
+    }
+
+    /// Reports that came lately about a change.
+    fn fresh(&self, change: ChangeId) -> impl Iterator<Item = (u64, &Report)> {
+        let heard = self.heard.iter().filter(move |(_, h)| self.is_fresh(h) && h.report.change == change);
+        heard.map(|(node, heard)| (*node, &heard.report))
+    }
+
+    fn step(&mut self, now: Nanos, unix_ms: u64, changes: &Changes, members: &[Member]) -> Step {
+        let electorate = self.electorate(now, changes, members);
+        let facts = Facts { now, unix_ms, changes, members, electorate };
+        if let Some(end) = self.superseded(changes) {
+            return end;
+        }
+        let arbiters = self.arbiters.iter().filter(|node| {
+            **node == self.me || members.iter().any(|member| member.node == **node && member.there)
+        });
+        let (there, all) = (arbiters.count(), self.arbiters.len());
+        if there * 2 <= all {
+            return Step::Wait(format!("{there} of {all} arbiters are there, more than half are needed"));
+        }
+        match (changes.under_way(self.kind), changes.next(self.kind)) {
+            (Some(change), _) => self.goes_on(&facts, change),
+            (None, Some(change)) => self.begins(&facts, change),
+            (None, None) => Step::Wait(String::new()),
+        }
+    }
+
+    /// Those that can't begin any more, for another is in force or under way: they are told so.
+    fn superseded(&self, changes: &Changes) -> Option<Step> {
+        let ahead = changes.under_way(self.kind).or_else(|| {
+            let done = changes.iter().filter(|change| change.kind == self.kind && change.fate == Fate::Done);
+            done.max_by_key(|change| change.reach.seq)
+        })?;
+        let late = changes.iter().find(|change| {
+            let waits = change.kind == self.kind && change.fate == Fate::Open && change.reach.seq == 0;
+            waits && change.version.number <= ahead.version.number
+        })?;
+        let word = if ahead.fate == Fate::Done { "in force" } else { "under way" };
+        let why = format!("version {} is {word}, change {}", ahead.version, ahead.id);
+        Some(Step::End { change: late.id, fate: Fate::Refused, why })
+    }
+
+    /// More than half of the fleet answered, or why it can't go on.
+    fn quorum(&self, facts: &Facts<'_>, change: &Change) -> Result<(), String> {
+        let fresh = self.fresh(change.id).count() as u32;
+        if fresh * 2 <= facts.electorate {
+            return Err(format!("{fresh} of {} nodes answer, more than half are needed", facts.electorate));
+        }
+        if let Some((node, report)) = self.fresh(change.id).find(|(_, report)| report.fate > change.fate) {
+            return Err(format!("node {node:016x} knows that it is {}", report.fate.word()));
+        }
+        Ok(())
+    }
+
+    /// The nodes that turned a version down, and why.
+    fn turned_down(&self, change: &Change) -> Option<String> {
+        let mut nodes = self.fresh(change.id).filter(|(_, report)| report.stand == Stand::TurnedDown);
+        let (_, first) = nodes.next()?;
+        let why = if first.why.is_empty() { "it can't be run" } else { &first.why };
+        Some(match nodes.count() {
+            0 => format!("one node turns it down: {why}"),
+            more => format!("{} nodes turn it down, one of them: {why}", more + 1),
+        })
+    }
+
+    fn propose(&self, facts: &Facts<'_>, change: &Change, again: bool) -> Step {
+        let nodes: Vec<(u64, u32)> = facts
+            .members
+            .iter()
+            .filter(|member| member.there)
+            .map(|member| (member.node, member.zone))
+            .collect();
+        let (reach, seq) = (&change.reach, known(facts.changes, self.kind) + 1);
+        // What is agreed on is the fleet that is there: those that were lost long ago do not hold the next ones up.
+        let electorate = nodes.len() as u32;
+        let reach = match again {
+            true => reach.again(change.id, &change.plan, &nodes, seq, electorate),
+            false => reach.next(change.id, &change.plan, &nodes, seq, electorate),
+        };
+        match reach {
+            Some(reach) => {
+                let reach = Reach { at_ms: facts.unix_ms, ..reach };
+                Step::Propose(Proposal { change: change.id, reach })
+            }
+            None => Step::Wait("there is no stage after this one".into()),
+        }
+    }
+
+    fn begins(&self, facts: &Facts<'_>, change: &Change) -> Step {
+        let good = self.fresh(change.id).map(|(_, report)| report.good).max().unwrap_or_default();
+        if change.version.number <= good.number {
+            let why = format!("version {good} is in force at some nodes");
+            return Step::End { change: change.id, fate: Fate::Refused, why };
+        }
+        if let Some(why) = self.turned_down(change) {
+            return Step::End { change: change.id, fate: Fate::Refused, why };
+        }
+        if let Err(why) = self.quorum(facts, change) {
+            return Step::Wait(why);
+        }
+        let staged = self.fresh(change.id).filter(|(_, report)| report.stand >= Stand::Staged).count();
+        let there = facts.members.iter().filter(|member| member.there).count();
+        let waited = self.offered.is_some_and(|(_, since)| facts.now > since + STRAGGLERS);
+        if staged < there && !waited || staged as u32 * 2 <= facts.electorate {
+            let why = format!("it is staged at {staged} of {there} nodes");
+            let too_long = self.offered.is_some_and(|(_, since)| facts.now > since + NOWHERE);
+            return match too_long && staged as u32 * 2 <= facts.electorate {
+                true => Step::End {
+                    change: change.id,
+                    fate: Fate::Refused,
+                    why: format!("{why}, and its content may be lost"),
+                },
+                false => Step::Wait(why),
+            };
+        }
+        // What was halted and not taken back is taken back now: there is one base to go out from.
+        let halted = facts.changes.iter().find(|c| c.kind == self.kind && c.fate == Fate::Halted);
+        if let Some(halted) = halted {
+            let why = format!("change {} begins in its place", change.id);
+            return Step::End { change: halted.id, fate: Fate::Back, why };
+        }
+        self.propose(facts, change, false)
+    }
+
+    /// Deaths on trial, and of the others in this stage.
+    fn deaths(&self, facts: &Facts<'_>, change: &Change) -> Deaths {
+        let mut deaths = [0, 0];
+        let is_new = |report: &Report| {
+            report.change == change.id && matches!(report.stand, Stand::Beginning | Stand::OnTrial)
+        };
+        for (node, heard) in &self.heard {
+            let report = &heard.report;
+            let is_there = facts.members.iter().any(|member| member.node == *node && member.there);
+            match () {
+                () if report.died > 0 && report.change == change.id => {
+                    let in_stage = report.died_ms > change.reach.at_ms;
+                    deaths[0] += u64::from(if in_stage { report.died } else { 0 });
+                }
+                () if !is_there && is_new(report) => deaths[0] += 1,
+                () if !is_there => deaths[1] += 1,
+                // It runs what it ran before, and has done so since it started: after the stage began.
+                () if report.running == change.base && report.since_ms > change.reach.at_ms => deaths[1] += 1,
+                () => {}
+            }
+        }
+        let in_stage =
+            facts.members.iter().filter(|m| change.reach.has(change.id, m.node, m.zone)).count() as u64;
+        let nodes = [in_stage, facts.members.len() as u64 - in_stage];
+        let held = facts.now - self.since.min(facts.now);
+        Deaths { died: deaths, nodes, windows: held as f64 / WINDOW as f64 }
+    }
+
+    fn goes_on(&mut self, facts: &Facts<'_>, change: &Change) -> Step {
+        let end = |fate, why| Step::End { change: change.id, fate, why };
+        if let Some(why) = self.turned_down(change) {
+            return end(Fate::Back, why);
+        }
+        let deaths = self.deaths(facts, change);
+        let stage = change.reach.stage;
+        let judged =
+            self.record.as_ref().map(|record| judge::judge(record, &change.plan, stage, &deaths, self.way));
+        let verdict =
+            judged.as_ref().map(|judged| (judged.verdict.clone(), judged.line(&|op| format!("{op:08x}"))));
+        self.judgement = judged;
+        if let Some((Verdict::Harm(_), line)) = &verdict {
+            return end(Fate::Back, line.clone());
+        }
+        if let Err(why) = self.quorum(facts, change) {
+            return Step::Wait(why);
+        }
+        let (held, plan) = (facts.now - self.since.min(facts.now), &change.plan);
+        let Some(of) = plan.stage(stage) else { return Step::Wait(String::new()) };
+        let mine: Vec<&Member> = facts
+            .members
+            .iter()
+            .filter(|member| member.there && change.reach.has(change.id, member.node, member.zone))
+            .collect();
+        if mine.is_empty() {
+            // Those that are lost may run it all the same: only those that left are replaced, so that no more run it than may.
+            let lost = facts.members.iter().any(|m| !m.there && change.reach.has(change.id, m.node, m.zone));
+            let since = *self.deserted.get_or_insert(facts.now);
+            return match () {
+                () if held > of.longest => end(
+                    Fate::Halted,
+                    format!("no node of stage {stage} was there for {}", seconds(of.longest)),
+                ),
+                () if lost => Step::Wait("the nodes of its stage are lost".into()),
+                () if facts.now > since + REPLACED => self.propose(facts, change, true),
+                () => Step::Wait("the nodes of its stage left".into()),
+            };
+        }
+        self.deserted = None;
+        let not_yet = mine.iter().find(|member| {
+            let heard = self.heard.get(&member.node).filter(|heard| self.is_fresh(heard));
+            heard.is_none_or(|heard| {
+                let report = &heard.report;
+                report.change != change.id || report.running != change.version && report.died < DEATHS
+            })
+        });
+        let waits = match (not_yet, &verdict) {
+            (Some(member), _) => Some(format!("node {:016x} of its stage does not run it yet", member.node)),
+            _ if held < of.least => Some(format!("{} of {} have passed", seconds(held), seconds(of.least))),
+            (_, None) => Some("nothing is counted yet".into()),
+            _ => None,
+        };
+        let others = facts.members.iter().any(|member| {
+            let runs_base = |heard: &Heard| heard.report.running == change.base;
+            member.there && self.heard.get(&member.node).is_some_and(runs_base)
+        });
+        let waits = waits.or(match verdict {
+            _ if !others => None,
+            Some((Verdict::Wait(why), _)) => Some(why),
+            // Where too little comes to tell, time must do: nothing has spoken for harm in all of it.
+            Some((Verdict::Unsure(why), _)) if held <= of.longest => Some(why),
+            _ => None,
+        });
+        match waits {
+            Some(why) if held > of.longest => end(
+                Fate::Halted,
+                format!("stage {stage} came to no judgement in {}: {why}", seconds(of.longest)),
+            ),
+            Some(why) => Step::Wait(why),
+            // Nobody is left to compare with: what was before must do.
+            None if !others => match self.collapsed() {
+                Some(why) => end(Fate::Halted, why),
+                None => self.propose(facts, change, false),
+            },
+            None => self.propose(facts, change, false),
+        }
+    }
+
+    /// Whether much less succeeds than before; said of the whole, for want of others.
+    fn collapsed(&self) -> Option<String> {
+        let record = self.record.as_ref()?;
+        let (mut before, mut after) = ([0, 0], [0, 0]);
+        for (_, node) in record.side(Side::New) {
+            for (sum, cells) in [(&mut before, &node.before), (&mut after, &node.after)] {
+                for cell in cells.values() {
+                    sum[0] += cell.succeeded;
+                    sum[1] += cell.arrived;
+                }
+            }
+        }
+        if before[1] < COLLAPSE_SAMPLE || after[1] < COLLAPSE_SAMPLE {
+            return None;
+        }
+        let share = |of: [u64; 2]| of[0] as f64 / of[1] as f64;
+        (share(after) < share(before) - COLLAPSE).then(|| {
+            format!(
+                "{:.0} % succeed with nobody left to compare with, {:.0} % did before",
+                share(after) * 100.0,
+                share(before) * 100.0
+            )
+        })
+    }
+
+    /// How many nodes of the stage run the new version, how many are to, and how many the fleet has, as last heard.
+    pub fn standing(&self, change: &Change, members: &[Member]) -> [usize; 3] {
+        let is_in = |member: &&Member| member.there && change.reach.has(change.id, member.node, member.zone);
+        let runs = |version: Version, node: u64| self.report(node).is_some_and(|r| r.running == version);
+        let running = members.iter().filter(|m| m.there && runs(change.version, m.node)).count();
+        [running, members.iter().filter(is_in).count(), members.iter().filter(|m| m.there).count()]
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/judge.rs
@@ -0,0 +1,686 @@
+//! Whether the new nodes do worse than the old ones, over the same time.
+//!
+//! The unit is the node: machines differ more than counts of thousands of invocations let show, so that chance is measured by how
+//! much the old nodes differ among themselves. What a node did before takes its own slowness out (regression on the covariate
+//! before: CUPED), zones are compared each with itself, and the evidence is one that may be looked at after every window without
+//! adding to the chance of a false stop: a mixture likelihood ratio (mSPRT) over all operations and measures, which share that
+//! chance. Crashes are counts, and compared as such.
+
+use crate::record::{Cell, NodeRecord, Record, Side};
+use crate::stages::Plan;
+use statrs::distribution::{ContinuousCDF, DiscreteCDF, Normal, Poisson};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// The chance of stopping a change that harms nobody, over all looks, operations and measures of a stage.
+pub const FALSE_STOP: f64 = 0.01;
+/// The chance of passing a stage with a change that harms by the margin, for each measure.
+pub const MISSED: f64 = 0.05;
+/// Sizes of harm that are looked for, in margins.
+const SIZES: [f64; 3] = [1.0, 4.0, 16.0];
+/// Invocations of an operation that a node must have had to say anything.
+const NODE_SAMPLE: u64 = 20;
+/// Invocations' worth of the common share that a node's own past is taken with.
+const PRIOR_SAMPLE: f64 = 20.0;
+/// How many nodes' worth it weighs how much nodes are taken to differ.
+const PRIOR: f64 = 2.0;
+/// Windows from which memory's rise is looked at, and the hour that it is drawn out to.
+const RISE_WINDOWS: f64 = 6.0;
+const HOUR: f64 = 360.0;
+/// Gauges lie off their line by such a part.
+const GAUGES: f64 = 0.01;
+const DAY: f64 = 24.0 * HOUR;
+
+/// What is measured of an operation. Each is a share of what harms.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Measure {
+    /// Errored, of what arrived.
+    Errored,
+    /// Throttled, of what arrived.
+    Throttled,
+    /// Late, of what succeeded.
+    Late,
+    /// Billed value that was not earned, of what was asked for.
+    Lost,
+    /// Slower than nine in ten were before, of what succeeded.
+    Slow,
+}
+
+impl Measure {
+    pub const ALL: [Measure; 5] =
+        [Measure::Errored, Measure::Throttled, Measure::Late, Measure::Lost, Measure::Slow];
+
+    fn of(self, cell: &Cell) -> (u64, u64) {
+        match self {
+            Measure::Errored => (cell.errored, cell.arrived),
+            Measure::Throttled => (cell.throttled, cell.arrived),
+            Measure::Late => (cell.late, cell.succeeded),
+            Measure::Lost => (cell.asked.saturating_sub(cell.earned), cell.asked),
+            Measure::Slow => (cell.slow, cell.timed),
+        }
+    }
+
+    /// How many invocations lie behind it.
+    fn count(self, cell: &Cell) -> u64 {
+        match self {
+            Measure::Errored | Measure::Throttled | Measure::Lost => cell.arrived,
+            Measure::Late => cell.succeeded,
+            Measure::Slow => cell.timed,
+        }
+    }
+
+    /// Its margin as a multiple of the plan's: errors weigh more than answers that come later.
+    fn margin(self) -> f64 {
+        match self {
+            Measure::Errored => 0.5,
+            Measure::Lost => 1.0,
+            Measure::Throttled | Measure::Late => 2.0,
+            Measure::Slow => 5.0,
+        }
+    }
+
+    pub fn word(self) -> &'static str {
+        match self {
+            Measure::Errored => "errored",
+            Measure::Throttled => "throttled",
+            Measure::Late => "late",
+            Measure::Lost => "value lost",
+            Measure::Slow => "slow",
+        }
+    }
+}
+
+/// How it is judged; all but the first are here to be compared with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// As told above.
+    Nodes,
+    /// The same without what was before.
+    NodesNow,
+    /// Stop if the share of the new ones is above that of the old ones by the margin.
+    Fixed,
+    /// A mixture likelihood ratio that takes every invocation for independent.
+    Invocations,
+    /// A rank test on nodes, at each look.
+    Ranks,
+}
+
+/// One comparison.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Finding {
+    /// The operation, or none for the process itself.
+    pub operation: Option<u32>,
+    pub what: &'static str,
+    /// Of the new, and of the old ones.
+    pub new: f64,
+    pub old: f64,
+    /// By how much the new ones do worse, and how far that may be off.
+    pub harm: f64,
+    pub error: f64,
+    /// As far as counts are few: what is left of that error once there are many, nodes being as different as they are.
+    pub chance: f64,
+    /// Evidence for harm, as a likelihood ratio; and the margin that is judged by.
+    pub evidence: f64,
+    pub margin: f64,
+}
+
+/// What a stage has shown.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// The new nodes harm: the comparisons that say so, the worst first.
+    Harm(Vec<Finding>),
+    /// They don't harm by the margin, as far as the chances allow to say.
+    Fine,
+    /// It can't be told yet: why.
+    Wait(String),
+    /// Nothing speaks for harm, and it can't be ruled out yet: why.
+    Unsure(String),
+}
+
+/// A judgement with its figures.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Judgement {
+    pub verdict: Verdict,
+    /// All comparisons, those with most evidence first.
+    pub findings: Vec<Finding>,
+    /// Invocations of the new and of the old nodes, and how many nodes there are.
+    pub sample: [u64; 2],
+    pub nodes: [usize; 2],
+}
+
+impl Judgement {
+    /// In a line.
+    pub fn line(&self, name: &dyn Fn(u32) -> String) -> String {
+        let mut line = match &self.verdict {
+            Verdict::Harm(_) => "harm".to_owned(),
+            Verdict::Fine => "fine".to_owned(),
+            Verdict::Wait(why) => format!("waits: {why}"),
+            Verdict::Unsure(why) => format!("nothing speaks for harm, and is not sure yet: {why}"),
+        };
+        let shown: &[Finding] = match &self.verdict {
+            Verdict::Harm(of) => of,
+            _ => &self.findings,
+        };
+        for finding in shown.iter().take(3) {
+            let _ = write!(line, "; {}", finding.line(name));
+        }
+        let [new, old] = self.nodes;
+        let _ = write!(line, "; {new} new nodes with {}, {old} old with {}", self.sample[0], self.sample[1]);
+        line
+    }
+}
+
+impl Finding {
+    /// In words.
+    pub fn line(&self, name: &dyn Fn(u32) -> String) -> String {
+        let of = self.operation.map_or_else(String::new, |operation| format!("{} ", name(operation)));
+        let unit = if self.operation.is_some() { 100.0 } else { 1.0 };
+        let sign = if self.operation.is_some() { " %" } else { "" };
+        format!(
+            "{of}{}: {:.2}{sign} of the new, {:.2}{sign} of the old ones, {:+.2} ± {:.2}",
+            self.what,
+            self.new * unit,
+            self.old * unit,
+            self.harm * unit,
+            self.error * unit
+        )
+    }
+}
+
+/// A node's share of something, with how far chance may have it off.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    zone: u32,
+    value: f64,
+    variance: f64,
+    before: Option<Past>,
+}
+
+/// What it was before.
+#[derive(Clone, Copy, Debug)]
+struct Past {
+    value: f64,
+    variance: f64,
+}
+
+fn shares(record: &Record, side: Side, operation: u32, measure: Measure, pooled: f64) -> Vec<Share> {
+    let of = |node: &NodeRecord| -> Option<Share> {
+        let cell = node.after.get(&operation)?;
+        let (bad, all) = measure.of(cell);
+        let count = measure.count(cell);
+        if count < NODE_SAMPLE || all == 0 {
+            return None;
+        }
+        // Chance of counts by what the node's share is likely to be: its own past, and a little of the common share.
+        let past = node.before.get(&operation).map(|cell| (measure.of(cell), measure.count(cell)));
+        let past = past.filter(|((_, all), count)| *count >= NODE_SAMPLE && *all > 0);
+        let own = past.map_or(0.0, |((bad, all), count)| bad as f64 / all as f64 * count as f64);
+        let weight = past.map_or(0, |(_, count)| count) as f64 + PRIOR_SAMPLE;
+        let likely = (own + pooled * PRIOR_SAMPLE + 0.5) / (weight + 1.0);
+        let chance = |count: u64| likely * (1.0 - likely) / count as f64;
+        let before =
+            past.map(|((bad, all), count)| Past { value: bad as f64 / all as f64, variance: chance(count) });
+        let variance = chance(count);
+        Some(Share { zone: node.zone, value: bad as f64 / all as f64, variance, before })
+    };
+    record.side(side).filter_map(|(_, node)| of(node)).collect()
+}
+
+fn pooled(record: &Record, side: Side, operation: u32, measure: Measure) -> Option<f64> {
+    let cells = record.side(side).filter_map(|(_, node)| node.after.get(&operation));
+    let (bad, all) = cells.map(|cell| measure.of(cell)).fold((0, 0), |(bad, all), (b, a)| (bad + b, all + a));
+    (all > 0).then(|| bad as f64 / all as f64)
+}
+
+fn mean(values: impl Iterator<Item = f64> + Clone) -> f64 {
+    let count = values.clone().count();
+    if count == 0 { 0.0 } else { values.sum::<f64>() / count as f64 }
+}
+
+/// Takes out of each share what the node's own past tells: machines differ, and a slow one was slow before. As much of its
+/// distance from its zone is taken as is its own rather than chance (the best linear prediction by two variances, as CUPED does
+/// with one slope for all: here a node with little past keeps more of its share).
+fn adjust(new: &mut [Share], old: &mut [Share]) {
+    let mut zones: BTreeMap<u32, Vec<Past>> = BTreeMap::new();
+    for share in new.iter().chain(old.iter()) {
+        zones.entry(share.zone).or_default().extend(share.before);
+    }
+    let centre = |zone: u32| mean(zones[&zone].iter().map(|past| past.value));
+    let (mut squares, mut chance, mut degrees) = (0.0, 0.0, 0.0);
+    for (zone, pasts) in zones.iter().filter(|(_, pasts)| pasts.len() > 1) {
+        let part = (pasts.len() as f64 - 1.0) / pasts.len() as f64;
+        squares += pasts.iter().map(|past| (past.value - centre(*zone)).powi(2)).sum::<f64>();
+        chance += pasts.iter().map(|past| past.variance).sum::<f64>() * part;
+        degrees += pasts.len() as f64 - 1.0;
+    }
+    if degrees < 1.0 {
+        return;
+    }
+    let own = (squares - chance).max(0.0) / degrees;
+    for share in new.iter_mut().chain(old) {
+        if let Some(past) = share.before.filter(|_| zones[&share.zone].len() > 1) {
+            // One that stands far out differs by itself whatever the others do.
+            let far = past.value - centre(share.zone);
+            let out = 1.0 - past.variance / (far * far).max(1e-12);
+            share.value -= (own / (own + past.variance)).max(out) * far;
+        }
+    }
+}
+
+/// How much the old nodes differ beyond chance, within their zones. Few of them tell little of that: two more are taken to differ
+/// by half of the margin.
+fn spread(old: &[Share], margin: f64) -> f64 {
+    let mut zones: BTreeMap<u32, Vec<&Share>> = BTreeMap::new();
+    old.iter().for_each(|share| zones.entry(share.zone).or_default().push(share));
+    let (mut squares, mut degrees, mut chance) = (0.0, 0.0, 0.0);
+    for shares in zones.values().filter(|shares| shares.len() > 1) {
+        let centre = mean(shares.iter().map(|share| share.value));
+        squares += shares.iter().map(|share| (share.value - centre).powi(2)).sum::<f64>();
+        degrees += shares.len() as f64 - 1.0;
+        chance += shares.iter().map(|share| share.variance).sum::<f64>() * (shares.len() as f64 - 1.0)
+            / shares.len() as f64;
+    }
+    let prior = PRIOR * (margin / 2.0).powi(2);
+    (((squares - chance).max(0.0) + prior) / (degrees + PRIOR)).sqrt()
+}
+
+/// By how much the new ones are above the old ones, zone by zone, and the variance of that.
+fn difference(new: &[Share], old: &[Share], spread: f64) -> Option<(f64, f64)> {
+    let mut zones: BTreeMap<u32, (Vec<Share>, Vec<Share>)> = BTreeMap::new();
+    new.iter().for_each(|share| zones.entry(share.zone).or_default().0.push(*share));
+    old.iter().for_each(|share| zones.entry(share.zone).or_default().1.push(*share));
+    let variance = |shares: &[Share], spread: f64| {
+        let n = shares.len() as f64;
+        spread * spread / n + shares.iter().map(|share| share.variance).sum::<f64>() / (n * n)
+    };
+    let value = |shares: &[Share]| mean(shares.iter().map(|share| share.value));
+    let (mut sum, mut weights) = (0.0, 0.0);
+    for (new, here) in zones.values().filter(|(new, _)| !new.is_empty()) {
+        // A zone without old nodes is compared with all of them, which differ by their zones too.
+        let (against, far) = if here.is_empty() { (old, 2.0) } else { (here.as_slice(), 1.0) };
+        if against.is_empty() {
+            return None;
+        }
+        let harm = value(new) - value(against);
+        let off = variance(new, far * spread) + variance(against, far * spread);
+        sum += harm / off;
+        weights += 1.0 / off;
+    }
+    (weights > 0.0).then(|| (sum / weights, 1.0 / weights))
+}
+
+/// The likelihood of a difference like this if there is harm of about this size or much more, against none; one sided.
+fn mixture(harm: f64, variance: f64, size: f64) -> f64 {
+    if harm <= 0.0 {
+        return 0.0;
+    }
+    let one = |size: f64| {
+        let both = variance + size * size;
+        (variance / both).sqrt() * (harm * harm * size * size / (2.0 * variance * both)).min(700.0).exp()
+    };
+    SIZES.iter().map(|times| one(size * times)).sum::<f64>() / SIZES.len() as f64
+}
+
+/// The most that harm is likely to be, by the chance of missing it.
+fn most(harm: f64, variance: f64) -> f64 {
+    let quantile = Normal::standard().inverse_cdf(1.0 - MISSED);
+    harm + quantile * variance.sqrt()
+}
+
+/// The chance that the new nodes' shares rank as high as they do.
+fn ranks(new: &[Share], old: &[Share]) -> f64 {
+    // The normal form of Mann and Whitney's U, with the correction for whole steps; ties count as half.
+    let (n, m) = (new.len() as f64, old.len() as f64);
+    let above: f64 = new
+        .iter()
+        .flat_map(|a| old.iter().map(move |b| a.value.total_cmp(&b.value)))
+        .map(|order| match order {
+            std::cmp::Ordering::Greater => 1.0,
+            std::cmp::Ordering::Equal => 0.5,
+            std::cmp::Ordering::Less => 0.0,
+        })
+        .sum();
+    let deviation = (n * m * (n + m + 1.0) / 12.0).sqrt().max(1e-9);
+    1.0 - Normal::standard().cdf((above - 0.5 - n * m / 2.0) / deviation)
+}
+
+/// One operation by one measure.
+fn compare(record: &Record, plan: &Plan, way: Way, operation: u32, measure: Measure) -> Option<Finding> {
+    let margin = f64::from(plan.margin) / 1000.0 * measure.margin();
+    let (new_share, old_share) =
+        (pooled(record, Side::New, operation, measure)?, pooled(record, Side::Old, operation, measure)?);
+    let mut new = shares(record, Side::New, operation, measure, old_share);
+    let mut old = shares(record, Side::Old, operation, measure, old_share);
+    if new.is_empty() || old.is_empty() {
+        return None;
+    }
+    let chance = difference(&new, &old, 0.0).map_or(0.0, |(_, variance)| variance.sqrt());
+    let finding = |harm: f64, variance: f64, evidence: f64| Finding {
+        chance,
+        operation: Some(operation),
+        what: measure.word(),
+        new: new_share,
+        old: old_share,
+        harm,
+        error: variance.sqrt(),
+        evidence,
+        margin,
+    };
+    match way {
+        Way::Nodes | Way::NodesNow => {
+            if way == Way::Nodes {
+                adjust(&mut new, &mut old);
+            }
+            let (harm, variance) = difference(&new, &old, spread(&old, margin))?;
+            Some(finding(harm, variance, mixture(harm, variance, margin)))
+        }
+        Way::Fixed => {
+            let harm = new_share - old_share;
+            Some(finding(harm, 0.0, if harm > margin { f64::MAX } else { 0.0 }))
+        }
+        Way::Invocations => {
+            let variance = 1.0 / new.iter().map(|share| 1.0 / share.variance).sum::<f64>()
+                + 1.0 / old.iter().map(|share| 1.0 / share.variance).sum::<f64>();
+            let harm = new_share - old_share;
+            Some(finding(harm, variance, mixture(harm, variance, margin)))
+        }
+        Way::Ranks => {
+            let harm = new_share - old_share;
+            Some(finding(harm, 0.0, 1.0 / ranks(&new, &old).max(1e-12)))
+        }
+    }
+}
+
+/// Memory and descriptors: whether they rise faster than at the old nodes, drawn out over an hour, as a share of what there is.
+fn rises(record: &Record) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for (what, of) in [
+        ("memory in an hour", (|node: &NodeRecord| node.memory) as fn(&NodeRecord) -> crate::record::Line),
+        ("descriptors in an hour", |node| node.descriptors),
+    ] {
+        let values = |side| -> Vec<Share> {
+            let lines = record.side(side).map(|(_, node)| (node.zone, of(node)));
+            lines
+                .filter(|(_, line)| line.count >= RISE_WINDOWS && line.mean() > 0.0)
+                .filter_map(|(zone, line)| {
+                    let (slope, variance) = line.slope(GAUGES)?;
+                    let drawn = HOUR / line.mean();
+                    Some(Share {
+                        zone,
+                        value: slope * drawn,
+                        variance: variance * drawn * drawn,
+                        before: None,
+                    })
+                })
+                .collect()
+        };
+        let (new, old) = (values(Side::New), values(Side::Old));
+        let (value_new, value_old) = (mean(new.iter().map(|s| s.value)), mean(old.iter().map(|s| s.value)));
+        // A fifth more within an hour is harm.
+        let margin = 0.2;
+        if let Some((harm, variance)) = difference(&new, &old, spread(&old, margin)) {
+            let evidence = mixture(harm, variance, margin);
+            let error = variance.sqrt();
+            let chance = difference(&new, &old, 0.0).map_or(0.0, |(_, variance)| variance.sqrt());
+            findings.push(Finding {
+                chance,
+                operation: None,
+                what,
+                new: value_new,
+                old: value_old,
+                harm,
+                error,
+                evidence,
+                margin,
+            });
+        }
+    }
+    findings
+}
+
+/// Deaths and invariants: counts by node and time, of which chance is known. What the others had in the same time tells how
+/// often such a thing happens today; without any, once in a node's day.
+fn counts(record: &Record, deaths: &Deaths) -> Vec<Finding> {
+    let [new_time, old_time] = deaths.nodes.map(|nodes| (nodes as f64 * deaths.windows).max(1.0));
+    let sum = |side| record.side(side).map(|(_, node)| node.invariants).sum::<u64>();
+    let mut findings = Vec::new();
+    let mut push = |what, [new, old]: [u64; 2], least: u64| {
+        if new < least {
+            return;
+        }
+        let rate = old as f64 / old_time + 1.0 / DAY;
+        let chance = Poisson::new(rate * new_time).map_or(1.0, |poisson| poisson.sf(new - 1));
+        findings.push(Finding {
+            operation: None,
+            what,
+            new: new as f64,
+            old: old as f64,
+            harm: new as f64 / new_time - rate,
+            error: 0.0,
+            chance: 0.0,
+            evidence: 1.0 / chance.max(1e-12),
+            margin: 0.0,
+        });
+    };
+    push("invariants that did not hold", [sum(Side::New), sum(Side::Old)], 1);
+    // One death may be chance; of two on trial, where the others live, one is not.
+    push("deaths on trial", deaths.died, 2);
+    findings
+}
+
+/// What died in a stage: the dead don't count, so that others do it for them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Deaths {
+    /// On trial, and of the others.
+    pub died: [u64; 2],
+    /// Of how many nodes that are in the stage, and that are not.
+    pub nodes: [u64; 2],
+    /// In how many windows' time.
+    pub windows: f64,
+}
+
+/// Judges a stage by what there is so far.
+pub fn judge(record: &Record, plan: &Plan, stage: u32, deaths: &Deaths, way: Way) -> Judgement {
+    let operations = record.operations();
+    let mut findings: Vec<Finding> = Vec::new();
+    for operation in &operations {
+        findings.extend(Measure::ALL.iter().filter_map(|m| compare(record, plan, way, *operation, *m)));
+    }
+    let shares = findings.len();
+    if matches!(way, Way::Nodes | Way::NodesNow) {
+        findings.extend(rises(record));
+    }
+    // All ways take deaths for what they are: they differ in what they make of shares.
+    let counted = counts(record, deaths);
+    let tests = findings.len().max(1) as f64;
+    let enough = match way {
+        Way::Fixed => 1.0,
+        // A rank test that is looked at each window without a thought of that.
+        Way::Ranks => 1.0 / FALSE_STOP,
+        _ => tests / FALSE_STOP,
+    };
+    findings.extend(counted);
+    findings.sort_by(|a, b| b.evidence.total_cmp(&a.evidence));
+    // Harm that is certain and small is none: half of the margin at least. Counts are two tests more, with a chance of their own.
+    let harms = |finding: &Finding| {
+        let enough = if finding.margin > 0.0 { enough } else { 2.0 / FALSE_STOP };
+        finding.evidence >= enough && finding.harm >= finding.margin / 2.0
+    };
+    let harm: Vec<Finding> = findings.iter().filter(|finding| harms(finding)).cloned().collect();
+    let sample = [record.arrived(Side::New), record.arrived(Side::Old)];
+    let nodes = [record.side(Side::New).count(), record.side(Side::Old).count()];
+    let least = plan.stage(stage).map_or(0, |stage| u64::from(stage.sample));
+    let verdict = if !harm.is_empty() {
+        Verdict::Harm(harm)
+    } else if sample[0] < least {
+        Verdict::Wait(format!("{} of {least} invocations at the new nodes", sample[0]))
+    } else if shares == 0 {
+        Verdict::Wait("nothing to compare with at the old nodes".into())
+    } else {
+        // The fewer run it, the more it may be off: by the margin once half of the fleet does. What more counts would not tell is
+        // not waited for.
+        let part = nodes[0] as f64 / (nodes[0] + nodes[1]).max(1) as f64;
+        let wide = (0.5 / part.max(1e-6)).sqrt().max(1.0);
+        let unsure = |finding: &&Finding| {
+            finding.margin > 0.0 && most(finding.harm, finding.chance.powi(2)) > finding.margin * wide
+        };
+        // What is seldom can't be told from chance: it must not hold a change up that is fine by all that is not.
+        let told = |finding: &&Finding| finding.chance < finding.margin;
+        let looked =
+            || findings.iter().filter(|_| way != Way::Fixed && way != Way::Ranks).filter(told).filter(unsure);
+        let why = |finding: &Finding| {
+            format!(
+                "{} {:+.4} ± {:.4}, {:.4} is looked for",
+                finding.what,
+                finding.harm,
+                finding.chance,
+                finding.margin * wide
+            )
+        };
+        match (looked().find(|finding| finding.harm > finding.margin * wide), looked().next()) {
+            (Some(finding), _) => Verdict::Wait(why(finding)),
+            (None, Some(finding)) => Verdict::Unsure(why(finding)),
+            (None, None) => Verdict::Fine,
+        }
+    };
+    Judgement { verdict, findings, sample, nodes }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::change::{ChangeId, Version};
+    use crate::record::Sample;
+    use rand::{RngExt, SeedableRng};
+    use rand_pcg::Pcg64Mcg;
+
+    fn record() -> Record {
+        let version = |number| Version { number, hash: number };
+        Record::new(ChangeId(1), version(2), version(1))
+    }
+
+    struct Fleet {
+        rng: Pcg64Mcg,
+        /// Share of errors of each node by itself, and which ones are new.
+        own: Vec<f64>,
+        new: usize,
+    }
+
+    impl Fleet {
+        fn samples(&mut self, before: bool, harm: f64, each: u64, memory: f64, at: u64) -> Vec<Sample> {
+            (0..self.own.len())
+                .map(|n| {
+                    let is_new = n < self.new && !before;
+                    let share = self.own[n] + if is_new { harm } else { 0.0 };
+                    let errored =
+                        (0..each).filter(|_| self.rng.random_bool(share.clamp(0.0, 1.0))).count() as u64;
+                    let cell = Cell {
+                        arrived: each,
+                        succeeded: each - errored,
+                        errored,
+                        earned: (each - errored) * 1000,
+                        asked: each * 1000,
+                        ..Cell::default()
+                    };
+                    let memory = 10_000.0 + if is_new { memory * at as f64 } else { 0.0 };
+                    Sample {
+                        node: n as u64,
+                        zone: n as u32 % 3,
+                        label: if is_new { 2 } else { 1 },
+                        operations: BTreeMap::from([(7, (cell, Vec::new()))]),
+                        memory_kb: memory as u64 + self.rng.random_range(0..200),
+                        descriptors: 40,
+                        ..Sample::default()
+                    }
+                })
+                .collect()
+        }
+    }
+
+    fn play(seed: u64, new: usize, harm: f64, slow_new: f64, memory: f64) -> Judgement {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut own: Vec<f64> = (0..30).map(|_| rng.random_range(0.005..0.02)).collect();
+        own[0] += slow_new;
+        let mut fleet = Fleet { rng, own, new };
+        let mut record = record();
+        for window in 0..8 {
+            let samples = fleet.samples(true, 0.0, 100, 0.0, window);
+            samples.iter().for_each(|sample| record.before(window, sample));
+        }
+        record.begin();
+        record.stage_begins(1);
+        let mut last = None;
+        for window in 8..30 {
+            record.after(window, &fleet.samples(false, harm, 100, memory, window));
+            let judged = judge(&record, &Plan::default(), 1, &Deaths::default(), Way::Nodes);
+            let stops = matches!(judged.verdict, Verdict::Harm(_));
+            last = Some(judged);
+            if stops {
+                break;
+            }
+        }
+        last.unwrap()
+    }
+
+    #[test]
+    fn a_change_that_harms_is_stopped_and_one_that_does_not_passes() {
+        for seed in 0..20 {
+            let fine = play(seed, 3, 0.0, 0.0, 0.0);
+            assert_eq!(fine.verdict, Verdict::Fine, "seed {seed}: {:?}", fine.findings.first());
+            let harm = play(seed, 3, 0.05, 0.0, 0.0);
+            assert!(matches!(harm.verdict, Verdict::Harm(_)), "seed {seed}: {:?}", harm.findings.first());
+            let one = play(seed, 1, 0.2, 0.0, 0.0);
+            assert!(matches!(one.verdict, Verdict::Harm(_)), "seed {seed}: {:?}", one.findings.first());
+        }
+    }
+
+    /// The one node of the first stage is a machine that always erred more: that is no fault of the change.
+    #[test]
+    fn a_slow_machine_among_the_new_ones_is_no_harm() {
+        for seed in 0..20 {
+            let slow = play(seed, 1, 0.0, 0.06, 0.0);
+            assert!(!matches!(slow.verdict, Verdict::Harm(_)), "seed {seed}: {:?}", slow.findings.first());
+        }
+    }
+
+    #[test]
+    fn a_leak_shows_before_it_harms() {
+        let leaks = play(1, 2, 0.0, 0.0, 60.0); // 2 % of its memory in an hour would be 3 KB a window
+        let Verdict::Harm(findings) = &leaks.verdict else { panic!("{leaks:?}") };
+        assert_eq!(findings[0].what, "memory in an hour");
+        let line = leaks.line(&|n| format!("op{n}"));
+        assert!(line.starts_with("harm; memory in an hour:") && line.contains("2 new nodes"), "{line}");
+    }
+
+    #[test]
+    fn deaths_and_invariants_are_counted_against_the_others() {
+        let mut fleet = Fleet { rng: Pcg64Mcg::seed_from_u64(1), own: vec![0.01; 30], new: 3 };
+        let mut record = record();
+        record.begin();
+        record.stage_begins(1);
+        for window in 0..6 {
+            record.after(window, &fleet.samples(false, 0.0, 100, 0.0, window));
+        }
+        let judged = |record: &Record, died| {
+            let deaths = Deaths { died, nodes: [3, 27], windows: 6.0 };
+            judge(record, &Plan::default(), 1, &deaths, Way::Nodes).verdict
+        };
+        assert!(!matches!(judged(&record, [1, 0]), Verdict::Harm(_)), "one may be chance");
+        assert!(matches!(judged(&record, [2, 0]), Verdict::Harm(_)));
+        // Old ones die as well: then it is the day and not the change.
+        assert!(!matches!(judged(&record, [3, 27]), Verdict::Harm(_)));
+        record.nodes.get_mut(&1).unwrap().invariants = 3;
+        assert!(matches!(judged(&record, [0, 0]), Verdict::Harm(_)));
+    }
+
+    #[test]
+    fn too_little_is_waited_for() {
+        let mut fleet = Fleet { rng: Pcg64Mcg::seed_from_u64(1), own: vec![0.01; 30], new: 1 };
+        let mut record = record();
+        record.begin();
+        record.stage_begins(1);
+        (0..4).for_each(|window| record.after(window, &fleet.samples(false, 0.0, 30, 0.0, window)));
+        let judged = judge(&record, &Plan::default(), 1, &Deaths::default(), Way::Nodes);
+        assert_eq!(judged.verdict, Verdict::Wait("120 of 200 invocations at the new nodes".into()));
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/kept.rs
@@ -0,0 +1,292 @@
+//! What a node keeps on disk of its versions, so that it starts on the right one whatever happened: a small file, written whole to
+//! another name, synced, and put in its place. `docs/design/rollout.md` has it byte by byte.
+//!
+//! Rules: what is on trial is written before it takes force. A file that says so at the start means that the node died on trial:
+//! it starts on the last good version, and does not try that one again by itself.
+
+use crate::change::{Change, ChangeId, Kind, Version};
+use crate::quorum::Vote;
+use crate::wire::{self, OneChange, OneVote};
+use prost::Message;
+
+const MAGIC: [u8; 4] = *b"mpv1";
+/// Versions that were turned down and are remembered.
+const TURNED_DOWN: usize = 16;
+/// The most bytes of the file.
+pub const FILE_MAX: usize = 4096;
+
+/// A version on trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Trial {
+    pub change: ChangeId,
+    pub version: Version,
+    /// How often it was begun here.
+    pub tries: u32,
+}
+
+/// What is kept, of one kind.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Kept {
+    pub kind: Kind,
+    /// What is in force and was found good; none before the first: what the operator gave.
+    pub good: Option<Version>,
+    /// The good one before it, whose content is still here.
+    pub before: Option<Version>,
+    pub trial: Option<Trial>,
+    /// Versions that died here, or were taken back or turned down, with how often they died.
+    pub turned_down: Vec<(Version, u32)>,
+    /// The change of the last agreement, so that the fleet goes on with it if all of it starts at once.
+    pub head: Option<Change>,
+    /// What this node voted as an arbiter.
+    pub vote: Option<Vote>,
+}
+
+/// What a file can't be read for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// It is cut, or another file.
+    NotOne,
+    /// Its checksum does not fit.
+    Damaged,
+    /// A later program wrote it.
+    Later,
+}
+
+impl Broken {
+    /// As the log has it.
+    pub fn word(self) -> &'static str {
+        match self {
+            Broken::NotOne => "cut, or no such file",
+            Broken::Damaged => "damaged",
+            Broken::Later => "of a later program",
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+struct OneVersion {
+    #[prost(uint64, tag = "1")]
+    number: u64,
+    #[prost(fixed64, tag = "2")]
+    hash: u64,
+    #[prost(uint32, tag = "3")]
+    died: u32,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Body {
+    #[prost(message, optional, tag = "1")]
+    good: Option<OneVersion>,
+    #[prost(message, optional, tag = "2")]
+    before: Option<OneVersion>,
+    #[prost(fixed64, tag = "3")]
+    change: u64,
+    #[prost(message, optional, tag = "4")]
+    trial: Option<OneVersion>,
+    #[prost(message, repeated, tag = "5")]
+    turned_down: Vec<OneVersion>,
+    #[prost(uint32, tag = "6")]
+    kind: u32,
+    #[prost(message, optional, tag = "7")]
+    head: Option<OneChange>,
+    #[prost(message, optional, tag = "8")]
+    vote: Option<OneVote>,
+}
+
+fn one(version: Version, died: u32) -> OneVersion {
+    OneVersion { number: version.number, hash: version.hash, died }
+}
+
+fn version(one: &OneVersion) -> Version {
+    Version { number: one.number, hash: one.hash }
+}
+
+impl Kept {
+    /// Nothing kept yet.
+    pub fn new(kind: Kind) -> Kept {
+        Kept { kind, ..Kept::default() }
+    }
+
+    /// The file: its mark, the bytes of what follows (4, lowest first), their CRC-32 (4), and what follows.
+    pub fn write(&self) -> Vec<u8> {
+        let body = Body {
+            good: self.good.map(|v| one(v, 0)),
+            before: self.before.map(|v| one(v, 0)),
+            change: self.trial.map_or(0, |trial| trial.change.0),
+            trial: self.trial.map(|trial| one(trial.version, trial.tries)),
+            turned_down: self.turned_down.iter().map(|(v, died)| one(*v, *died)).collect(),
+            kind: self.kind as u32,
+            head: self.head.as_ref().map(wire::write_change),
+            vote: self.vote.as_ref().map(wire::write_vote),
+        };
+        let body = body.encode_to_vec();
+        let mut file = MAGIC.to_vec();
+        file.extend((body.len() as u32).to_le_bytes());
+        file.extend(crc32fast::hash(&body).to_le_bytes());
+        file.extend(body);
+        file
+    }
+
+    /// Reads a file.
+    pub fn read(bytes: &[u8]) -> Result<Kept, Broken> {
+        let word = |at: usize| bytes.get(at..at + 4).and_then(|four| four.try_into().ok());
+        let (Some(magic), Some(length), Some(crc)) = (word(0), word(4), word(8)) else {
+            return Err(Broken::NotOne);
+        };
+        let magic: [u8; 4] = magic;
+        if magic != MAGIC {
+            return Err(if magic.starts_with(b"mpv") { Broken::Later } else { Broken::NotOne });
+        }
+        let body = bytes.get(12..12 + u32::from_le_bytes(length) as usize).ok_or(Broken::NotOne)?;
+        if bytes.len() > FILE_MAX || crc32fast::hash(body) != u32::from_le_bytes(crc) {
+            return Err(Broken::Damaged);
+        }
+        let body = Body::decode(body).map_err(|_| Broken::Damaged)?;
+        let trial = body.trial.as_ref().map(|trial| Trial {
+            change: ChangeId(body.change),
+            version: version(trial),
+            tries: trial.died,
+        });
+        Ok(Kept {
+            kind: if body.kind == 1 { Kind::Program } else { Kind::Settings },
+            good: body.good.as_ref().map(version),
+            before: body.before.as_ref().map(version),
+            trial,
+            turned_down: body.turned_down.iter().take(TURNED_DOWN).map(|v| (version(v), v.died)).collect(),
+            head: body.head.as_ref().and_then(wire::read_change),
+            vote: body.vote.as_ref().map(wire::read_vote),
+        })
+    }
+
+    /// What the node starts on, and the version that died on trial, if one did. That one is noted as such.
+    pub fn begin(&mut self) -> (Option<Version>, Option<Trial>) {
+        let died = self.trial.take();
+        if let Some(trial) = died {
+            self.died(trial.version);
+        }
+        (self.good, died)
+    }
+
+    /// A version died on trial here.
+    pub fn died(&mut self, version: Version) {
+        match self.turned_down.iter_mut().find(|(v, _)| *v == version) {
+            Some((_, died)) => *died += 1,
+            None => self.turn_down(version, 1),
+        }
+    }
+
+    /// A version is not to be run here.
+    pub fn turn_down(&mut self, version: Version, died: u32) {
+        self.turned_down.retain(|(v, _)| *v != version);
+        self.turned_down.push((version, died));
+        let over = self.turned_down.len().saturating_sub(TURNED_DOWN);
+        self.turned_down.drain(..over);
+    }
+
+    /// Whether a version died here, or was taken back or turned down.
+    pub fn is_turned_down(&self, version: Version) -> bool {
+        self.turned_down.iter().any(|(v, _)| *v == version)
+    }
+
+    /// How often a version died here.
+    pub fn deaths(&self, version: Version) -> u32 {
+        self.turned_down.iter().find(|(v, _)| *v == version).map_or(0, |(_, died)| *died)
+    }
+
+    /// What is on trial is good: it is in force from here on.
+    pub fn found_good(&mut self, version: Version) {
+        self.trial = None;
+        if self.good != Some(version) {
+            self.before = self.good;
+            self.good = Some(version);
+        }
+        self.turned_down.retain(|(v, _)| *v != version);
+    }
+
+    /// Versions whose content must stay on the disk.
+    pub fn needed(&self) -> impl Iterator<Item = Version> {
+        self.good.into_iter().chain(self.before).chain(self.trial.map(|trial| trial.version))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::change::tests::change;
+    use crate::change::{Fate, Reason};
+    use crate::quorum::{Ballot, Proposal};
+    use crate::stages::{Reach, ZONES_MAX};
+
+    fn v(number: u64) -> Version {
+        Version { number, hash: crate::mix(number) }
+    }
+
+    fn full() -> Kept {
+        let trial = Some(Trial { change: ChangeId(9), version: v(3), tries: 1 });
+        let turned_down = (10..20).map(|n| (v(n), n as u32 % 3)).collect();
+        let mut head = change(9, 3);
+        let until = (0..ZONES_MAX as u32).map(|zone| (zone, 1 << 60));
+        head.reach = Reach { seq: 31, stage: 2, until: until.clone().collect(), ..Reach::default() };
+        (head.fate, head.reason) = (Fate::Halted, Reason::new(1 << 41, 1 << 60, &"x".repeat(200)));
+        head.reach.before = until.collect();
+        let proposal = Proposal { change: ChangeId(9), reach: Reach { seq: 32, ..head.reach.clone() } };
+        let (promised, earlier) = (Ballot { round: 9, by: 1 << 60 }, Ballot { round: 8, by: 1 });
+        let vote = Vote { seq: 32, promised, accepted: Some((earlier, proposal)) };
+        Kept {
+            kind: Kind::Settings,
+            good: Some(v(2)),
+            before: Some(v(1)),
+            trial,
+            turned_down,
+            head: Some(head),
+            vote: Some(vote),
+        }
+    }
+
+    #[test]
+    fn what_is_written_is_read_and_every_cut_and_bit_is_found() {
+        for kept in [Kept::new(Kind::Program), full()] {
+            let file = kept.write();
+            assert!(file.len() <= FILE_MAX);
+            assert_eq!(Kept::read(&file), Ok(kept.clone()));
+            for at in 0..file.len() {
+                assert!(Kept::read(&file[..at]).is_err(), "cut at {at}");
+                for bit in 0..8 {
+                    let mut file = file.clone();
+                    file[at] ^= 1 << bit;
+                    assert!(Kept::read(&file).is_err(), "byte {at} bit {bit}");
+                }
+            }
+        }
+        assert_eq!(Kept::read(b"mpv2 and more to come"), Err(Broken::Later));
+    }
+
+    #[test]
+    fn one_that_died_on_trial_starts_on_the_last_good_version() {
+        let mut kept = full();
+        let (start, died) = kept.begin();
+        assert_eq!(
+            (start, died.unwrap().version, kept.trial, kept.deaths(v(3))),
+            (Some(v(2)), v(3), None, 1)
+        );
+        assert_eq!(kept.begin(), (Some(v(2)), None));
+        kept.trial = Some(Trial { change: ChangeId(9), version: v(3), tries: 2 });
+        kept.begin();
+        assert_eq!(kept.deaths(v(3)), 2);
+    }
+
+    #[test]
+    fn a_last_good_version_always_exists_once_there_was_one() {
+        let mut kept = Kept::new(Kind::Settings);
+        assert_eq!(kept.begin(), (None, None));
+        kept.found_good(v(1));
+        kept.trial = Some(Trial { change: ChangeId(1), version: v(2), tries: 1 });
+        assert_eq!(kept.needed().collect::<Vec<_>>(), [v(1), v(2)]);
+        kept.found_good(v(2));
+        assert_eq!((kept.good, kept.before), (Some(v(2)), Some(v(1))));
+        kept.found_good(v(2));
+        assert_eq!(kept.before, Some(v(1)));
+        (30..60).for_each(|n| kept.turn_down(v(n), 0));
+        assert_eq!((kept.turned_down.len(), kept.write().len() <= FILE_MAX), (TURNED_DOWN, true));
+    }
+}
