--- a/crates/rollout/src/kept.rs
+++ b/crates/rollout/src/kept.rs
@@ -37,8 +37,9 @@
     pub turned_down: Vec<(Version, u32)>,
     /// The change of the last agreement, so that the fleet goes on with it if all of it starts at once.
     pub head: Option<Change>,
-    /// What this node voted as an arbiter.
+    /// What this node voted as an arbiter, and the last agreement that it takes no part in.
     pub vote: Option<Vote>,
+    pub abstains_to: u64,
 }
 
 /// What a file can't be read for.
@@ -91,6 +92,8 @@
     head: Option<OneChange>,
     #[prost(message, optional, tag = "8")]
     vote: Option<OneVote>,
+    #[prost(uint64, tag = "9")]
+    abstains_to: u64,
 }
 
 fn one(version: Version, died: u32) -> OneVersion {
@@ -118,6 +121,7 @@
             kind: self.kind as u32,
             head: self.head.as_ref().map(wire::write_change),
             vote: self.vote.as_ref().map(wire::write_vote),
+            abstains_to: self.abstains_to,
         };
         let body = body.encode_to_vec();
         let mut file = MAGIC.to_vec();
@@ -155,6 +159,7 @@
             turned_down: body.turned_down.iter().take(TURNED_DOWN).map(|v| (version(v), v.died)).collect(),
             head: body.head.as_ref().and_then(wire::read_change),
             vote: body.vote.as_ref().map(wire::read_vote),
+            abstains_to: body.abstains_to,
         })
     }
 
@@ -253,6 +258,7 @@
             turned_down,
             head: Some(head),
             vote: Some(vote),
+            abstains_to: 7,
         }
     }
 
--- a/crates/rollout/src/local.rs
+++ b/crates/rollout/src/local.rs
@@ -8,7 +8,7 @@
 use crate::conduct::Member;
 use crate::kept::{Kept, Trial};
 use crate::pieces::{self, Fetch, Fetched};
-use crate::quorum::{Answer, Ask, Say};
+use crate::quorum::{self, Answer, Ask, Say};
 use crate::record::Sample;
 use crate::stages::{Reach, seconds};
 use crate::wire::{Told, changes as in_parcels};
@@ -105,6 +105,8 @@
     pub new_content: Option<Vec<u8>>,
     /// The version that died here on trial, if one did.
     pub died: Option<Trial>,
+    /// Whether nothing was on its disk.
+    pub fresh: bool,
 }
 
 /// What a node says of itself: which version it runs since when, and how it stands to which change.
@@ -149,6 +151,9 @@
 /// A node alone halts what is plainly bad: of so many invocations since, so much less succeed than of as many before.
 const OWN_SAMPLE: u64 = 50;
 const OWN_LESS: f64 = 0.5;
+/// One that starts with nothing on its disk and hears of agreements within this may have lost what it voted, and takes no part for
+/// as long at most.
+const NEW: Nanos = 600 * SECOND;
 /// Changes that are over are forgotten after this.
 const REMEMBERED: Nanos = 7 * 24 * 3600 * SECOND;
 
@@ -199,6 +204,9 @@
     writes: u64,
     /// What is asked of this node as an arbiter, and by whom.
     asked: Option<(u64, Ask)>,
+    /// When it started, if nothing was on its disk.
+    born: Option<Nanos>,
+    started: Nanos,
     fetch: Option<Fetch>,
     /// Contents by version, as far as they are here: of what is staged, so that others can be told.
     contents: BTreeMap<Version, Vec<u8>>,
@@ -218,7 +226,7 @@
 impl<H: Host> Local<H> {
     /// A node that has just started, and read this from its disk.
     pub fn new(now: Nanos, unix_ms: u64, (me, zone): (u64, u32), start: Start, host: H) -> Local<H> {
-        let Start { kept, running, contents, new_content, died } = start;
+        let Start { kept, running, contents, new_content, died, fresh } = start;
         let mut local = Local {
             host,
             kind: kept.kind,
@@ -232,6 +240,8 @@
             waits: Waits::Nothing,
             writes: 0,
             asked: None,
+            born: fresh.then_some(now),
+            started: now,
             fetch: None,
             contents: contents.into_iter().collect(),
             staged: BTreeMap::new(),
@@ -538,6 +548,7 @@
 
     /// Looks at what is to be done next, and does it.
     fn look(&mut self, now: Nanos) {
+        self.learn_of_agreements(now);
         if self.waits == Waits::Nothing {
             self.vote(now);
         }
@@ -561,9 +572,30 @@
         }
     }
 
+    /// An arbiter that starts without anything on its disk, in a fleet that has agreed on things, may have lost its votes: it takes
+    /// part again after two more agreements, when nothing that it can have voted on is open; or after so long that whoever can
+    /// have counted its vote has long brought that to its end.
+    fn learn_of_agreements(&mut self, now: Nanos) {
+        let known = quorum::known(&self.changes, self.kind);
+        let Some(born) = self.born.filter(|_| known > 0) else { return };
+        self.born = None;
+        if now < born + NEW && self.kept.vote.is_none() {
+            self.host
+                .log(&format!("nothing was on the disk: votes on changes from agreement {} on", known + 3));
+            self.kept.abstains_to = known + 2;
+        }
+    }
+
     /// What is asked of an arbiter: its vote is written before it is told.
     fn vote(&mut self, now: Nanos) {
         let Some((from, ask)) = self.asked.take() else { return };
+        let seq = match &ask {
+            Ask::Prepare { seq, .. } => *seq,
+            Ask::Accept { proposal, .. } => proposal.reach.seq,
+        };
+        if seq <= self.kept.abstains_to && now < self.started + NEW {
+            return;
+        }
         let vote = self.kept.vote.clone().unwrap_or_default();
         match vote.asked(&self.changes, self.kind, &ask) {
             Answer::Say(say) => self.host.send(from, Told::Say(self.kind, say)),
--- a/crates/rollout/src/record.rs
+++ b/crates/rollout/src/record.rs
@@ -17,6 +17,9 @@
 /// Windows of the cohorts that are kept for tables and plots.
 const HISTORY: usize = 720;
 
+/// How many invocations took how long: value of a histogram's place, and count.
+pub type Latencies = Vec<(u32, u32)>;
+
 /// What is measured of an operation. Each is a share of what harms.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Measure {
@@ -137,7 +140,7 @@
     /// Whether it has just started, and is not warm.
     pub cold: bool,
     /// By operation; with latencies in tenths of a millisecond and how often each came.
-    pub operations: BTreeMap<u32, (Cell, Vec<(u32, u32)>)>,
+    pub operations: BTreeMap<u32, (Cell, Latencies)>,
     pub memory_kb: u64,
     pub descriptors: u64,
     /// Invariants that did not hold.
@@ -353,7 +356,7 @@
 
     /// A sample's operations, with what is slow among them.
     fn cells(&self, sample: &Sample) -> Cells {
-        let cell = |(operation, (cell, latencies)): (&u32, &(Cell, Vec<(u32, u32)>))| {
+        let cell = |(operation, (cell, latencies)): (&u32, &(Cell, Latencies))| {
             let mut cell = *cell;
             if let Some(from) = self.slow_from.get(operation) {
                 cell.timed = latencies.iter().map(|(_, count)| u64::from(*count)).sum();
--- a/crates/rollout/src/sim.rs
+++ b/crates/rollout/src/sim.rs
@@ -318,7 +318,8 @@
         let rng = Pcg64Mcg::seed_from_u64(self.rng.random());
         let (zone, me, now, base) = (self.load.zone(node), self.nodes[node].key, self.now, self.base);
         let of = &mut self.nodes[node];
-        let mut kept = if of.disk.kept.is_empty() {
+        let fresh = of.disk.kept.is_empty();
+        let mut kept = if fresh {
             Kept::new(Kind::Settings)
         } else {
             // The disk is written whole or not at all.
@@ -339,7 +340,7 @@
             board,
             rng,
         };
-        let start = Start { kept, running, contents, new_content, died };
+        let start = Start { kept, running, contents, new_content, died, fresh };
         let mut rollout = Rollout::new(now, unix, (me, zone), start, arbiters, WINDOW / MILLISECOND, host);
         rollout.conduct = Conduct::new(now, me, Kind::Settings, (0..self.shape.arbiters).map(key).collect())
             .with_way(self.shape.way);
@@ -387,6 +388,13 @@
         self.nodes[node].disk.full = full;
     }
 
+    /// A node is set up anew: its disk is empty.
+    pub fn wipe(&mut self, node: usize) {
+        self.crash(node);
+        self.nodes[node].disk = Disk::default();
+        self.nodes[node].checked.retain(|version| version.number == 1);
+    }
+
     /// A node's Unix clock steps.
     pub fn step(&mut self, node: usize, ms: i64) {
         self.nodes[node].clock += ms;
--- a/crates/rollout/tests/fleets.rs
+++ b/crates/rollout/tests/fleets.rs
@@ -331,6 +331,24 @@
     fine(&fleet);
 }
 
+/// An arbiter is set up anew in mid-change, and knows nothing of what it promised: it takes part again once that is past.
+#[test]
+fn an_arbiter_that_lost_its_disk_abstains_for_two_agreements() {
+    let mut fleet = Fleet::new(shape(14, 9));
+    let id = fleet.offer(5, 2, Effect::NONE);
+    assert!(fleet.until(10 * MINUTE, |fleet| fleet.stage(id) == 1));
+    fleet.wipe(2);
+    fleet.start(2);
+    assert_eq!(fleet.runs(2).unwrap().number, 1);
+    let voted =
+        |fleet: &Fleet| fleet.rollout(2).is_some_and(|rollout| rollout.local.kept_now().vote.is_some());
+    assert!(fleet.until(20 * MINUTE, |fleet| fleet.stage(id) == 3), "{}", line(&fleet));
+    assert!(!voted(&fleet));
+    assert!(fleet.until(20 * MINUTE, |fleet| fleet.all_know(id, Fate::Done)), "{}", line(&fleet));
+    assert!(voted(&fleet) && fleet.running(2) == 9);
+    fine(&fleet);
+}
+
 #[test]
 fn a_full_disk_keeps_a_change_from_beginning_and_not_from_going_back() {
     let mut fleet = Fleet::new(shape(11, 8));
@@ -390,10 +408,10 @@
         shape.loss = [0.0, 0.05, 0.3][rng.random_range(0..3)];
         shape.noise = if rng.random_bool(0.5) { Noise::USUAL } else { Noise::NONE };
         let mut fleet = Fleet::new(shape);
-        let mut number = 1;
+        let (mut number, mut wiped) = (1, false);
         for _ in 0..rng.random_range(10..30) {
             let node = rng.random_range(0..fleet.count());
-            match rng.random_range(0..12) {
+            match rng.random_range(0..13) {
                 0 | 1 => {
                     number += 1;
                     let bad = Effect { errored: 0.3, ..Effect::NONE };
@@ -423,6 +441,10 @@
                 }
                 8 => fleet.fill(node, rng.random_bool(0.5)),
                 9 => fleet.step(node, rng.random_range(-100_000..100_000)),
+                11 if !wiped => {
+                    wiped = true;
+                    fleet.wipe(node);
+                }
                 10 if fleet.count() < 16 => _ = fleet.join(),
                 _ => {}
             }
