--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 mod fleet;
+mod rollout;
 mod shared;
 
 use crate::serve::{self, Logging};
@@ -79,6 +80,11 @@
         #[command(subcommand)]
         command: shared::Command,
     },
+    /// Change the settings or the program of a fleet in stages.
+    Rollout {
+        #[command(subcommand)]
+        command: rollout::Command,
+    },
     /// Check a file of our settings, and show all that is wrong.
     #[command(after_help = "Example: madderpoint check deploy/translator.xml --config config.json")]
     Check {
@@ -183,6 +189,7 @@
             Some(Command::Serve { settings, log }) => return Self::serves(settings.or(self.settings), log),
             Some(Command::Fleet { command }) => command.run(),
             Some(Command::Shared { command }) => command.run(),
+            Some(Command::Rollout { command }) => command.run(),
             Some(Command::Check { file, format }) => check(&file, format),
             Some(Command::Identity { command: Identity::Check { file, bundle, audience, at, format } }) => {
                 identity(&file, &bundle, audience.as_deref(), at.as_deref(), format)
--- a/crates/node/src/cli/fleet.rs
+++ b/crates/node/src/cli/fleet.rs
@@ -22,6 +22,7 @@
 /// How long an answer is waited for, and how often a question is asked.
 const ANSWER: Duration = Duration::from_millis(500);
 const TRIES: u32 = 6;
+const ORDERS: u32 = 10;
 /// What another package holds is asked for again after this: the first question has it made ready.
 const SOON: Duration = Duration::from_millis(60);
 /// Changes that `watch` shows at its start.
@@ -258,6 +259,25 @@
         Ok(None)
     }
 
+    /// Orders something of another package, as often as that takes; gives what became of it.
+    pub fn order(&mut self, topic: u32, order: &[u8]) -> Result<Vec<u8>, String> {
+        let wrong = |e: std::io::Error| format!("{}: {e}", self.at);
+        let mut buffer = [0; DATAGRAM_MAX + 1];
+        for _ in 0..ORDERS {
+            let frame = self.observer.order(unix_ms(), topic, order);
+            self.socket.send_to(&frame, self.at).map_err(wrong)?;
+            let until = Instant::now() + ANSWER;
+            while Instant::now() < until {
+                let Ok((n, _)) = self.socket.recv_from(&mut buffer) else { continue };
+                let now = self.begun.elapsed().as_nanos() as Nanos;
+                if let Ok(Some(answer)) = self.observer.ordered(now, unix_ms(), &buffer[..n]) {
+                    return Ok(answer);
+                }
+            }
+        }
+        Err(format!("{}: no answer: nobody is there, it takes no orders, or the keys are others", self.at))
+    }
+
     fn ask(&mut self) -> Result<Holding, String> {
         let wrong = |e: std::io::Error| format!("{}: {e}", self.at);
         let (mut buffer, mut tries) = ([0; DATAGRAM_MAX + 1], 0);
@@ -615,6 +635,10 @@
             | Action::Load { .. }
             | Action::Service { .. }
             | Action::Holds { .. }
+            | Action::Offer { .. }
+            | Action::EndChange { .. }
+            | Action::Runs { .. }
+            | Action::Change { .. }
             | Action::Used { .. } => {
                 println!("{:>8.2} s  {:?}: only the rig plays that", step.at.as_secs_f64(), step.action);
                 None
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -13,7 +13,7 @@
 use crate::request::{Fields, Head, Rejected, Wanted};
 use crate::room::Room;
 use madderpoint::choice::Choice;
-use madderpoint::{Arrival, CallEnding, Ending, InvId, Nanos};
+use madderpoint::{Arrival, CallEnding, DispatcherId, Ending, InvId, Nanos, OpId};
 use madderpoint_facts::Start;
 use madderpoint_fleet::Sight;
 use madderpoint_rules::Verdict;
@@ -356,8 +356,11 @@
             Some(_) if desk.rules.is_some() => Self::rule(&mut desk, &self.start, conn, &fields, &request),
             _ => None,
         };
-        if let Some(verdict) = ruled.as_ref().and_then(|ruled| ruled.verdict.as_ref()) {
-            return Self::verdict(&mut desk, conn, id, verdict);
+        if let Some(ruled) = &ruled
+            && let Some(verdict) = &ruled.verdict
+        {
+            let of = fields.counted(&self.start).map(|(op, from)| (ruled.operation.unwrap_or(op), from));
+            return Self::verdict(&mut desk, conn, id, of, verdict);
         }
         match fields.wanted(&self.start, moment.unix_ms, ruled.as_ref().and_then(|r| r.operation)) {
             Err(Rejected(status, cause)) => desk.reject(conn, id, status, cause),
@@ -424,7 +427,20 @@
         ruled
     }
 
-    fn verdict(desk: &mut Desk<O>, conn: ConnId, id: u16, verdict: &Verdict) {
+    fn verdict(
+        desk: &mut Desk<O>,
+        conn: ConnId,
+        id: u16,
+        of: Option<(OpId, DispatcherId)>,
+        verdict: &Verdict,
+    ) {
+        let status = match verdict {
+            Verdict::Throttle { .. } => 429,
+            Verdict::Error { status, .. } => *status,
+        };
+        if let Some(of) = of {
+            desk.counts_turned_away(of, status);
+        }
         match verdict {
             Verdict::Throttle { pause, reason } => {
                 desk.count("throttled by a rule", 1);
@@ -453,6 +469,7 @@
         }
         if let Some((status, cause)) = key.as_ref().and_then(|key| desk.key_refused(key)) {
             desk.count(cause, 1);
+            desk.counts_turned_away((head.op, head.dispatcher), status);
             let pause = desk.longest_pause();
             desk.verdict(conn, id, status, pause, cause);
             return None;
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -89,7 +89,7 @@
     /// A node whose kernel is not up.
     fn waiting(settings: &str) -> Node {
         let start = madderpoint_facts::decode(settings.as_bytes()).unwrap();
-        let beside = crate::room::Beside { settings: true, fleet: false, shared: false };
+        let beside = crate::room::Beside { settings: true, ..Default::default() };
         let room = Room::of(&Limits { cores: 1.0, memory_mb: 32.0, sockets: 64 }, 4, beside);
         let core = Core::new(Recorder::default(), start, 7, 3000 * MS, true, &room);
         let mut node = Node { core, conn: ConnId(1), now: 1000 * MS };
--- a/crates/node/src/desk/counting.rs
+++ b/crates/node/src/desk/counting.rs
@@ -78,11 +78,16 @@
         });
     }
 
+    /// An invocation was answered so before the decisions saw it: by a rule, or for its key.
+    pub fn counts_turned_away(&mut self, (op, dispatcher): (OpId, DispatcherId), status: u16) {
+        self.counts_arrival(op, dispatcher, false);
+        self.counts_answer(op, status, 0);
+    }
+
     /// An invocation was throttled before the decisions saw it: for a limit, of which the key is told where it is one of the
     /// whole fleet, or for the room below.
     pub fn counts_refusal(&mut self, head: &Head, over: Option<u64>, for_room: bool) {
-        self.counts_arrival(head.op, head.dispatcher, false);
-        self.counts_answer(head.op, 429, 0);
+        self.counts_turned_away((head.op, head.dispatcher), 429);
         if for_room {
             self.counts_own(own::NO_ROOM, 1);
         }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,6 +1,7 @@
 //! Sockets, threads and clocks: feeds the core with what comes, and writes what it hands over.
 
 mod backend_link;
+mod changes;
 mod dispatchers;
 mod fleet_link;
 mod front;
@@ -8,6 +9,7 @@
 mod places;
 mod reports;
 
+pub use changes::{Changing, PROGRAM_CHANGES, SETTINGS_CHANGES, Versions};
 pub use fleet_link::{Part, Reset, SHARED, zone_number};
 
 use crate::classify::Sheet;
@@ -227,7 +229,8 @@
 impl Ours {
     fn beside(&self) -> Beside {
         let shared = self.fleet.as_ref().is_some_and(|part| part.shares());
-        Beside { settings: self.rules.is_some(), fleet: self.fleet.is_some(), shared }
+        let changes = self.fleet.as_ref().is_some_and(|part| !part.changes.is_empty());
+        Beside { settings: self.rules.is_some(), fleet: self.fleet.is_some(), shared, changes }
     }
 }
 
@@ -257,6 +260,7 @@
             part.settings.bytes = room.fleet;
             part.key_bytes = room.key_books;
             part.count_bytes = room.counts;
+            part.change_bytes = room.changes;
             let unix = move || {
                 let Moment { now, unix_ms } = clock.read();
                 madderpoint_fleet::Moment { now, unix_ms }
--- a/crates/node/src/driver/fleet_link.rs
+++ b/crates/node/src/driver/fleet_link.rs
@@ -1,6 +1,7 @@
 //! The fleet's socket, and the thread in which this node's part in the fleet lives. It shares nothing with the core but two
 //! bounded queues: words of the core, and what is seen of the fleet. Neither waits for the other.
 
+use super::changes::{Among, Changes, Changing, topic};
 use super::{Message, STACK};
 use crate::company::Word;
 use crate::core::{Event, Service, With};
@@ -9,6 +10,7 @@
 use madderpoint_fleet::seal::Keys;
 use madderpoint_fleet::wire::DATAGRAM_MAX;
 use madderpoint_fleet::{Fleet, Host, Key, Life, Moment, Nanos, Periods, Settings, Sight};
+use madderpoint_rollout::{ChangeId, Kind, Plan, Version};
 use madderpoint_shared::counts::PROCESS_BYTES;
 use madderpoint_shared::keyed::{KeyBudget, KeysLent, Rhythm};
 use madderpoint_shared::wire::{PARCEL_MAX, Told, read as read_parcel, write as write_parcel};
@@ -17,6 +19,7 @@
 use rustix::event::{EventfdFlags, PollFd, PollFlags, Timespec, eventfd, poll};
 use rustix::fd::OwnedFd;
 use rustix::io::Errno;
+use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
@@ -48,6 +51,9 @@
     /// Names of the operations, for those who have counts shown; and the bytes for other processes' counts.
     pub operations: Vec<String>,
     pub count_bytes: usize,
+    /// Its parts in changes of the settings and of the program, and the bytes for the record of them.
+    pub changes: Vec<Changing>,
+    pub change_bytes: usize,
 }
 
 impl Part {
@@ -78,14 +84,45 @@
     pub number: (u64, u64),
     pub budgets: Vec<Budget>,
     pub key_budgets: Vec<KeyBudget>,
+    /// How changes that are offered here go out from now on, if they go out in stages.
+    pub plan: Option<Plan>,
+}
+
+/// What the thread that checks and writes versions did.
+#[derive(Debug)]
+pub enum Done {
+    Checked(ChangeId, Result<(), String>),
+    LookedInto(u64, Result<Version, String>),
+    Kept(u64, Result<(), String>),
+    Applied(Version, Result<(), String>),
 }
 
 enum Order {
     Word(Word),
     Reset(Box<Reset>),
+    Done(Kind, Done),
     Leave,
 }
 
+/// The end by which that thread tells what it did.
+#[derive(Clone)]
+pub struct Poster {
+    orders: Sender<Order>,
+    bell: Arc<OwnedFd>,
+}
+
+/// What it did is told within this, or not at all: the node leaves then.
+const TOLD: Duration = Duration::from_secs(1);
+
+impl Poster {
+    /// Something was done, about changes of this kind.
+    pub fn done(&self, kind: Kind, done: Done) {
+        if self.orders.send_timeout(Order::Done(kind, done), TOLD).is_ok() {
+            let _ = rustix::io::write(&*self.bell, &1u64.to_ne_bytes());
+        }
+    }
+}
+
 /// The core's end.
 #[derive(Clone)]
 pub struct FleetLink {
@@ -164,6 +201,20 @@
     shown: Option<(Nanos, Vec<u8>)>,
     shares: bool,
     now: Nanos,
+    /// The same of changes, by topic; topics that were asked about; and what operators ordered.
+    pages: BTreeMap<u32, (Nanos, Vec<u8>)>,
+    asked: Vec<u32>,
+    orders: Vec<(SocketAddr, u32, u32, Vec<u8>)>,
+}
+
+/// Orders that are taken up at once.
+const ORDERS: usize = 32;
+
+/// A page of what is shown, from there on.
+fn page(bytes: &[u8], from: u64) -> (Vec<u8>, u64) {
+    let from = usize::try_from(from).unwrap_or(usize::MAX).min(bytes.len());
+    let to = (from + PARCEL_MAX).min(bytes.len());
+    (bytes[from..to].to_vec(), if to < bytes.len() { to as u64 } else { 0 })
 }
 
 impl Host for Hands {
@@ -176,8 +227,22 @@
     fn parcel(&mut self, from: Key, life: Life, topic: u32, parcel: &[u8]) {
         self.parcels.push((Who { key: from.0, life: life.0 }, topic, parcel.to_vec()));
     }
+    fn order(&mut self, from: SocketAddr, no: u32, topic: u32, order: &[u8]) {
+        if self.orders.len() < ORDERS {
+            self.orders.push((from, no, topic, order.to_vec()));
+        }
+    }
     fn show(&mut self, topic: u32, from: u64) -> Option<(Vec<u8>, u64)> {
-        if topic != SHARED || !self.shares {
+        if topic != SHARED {
+            // The pages of one look are of one moment; the first one has them made anew.
+            let fresh = self.pages.get(&topic).filter(|(at, _)| from > 0 || self.now < at + SHOWN_FOR);
+            let Some((_, bytes)) = fresh else {
+                self.asked.push(topic);
+                return None;
+            };
+            return Some(page(bytes, from));
+        }
+        if !self.shares {
             return None;
         }
         let fresh = self.shown.as_ref().filter(|(at, _)| self.now < at + SHOWN_FOR);
@@ -186,9 +251,7 @@
             let _ = self.events.try_send(Message::Event(Event::Show));
             return None;
         };
-        let from = usize::try_from(from).unwrap_or(usize::MAX).min(bytes.len());
-        let to = (from + PARCEL_MAX).min(bytes.len());
-        Some((bytes[from..to].to_vec(), if to < bytes.len() { to as u64 } else { 0 }))
+        Some(page(bytes, from))
     }
     fn sight(&mut self, sight: &Sight) {
         let event = Event::Fleet(Box::new(sight.clone()));
@@ -220,15 +283,39 @@
     );
     let teller = Teller { sent: Vec::new(), wants: (0, Vec::new()), free: false, events: events.clone() };
     let shares = part.shares();
-    let hands = Hands { socket, parcels: Vec::new(), events, unseen: None, shown: None, shares, now: 0 };
+    let hands = Hands {
+        socket,
+        parcels: Vec::new(),
+        events,
+        unseen: None,
+        shown: None,
+        shares,
+        now: 0,
+        pages: BTreeMap::new(),
+        asked: Vec::new(),
+        orders: Vec::new(),
+    };
     let most = part.settings.bytes / madderpoint_fleet::view::ENTRY_USUAL + 16;
     let (rhythm, label) = (part.rhythm(), part.settings.settings.1);
     let fleet =
         Fleet::new(part.settings, seed, clock(), hands).map_err(|odd| io::Error::other(odd.to_string()))?;
     let (key, life) = fleet.me();
     let me = Who { key: key.0, life: life.0 };
+    let zone = zone_number(&zone);
+    let poster = Poster { orders: orders.clone(), bell: Arc::clone(&bell) };
+    let mut changes = Vec::new();
+    for changing in part.changes {
+        let among = Among {
+            me: key,
+            zone,
+            arbiters: part.arbiters.clone(),
+            operations: part.operations.clone(),
+            bytes: part.change_bytes,
+            seed: seed ^ life.0,
+        };
+        changes.push(Changes::start(clock(), changing, among, poster.clone())?);
+    }
     let bank = (!part.arbiters.is_empty()).then(|| {
-        let zone = zone_number(&zone);
         let usual = shared::Settings::usual(me, part.arbiters, part.budgets, part.keys);
         let counted = (part.count_bytes / PROCESS_BYTES).max(4);
         let settings = shared::Settings { zone, most, rhythm, counted, key_bytes: part.key_bytes, ..usual };
@@ -241,8 +328,8 @@
         witnesses: Witnesses::new(WITNESSES),
         told: 0,
     });
-    let told = (label, part.operations);
-    let thread = thread.spawn(move || serve(fleet, bank, health, told, &clock, &inbox, &bell))?;
+    let beside = Beside { bank, health, changes, label, operations: part.operations };
+    let thread = thread.spawn(move || serve(fleet, beside, &clock, &inbox, &bell))?;
     Ok((link, thread))
 }
 
@@ -253,6 +340,16 @@
 
 type Bank = Option<Shared<Teller>>;
 
+/// What lives in the fleet's thread beside the view.
+struct Beside {
+    bank: Bank,
+    health: Option<Health>,
+    changes: Vec<Changes>,
+    /// What the node's counts are told by: the hash of its settings; and names of operations.
+    label: u64,
+    operations: Vec<String>,
+}
+
 /// What the nodes say to each other of the service below.
 struct Health {
     service: u64,
@@ -288,15 +385,15 @@
 
 fn serve(
     mut fleet: Fleet<Hands>,
-    mut bank: Bank,
-    mut health: Option<Health>,
-    (mut label, operations): (u64, Vec<String>),
+    beside: Beside,
     clock: &impl Fn() -> Moment,
     orders: &Receiver<Order>,
     bell: &OwnedFd,
 ) {
+    let Beside { mut bank, mut health, mut changes, mut label, operations } = beside;
     loop {
         let next = bank.as_ref().map_or(Nanos::MAX, Shared::next).min(fleet.next());
+        let next = changes.iter().map(Changes::next).fold(next, Nanos::min);
         wait(&fleet, next, clock().now, bell);
         let mut count = [0; 8];
         let _ = rustix::io::read(bell, &mut count);
@@ -319,6 +416,7 @@
                     if let Some((_, window)) = word.windows.iter_mut().next_back() {
                         window.gauges = gauges();
                     }
+                    changes.iter_mut().for_each(|changes| changes.counted(clock(), &word));
                     bank.iter_mut().for_each(|bank| bank.tell_counts(clock().now, &word));
                     bank.iter_mut().for_each(|bank| tidy(bank, &fleet, clock().now));
                 }
@@ -336,13 +434,22 @@
                     fleet.reset(clock(), reset.keys, reset.seeds, reset.periods);
                     fleet.set_settings(clock(), reset.number);
                     label = reset.number.1;
+                    if let Some(plan) = &reset.plan {
+                        changes.iter_mut().for_each(|changes| changes.set_plan(plan.clone()));
+                    }
                     if let Some(bank) = &mut bank {
                         bank.rebudget(reset.budgets.clone(), reset.key_budgets);
                         let event = Event::Rebudget(reset.budgets);
                         let _ = fleet.host.events.send(Message::Event(event));
                     }
                 }
+                Order::Done(kind, done) => {
+                    if let Some(changes) = changes.iter_mut().find(|changes| changes.kind() == kind) {
+                        changes.done(clock(), done);
+                    }
+                }
                 Order::Leave => {
+                    changes.iter_mut().for_each(Changes::leave);
                     bank.iter_mut().for_each(|bank| bank.leave(clock().now));
                     post(&mut fleet, &mut bank, clock);
                     fleet.leave(clock());
@@ -356,6 +463,10 @@
             fleet.wake(clock());
         }
         for (from, topic, parcel) in std::mem::take(&mut fleet.host.parcels) {
+            if let Some(changes) = changes.iter_mut().find(|changes| is_about(changes, topic)) {
+                changes.told(clock(), Key(from.key), &parcel);
+                continue;
+            }
             let told = if topic == SHARED { read_parcel(&parcel) } else { None };
             match (told, &mut bank, &mut health) {
                 (Some(Told::Evidence(all)), _, Some(health)) => {
@@ -370,12 +481,30 @@
             bank.wake(clock().now);
         }
         post(&mut fleet, &mut bank, clock);
+        for (from, no, topic, order) in std::mem::take(&mut fleet.host.orders) {
+            let of = changes.iter_mut().find(|changes| is_about(changes, topic));
+            of.into_iter().for_each(|changes| changes.order(clock(), from, no, &order));
+        }
+        let asked = std::mem::take(&mut fleet.host.asked);
+        for changes in &mut changes {
+            changes.wake(clock(), &fleet, bank.as_ref().and_then(Shared::counts_of_all));
+            changes.post(clock(), &mut fleet);
+            let topic = topic(changes.kind());
+            if asked.contains(&topic) {
+                let shown = (clock().now, changes.show(clock(), &fleet));
+                fleet.host.pages.insert(topic, shown);
+            }
+        }
         if let Some(sight) = fleet.host.unseen.take() {
             fleet.host.sight(&sight);
         }
     }
 }
 
+fn is_about(changes: &Changes, of: u32) -> bool {
+    topic(changes.kind()) == of
+}
+
 /// Sends what lending and borrowing have to say.
 fn post(fleet: &mut Fleet<Hands>, bank: &mut Bank, clock: &impl Fn() -> Moment) {
     for (to, told) in bank.iter_mut().flat_map(|bank| std::mem::take(&mut bank.host.sent)) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,5 +19,7 @@
 pub mod log;
 pub mod members;
 pub mod outward;
+pub mod program;
 pub mod request;
 pub mod room;
+pub mod versions;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -108,6 +108,13 @@
         !self.oversize && self.path.is_some_and(|path| path != "/ping")
     }
 
+    /// The operation that its path names, and who sent it, as far as they are known: enough to be counted by.
+    pub fn counted(&self, start: &Start) -> Option<(OpId, DispatcherId)> {
+        let operation = self.path?.strip_prefix("/call/")?;
+        let op = start.operations.iter().position(|name| name == operation)?;
+        Some((OpId(op), DispatcherId(self.peer.and_then(|peer| peer.parse().ok()).unwrap_or(0))))
+    }
+
     /// It as rules see it, but for what only its connection and its parameters as a whole tell.
     pub fn facts(&self, start: &'a Start) -> Facts<'a> {
         let path = self.path.unwrap_or_default();
--- a/crates/node/src/room.rs
+++ b/crates/node/src/room.rs
@@ -44,6 +44,8 @@
     pub key_books: usize,
     /// Bytes for counts of other processes, where this node is an arbiter.
     pub counts: usize,
+    /// Bytes for what an arbiter records of a change; contents of versions have as much room beside.
+    pub changes: usize,
 }
 
 /// What a node has beside what it always has.
@@ -55,6 +57,8 @@
     pub fleet: bool,
     /// State that is shared with it.
     pub shared: bool,
+    /// Changes that go out in stages.
+    pub changes: bool,
 }
 
 /// A quarter of what is free is set aside where our settings are given: two sets of rules, the one in force and the
@@ -68,6 +72,9 @@
 /// And an eighth for what is shared with the fleet: a third for keys, a third for books of them, the rest for counts and what
 /// others say of services below.
 const FOR_SHARED: usize = 8;
+/// And an eighth for changes that go out in stages: two thirds for contents (what is in force, the one before and one on trial, which
+/// were checked, and two that come in and may be as large as any), a third for an arbiter's record of what both sides did.
+const FOR_CHANGES: usize = 8;
 
 impl Room {
     /// What these limits leave room for, with so many links to the back end, and with these parts beside.
@@ -77,7 +84,8 @@
         let aside = if beside.settings { free / FOR_SETTINGS } else { 0 };
         let fleet = if beside.fleet { free / FOR_FLEET } else { 0 };
         let shared = if beside.shared { free / FOR_SHARED } else { 0 };
-        let free = free - aside - fleet - shared;
+        let changes = if beside.changes { free / FOR_CHANGES } else { 0 };
+        let free = free - aside - fleet - shared - changes;
         let connections = (free / 3 / CONNECTION).min(limits.sockets.saturating_sub(RESERVED)).max(1);
         let part = free / 12;
         Room {
@@ -97,6 +105,7 @@
             keys: shared / 3,
             key_books: shared / 3,
             counts: shared / 4,
+            changes: changes / 3,
         }
     }
 
@@ -107,6 +116,9 @@
         let written = (self.commands + self.calls * links) * COMMAND + self.unread;
         let settings =
             2 * self.rules + self.buckets + READING * self.settings_file + self.fleet / 2 * 3 + 3 * self.keys;
+        let come_in = 2 * madderpoint_rollout::pieces::CONTENT_MAX;
+        let contents = if self.changes > 0 { 3 * self.settings_file + come_in } else { 0 };
+        let settings = settings + self.changes + contents;
         BARE + self.connections * (CONNECTION + self.unfinished)
             + waiting
             + written
@@ -122,10 +134,9 @@
     #[test]
     fn all_bounds_together_stay_below_the_memory_that_is_told() {
         for (memory_mb, sockets) in [(32.0, 384), (48.0, 512), (64.0, 384), (192.0, 512), (192.0, 1024)] {
-            for (settings, fleet, shared) in
-                [(false, false, false), (true, false, false), (true, true, false), (true, true, true)]
-            {
-                let beside = Beside { settings, fleet, shared };
+            for parts in 0..5 {
+                let beside =
+                    Beside { settings: parts > 0, fleet: parts > 1, shared: parts > 2, changes: parts > 3 };
                 let room = Room::of(&Limits { cores: 0.1, memory_mb, sockets }, 4, beside);
                 assert!(room.total(4) < memory_mb as usize * (1 << 20), "{memory_mb} MB: {room:?}");
                 assert!(room.connections > sockets / 2, "dispatchers may open half of {sockets}: {room:?}");
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -7,9 +7,11 @@
 use madderpoint_node::classify::Sheet;
 use madderpoint_node::config::{self, Identity};
 use madderpoint_node::core::Service;
-use madderpoint_node::driver::{self, Notice, Ours, Part, Reset};
+use madderpoint_node::driver::{self, Changing, Notice, Ours, Part, Reset, Versions};
 use madderpoint_node::log;
 use madderpoint_node::room::Beside;
+use madderpoint_node::versions::Directory;
+use madderpoint_rollout::{Kept, Kind as ChangeKind, Version};
 use madderpoint_settings::{self as settings, Complaints, FleetSettings, Known, Place, Translator};
 use madderpoint_shared::keyed::KeyBudget;
 use madderpoint_shared::{Budget, Kind};
@@ -17,7 +19,7 @@
 use signal_hook::iterator::Signals;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
 /// Stack of the thread that waits for signals; where it reads settings too, their expressions nest in each other.
@@ -112,7 +114,7 @@
         zone: driver::zone_number(&settings.zone),
     });
     let operations = who.start.operations.clone();
-    let (key_bytes, count_bytes) = (0, 0); // as there is room for
+    let (key_bytes, count_bytes, change_bytes) = (0, 0, 0); // as there is room for
     Ok(Some(Box::new(Part {
         bind,
         settings,
@@ -123,6 +125,8 @@
         service,
         operations,
         count_bytes,
+        changes: Vec::new(),
+        change_bytes,
     })))
 }
 
@@ -144,7 +148,7 @@
 }
 
 fn with_room(who: &Identity) -> Known {
-    let room = driver::room(who, Beside { settings: true, fleet: true, shared: true });
+    let room = driver::room(who, Beside { settings: true, fleet: true, shared: true, changes: true });
     Known { bytes: room.rules, file_bytes: room.settings_file, ..known(&who.start) }
 }
 
@@ -154,6 +158,37 @@
     a.iter().map(kind).eq(b.iter().map(kind))
 }
 
+/// The fields of `<fleet>` that differ and hold until a restart.
+fn until_a_restart(new: &FleetSettings, now: &FleetSettings) -> Vec<&'static str> {
+    let kept = [
+        ("name", new.name == now.name),
+        ("zone", new.zone == now.zone),
+        ("bind", new.bind == now.bind),
+        ("advertise", new.advertise == now.advertise),
+        ("program", new.program == now.program),
+        ("arbiter", new.arbiters == now.arbiters),
+        ("calls-budget", same_kinds(&new.budgets, &now.budgets)),
+        ("service", new.service == now.service),
+    ];
+    kept.iter().filter(|(_, same)| !same).map(|(field, _)| *field).collect()
+}
+
+/// What the fleet's part is told of settings that take force now.
+fn reset(read: &Translator, new: &FleetSettings, now: &FleetSettings, keys: Keys) -> Box<Reset> {
+    // Limits may change; budgets that come or go, or are of another kind, wait for a restart.
+    let same = same_kinds(&new.budgets, &now.budgets);
+    let budgets = if same { &new.budgets } else { &now.budgets }.clone();
+    Box::new(Reset {
+        keys,
+        seeds: new.seeds.clone(),
+        periods: new.periods,
+        number: read.number,
+        budgets,
+        key_budgets: key_budgets(read),
+        plan: read.rollout.as_ref().map(|rollout| rollout.plan.clone()),
+    })
+}
+
 /// A new file of settings: all of it is taken or none.
 fn reread(file: &Path, who: &Identity, now: Option<&FleetSettings>, tell: impl Fn(Notice)) {
     let read = read(file, &with_room(who)).map_err(|what| what.first());
@@ -167,26 +202,11 @@
     };
     match (keys, &read.fleet, now) {
         (Some(keys), Some(new), Some(now)) => {
-            let kept = [
-                ("name", new.name == now.name),
-                ("zone", new.zone == now.zone),
-                ("bind", new.bind == now.bind),
-                ("advertise", new.advertise == now.advertise),
-                ("program", new.program == now.program),
-                ("arbiter", new.arbiters == now.arbiters),
-                ("calls-budget", same_kinds(&new.budgets, &now.budgets)),
-                ("service", new.service == now.service),
-            ];
-            let kept: Vec<&str> = kept.iter().filter(|(_, same)| !same).map(|(field, _)| *field).collect();
+            let kept = until_a_restart(new, now);
             if !kept.is_empty() {
                 log!("new settings: until a restart the old {kept:?} of <fleet> hold");
             }
-            let (seeds, periods, number) = (new.seeds.clone(), new.periods, read.number);
-            // Limits may change; budgets that come or go, or are of another kind, wait for a restart.
-            let same = same_kinds(&new.budgets, &now.budgets);
-            let budgets = if same { &new.budgets } else { &now.budgets }.clone();
-            let key_budgets = key_budgets(&read);
-            tell(Notice::Fleet(Box::new(Reset { keys, seeds, periods, number, budgets, key_budgets })));
+            tell(Notice::Fleet(reset(&read, new, now, keys)));
         }
         (None, None, None) => {}
         _ => log!("new settings: <fleet> comes and goes with a restart only"),
@@ -194,6 +214,178 @@
     tell(Notice::Ruled(sheet(&mut read)));
 }
 
+/// Where versions are kept, if they are: told by the environment, or by the settings, beside whose file it then is.
+fn versions_dir(
+    file: &Path,
+    read: Option<&Translator>,
+    told: impl Fn(&str) -> Option<String>,
+) -> Option<PathBuf> {
+    let set = || read.and_then(|read| read.rollout.as_ref()).map(|rollout| rollout.dir.clone());
+    let dir = told("MADDERPOINT_ROLLOUT_DIR").or_else(set)?;
+    Some(file.parent().unwrap_or(Path::new("")).join(dir))
+}
+
+/// What is in force, for the threads that may change it.
+#[derive(Debug)]
+struct InForce {
+    version: Version,
+    fleet: FleetSettings,
+    budgets: Vec<KeyBudget>,
+}
+
+/// Versions of our settings.
+struct SettingsVersions {
+    directory: Directory,
+    file: PathBuf,
+    who: Arc<Identity>,
+    in_force: Arc<Mutex<InForce>>,
+    notices: crossbeam_channel::Sender<Notice>,
+}
+
+/// A version's text, read and checked by this node's own limits and names.
+fn read_version(file: &Path, content: &[u8], who: &Identity) -> Result<(Translator, Keys), String> {
+    let text = std::str::from_utf8(content).map_err(|_| "it is no text".to_owned())?;
+    let read = settings::read("settings", text, &with_room(who)).map_err(|what| what.first())?;
+    let (Some(fleet), Some(_)) = (&read.fleet, &read.rollout) else {
+        return Err("it has no <fleet> or no <rollout>: these come and go with a restart only".into());
+    };
+    let keys = keys(file, fleet)?;
+    Ok((read, keys))
+}
+
+impl SettingsVersions {
+    fn in_force(&self) -> std::sync::MutexGuard<'_, InForce> {
+        self.in_force.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Versions for SettingsVersions {
+    fn check(&mut self, _: Option<Version>, content: Option<&[u8]>) -> Result<Version, String> {
+        let (read, new_keys) = read_version(&self.file, content.unwrap_or_default(), &self.who)?;
+        let now = self.in_force();
+        if let Some(fleet) = &read.fleet {
+            let kept = until_a_restart(fleet, &now.fleet);
+            if !kept.is_empty() {
+                return Err(format!("{kept:?} of <fleet> can change with a restart only"));
+            }
+            if !keys(&self.file, &now.fleet)?.meet(&new_keys) {
+                let what = "old and new nodes would not understand each other: add the new key first, after the old one";
+                return Err(format!("fleet/@keys: {what}"));
+            }
+        }
+        let (number, hash) = read.number;
+        Ok(Version { number, hash })
+    }
+
+    fn keep(&mut self, kept: &Kept, content: Option<(Version, &[u8])>) -> Result<(), String> {
+        self.directory.keep(kept, content)
+    }
+
+    fn apply(&mut self, version: Version) -> Result<(), String> {
+        let content = self.directory.content(version)?;
+        let (mut read, keys) = read_version(&self.file, &content, &self.who)?;
+        let Some(new) = read.fleet.clone() else { return Err("it has no <fleet>".into()) };
+        let told = {
+            let mut now = self.in_force();
+            let told = reset(&read, &new, &now.fleet, keys);
+            *now = InForce { version, fleet: new, budgets: told.key_budgets.clone() };
+            told
+        };
+        let tell = |notice| self.notices.send(notice).map_err(|_| "the node ends".to_owned());
+        tell(Notice::Fleet(told))?;
+        tell(Notice::Ruled(sheet(&mut read)))
+    }
+}
+
+/// With changes in stages a file by hand is not taken in mid-run: only the fleet's keys are read anew.
+fn rekey(file: &Path, who: &Identity, in_force: &Mutex<InForce>, tell: impl Fn(Notice)) {
+    let reset = {
+        let now = in_force.lock().unwrap_or_else(PoisonError::into_inner);
+        let keys = match keys(file, &now.fleet) {
+            Ok(keys) => keys,
+            Err(what) => return log!("new keys not taken, those before stay: {what}"),
+        };
+        match read(file, &with_room(who)) {
+            Ok(read) if read.number != (now.version.number, now.version.hash) => log!(
+                "new settings: the file has version {}, {} is in force; a change goes out by 'rollout start'",
+                read.number.0,
+                now.version
+            ),
+            Ok(_) => {}
+            Err(what) => log!("new settings not taken, those before stay: {}", what.first()),
+        }
+        let fleet = &now.fleet;
+        Box::new(Reset {
+            keys,
+            seeds: fleet.seeds.clone(),
+            periods: fleet.periods,
+            number: (now.version.number, now.version.hash),
+            budgets: fleet.budgets.clone(),
+            key_budgets: now.budgets.clone(),
+            plan: None,
+        })
+    };
+    tell(Notice::Fleet(reset));
+}
+
+/// What a node with settings of ours starts with.
+struct Started {
+    read: Translator,
+    /// Versions are kept: what is in force, and the node's part in changes.
+    changing: Option<(Arc<Mutex<InForce>>, Changing)>,
+}
+
+/// Reads the settings; where versions are kept, those that the node is to start on.
+fn start(
+    file: &Path,
+    who: &Arc<Identity>,
+    notices: &crossbeam_channel::Sender<Notice>,
+    told: impl Fn(&str) -> Option<String>,
+) -> Result<Started, String> {
+    let given = read(file, &with_room(who));
+    let Some(dir) = versions_dir(file, given.as_ref().ok(), &told) else {
+        return given
+            .map(|read| Started { read, changing: None })
+            .map_err(|e| format!("settings not taken:\n{e}"));
+    };
+    let directory = Directory::open(&dir, &who.name, ChangeKind::Settings)?;
+    // What is given may be broken or gone: what was in force is on the disk.
+    let content = match &given {
+        Ok(read) => {
+            let bytes = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
+            Some((Version { number: read.number.0, hash: read.number.1 }, bytes))
+        }
+        Err(what) => {
+            log!("{}; the node starts on what was in force", what.first());
+            None
+        }
+    };
+    let begun = directory.begin(content, |version, content| {
+        let (read, _) = read_version(file, content, who)?;
+        match read.number == (version.number, version.hash) {
+            true => Ok(read),
+            false => Err("its content is not what its name says".into()),
+        }
+    });
+    let begun = begun.map_err(|what| match &given {
+        Err(complaints) => format!("settings not taken:\n{complaints}"),
+        Ok(_) => format!("settings not taken: {what}"),
+    })?;
+    let (read, version) = (begun.runs, begun.start.running);
+    let Some(fleet) = read.fleet.clone() else { return Err("settings not taken: no <fleet>".into()) };
+    let in_force = Arc::new(Mutex::new(InForce { version, fleet, budgets: key_budgets(&read) }));
+    let versions = SettingsVersions {
+        directory,
+        file: file.to_owned(),
+        who: Arc::clone(who),
+        in_force: Arc::clone(&in_force),
+        notices: notices.clone(),
+    };
+    let plan = read.rollout.as_ref().map(|rollout| rollout.plan.clone()).unwrap_or_default();
+    let changing = Changing { start: begun.start, plan, versions: Box::new(versions) };
+    Ok(Started { read, changing: Some((in_force, changing)) })
+}
+
 /// Serves until the notice to leave has been carried out.
 pub fn serve(settings: Option<PathBuf>, logging: Logging) -> Result<(), String> {
     // First of all, so that neither signal ever ends the process by its default.
@@ -207,15 +399,19 @@
     if logging.follow {
         log::follow_invocations();
     }
-    let (mut ours, mut fleet) = (Ours::default(), None);
+    let (notices, inbox) = crossbeam_channel::bounded(1);
+    let (mut ours, mut fleet, mut in_force) = (Ours::default(), None, None);
     if let Some(file) = &settings {
-        let mut read = read(file, &with_room(&who)).map_err(|e| format!("settings not taken:\n{e}"))?;
+        let Started { mut read, changing } = start(file, &who, &notices, told)?;
         ours.fleet = part(file, &read, &who, told).map_err(|e| format!("settings not taken: {e}"))?;
+        if let (Some(part), Some((now, changing))) = (&mut ours.fleet, changing) {
+            part.changes.push(changing);
+            in_force = Some(now);
+        }
         ours.rules = Some(sheet(&mut read));
         fleet = read.fleet;
     }
     let first = Arc::clone(&who);
-    let (notices, inbox) = crossbeam_channel::bounded(1);
     let stack = if settings.is_some() { STACK_TO_READ } else { STACK };
     let listening = thread::Builder::new().name("signals".into()).stack_size(stack).spawn(move || {
         let tell = |notice| drop(notices.send(notice));
@@ -228,8 +424,10 @@
                 Ok(moved) => tell(Notice::Moved(moved)),
                 Err(what) => log!("new configuration not taken, the one before stays: {what}"),
             }
-            if let Some(file) = &settings {
-                reread(file, &first, fleet.as_ref(), tell);
+            match (&settings, &in_force) {
+                (Some(file), Some(in_force)) => rekey(file, &first, in_force, tell),
+                (Some(file), None) => reread(file, &first, fleet.as_ref(), tell),
+                (None, _) => {}
             }
         }
     });
--- /dev/null
+++ b/crates/node/src/versions.rs
@@ -0,0 +1,270 @@
+//! The directory in which a node keeps versions of its settings, or what it knows of versions of the program: a small file that says
+//! what is in force, and the contents. All are written to another name, synced and put in their place, so that a cut at any
+//! moment leaves the old ones or the new ones.
+
+use crate::log::log;
+use madderpoint_rollout::kept::{FILE_MAX, Kept};
+use madderpoint_rollout::local::Start;
+use madderpoint_rollout::pieces::CONTENT_MAX;
+use madderpoint_rollout::{Kind, Version};
+use std::fs::{self, File, TryLockError};
+use std::io::{self, ErrorKind, Read, Write};
+use std::path::{Path, PathBuf};
+
+/// Files of contents that are looked at; there are a handful.
+const CONTENTS: usize = 64;
+
+/// The directory, of one node; no other process has it at the same time.
+#[derive(Debug)]
+pub struct Directory {
+    dir: PathBuf,
+    kind: Kind,
+    _lock: File,
+}
+
+fn word(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Settings => "settings",
+        Kind::Program => "program",
+    }
+}
+
+/// A name that is one part of a path: what is not plain is told by a number.
+fn plain(name: &str) -> String {
+    let is_plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
+    if name.bytes().all(is_plain) && !name.starts_with('.') && !name.is_empty() {
+        return name.to_owned();
+    }
+    format!("node-{:016x}", madderpoint_fleet::Key::of(name).0)
+}
+
+/// A file of a bounded size; none if there is no such file.
+fn read_bounded(path: &Path, most: usize) -> io::Result<Option<Vec<u8>>> {
+    let file = match File::open(path) {
+        Ok(file) => file,
+        Err(e) if e.kind() == ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(e),
+    };
+    let mut bytes = Vec::new();
+    file.take(most as u64 + 1).read_to_end(&mut bytes)?;
+    if bytes.len() > most {
+        return Err(io::Error::other(format!("over {most} bytes")));
+    }
+    Ok(Some(bytes))
+}
+
+/// What a node starts with, and the text of what it runs.
+#[derive(Debug)]
+pub struct Begun<T> {
+    pub start: Start,
+    pub runs: T,
+}
+
+impl Directory {
+    /// The part of a directory that is this node's: several nodes of a machine may be told the same one.
+    pub fn open(dir: &Path, node: &str, kind: Kind) -> Result<Directory, String> {
+        let dir = dir.join(plain(node));
+        let wrong = |what: &dyn std::fmt::Display| format!("rollout/@dir: {}: {what}", dir.display());
+        fs::create_dir_all(&dir).map_err(|e| wrong(&e))?;
+        let lock = File::create(dir.join(format!("{}.lock", word(kind)))).map_err(|e| wrong(&e))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Err(wrong(&"another process has it")),
+            Err(TryLockError::Error(e)) => return Err(wrong(&e)),
+        }
+        Ok(Directory { dir, kind, _lock: lock })
+    }
+
+    fn kept_file(&self) -> PathBuf {
+        self.dir.join(format!("{}.kept", word(self.kind)))
+    }
+
+    fn content_file(&self, version: Version) -> PathBuf {
+        self.dir.join(format!("{}-{}-{:016x}", word(self.kind), version.number, version.hash))
+    }
+
+    /// The version that a file's name tells.
+    fn version_of(&self, name: &str) -> Option<Version> {
+        let (number, hash) = name.strip_prefix(word(self.kind))?.strip_prefix('-')?.split_once('-')?;
+        let hash = if hash.len() == 16 { u64::from_str_radix(hash, 16).ok()? } else { return None };
+        Some(Version { number: number.parse().ok()?, hash })
+    }
+
+    fn write(&self, path: &Path, bytes: &[u8]) -> io::Result<()> {
+        let new = path.with_extension("new");
+        let mut file = File::create(&new)?;
+        let written =
+            file.write_all(bytes).and_then(|()| file.sync_all()).and_then(|()| fs::rename(&new, path));
+        if written.is_err() {
+            let _ = fs::remove_file(&new); // so that a full disk has its room back
+        }
+        written?;
+        File::open(&self.dir)?.sync_all()
+    }
+
+    /// Contents that are on the disk, by what their names say.
+    fn contents(&self) -> Vec<Version> {
+        let Ok(all) = fs::read_dir(&self.dir) else { return Vec::new() };
+        let names = all.filter_map(|entry| entry.ok()?.file_name().into_string().ok());
+        names.filter_map(|name| self.version_of(&name)).take(CONTENTS).collect()
+    }
+
+    /// A content that is on the disk.
+    pub fn content(&self, version: Version) -> Result<Vec<u8>, String> {
+        let path = self.content_file(version);
+        let read = read_bounded(&path, CONTENT_MAX).map_err(|e| format!("{}: {e}", path.display()))?;
+        read.ok_or_else(|| format!("{}: there is no such file", path.display()))
+    }
+
+    /// Writes what is kept, and a content with it, which goes first; then contents that nobody needs any more go.
+    pub fn keep(&self, kept: &Kept, content: Option<(Version, &[u8])>) -> Result<(), String> {
+        let wrong = |e: io::Error| format!("{}: {e}", self.dir.display());
+        if let Some((version, bytes)) = content {
+            self.write(&self.content_file(version), bytes).map_err(wrong)?;
+        }
+        self.write(&self.kept_file(), &kept.write()).map_err(wrong)?;
+        let open = kept.head.as_ref().filter(|head| !head.is_over()).map(|head| head.version);
+        let newest = content.map(|(version, _)| version);
+        let needed: Vec<Version> = kept.needed().chain(open).chain(newest).collect();
+        let most = needed.iter().map(|version| version.number).max().unwrap_or(0);
+        for version in self.contents() {
+            // What is staged and not begun has a higher number than all that was.
+            if !needed.contains(&version) && version.number < most {
+                let _ = fs::remove_file(self.content_file(version));
+            }
+        }
+        Ok(())
+    }
+
+    fn read_kept(&self) -> (Kept, bool) {
+        let path = self.kept_file();
+        let read = match read_bounded(&path, FILE_MAX) {
+            Ok(None) => return (Kept::new(self.kind), true),
+            Ok(Some(bytes)) => Kept::read(&bytes).map_err(|broken| broken.word().to_owned()),
+            Err(e) => Err(e.to_string()),
+        };
+        match read {
+            Ok(kept) if kept.kind == self.kind => (kept, false),
+            read => {
+                let what = read.err().unwrap_or_else(|| "of another kind".into());
+                log!("{}: {what}; set aside, the node begins anew with what it is given", path.display());
+                let _ = fs::rename(&path, path.with_extension("broken"));
+                (Kept::new(self.kind), true)
+            }
+        }
+    }
+
+    /// The node starts: it runs the first of the versions that it may which can be run. What it is given by hand may be missing;
+    /// then only what is on the disk can be run.
+    pub fn begin<T>(
+        &self,
+        given: Option<(Version, Vec<u8>)>,
+        mut runs: impl FnMut(Version, &[u8]) -> Result<T, String>,
+    ) -> Result<Begun<T>, String> {
+        let (mut kept, fresh) = self.read_kept();
+        let (given_version, given_content) = given.unwrap_or_default();
+        let (all, died) = kept.begin(given_version);
+        let contents = self.contents();
+        let mut first_wrong = None;
+        for version in all.into_iter().filter(|version| *version != Version::default()) {
+            let on_disk = contents.contains(&version);
+            let content = match version == given_version {
+                true => Ok(given_content.clone()),
+                false => self.content(version),
+            };
+            match content.and_then(|content| Ok((runs(version, &content)?, content))) {
+                Ok((what, content)) => {
+                    let here = |version: &Version| Some((*version, self.content(*version).ok()?));
+                    let contents = contents.iter().filter_map(here).collect();
+                    let new_content = (!on_disk).then_some(content);
+                    let start = Start { kept, running: version, contents, new_content, died, fresh };
+                    return Ok(Begun { start, runs: what });
+                }
+                Err(what) => {
+                    log!("version {version} can't be started on: {what}");
+                    first_wrong.get_or_insert(what);
+                }
+            }
+        }
+        Err(first_wrong.unwrap_or_else(|| "there is no version to start on".into()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use madderpoint_rollout::ChangeId;
+    use madderpoint_rollout::kept::Trial;
+
+    fn dir(name: &str) -> PathBuf {
+        let dir = std::env::temp_dir().join(format!("madderpoint-versions-{}-{name}", std::process::id()));
+        let _ = fs::remove_dir_all(&dir);
+        dir
+    }
+
+    fn v(number: u64) -> Version {
+        Version { number, hash: number << 40 | 7 }
+    }
+
+    fn text(_: Version, content: &[u8]) -> Result<String, String> {
+        match content {
+            b"bad" => Err("bad".into()),
+            content => Ok(String::from_utf8_lossy(content).into_owned()),
+        }
+    }
+
+    #[test]
+    fn a_node_starts_on_the_last_good_version_whatever_was_cut() {
+        let root = dir("start");
+        let open = || Directory::open(&root, "n/1", Kind::Settings);
+        let one = open().unwrap();
+        assert!(open().unwrap_err().contains("another process has it"));
+        let begun = one.begin(Some((v(1), b"one".to_vec())), text).unwrap();
+        assert_eq!((begun.runs.as_str(), begun.start.running, begun.start.fresh), ("one", v(1), true));
+        let mut kept = begun.start.kept;
+        kept.found_good(v(1));
+        one.keep(&kept, Some((v(1), b"one"))).unwrap();
+        kept.trial = Some(Trial { change: ChangeId(5), version: v(2), tries: 1 });
+        one.keep(&kept, Some((v(2), b"two"))).unwrap();
+        // Killed on trial, and in the middle of a write.
+        fs::write(root.join(plain("n/1")).join("settings.new"), b"cut").unwrap();
+        drop(one);
+        let one = open().unwrap();
+        let begun = one.begin(Some((v(1), b"one".to_vec())), text).unwrap();
+        assert_eq!((begun.runs.as_str(), begun.start.died.unwrap().version), ("one", v(2)));
+        assert!(!begun.start.fresh && begun.start.kept.deaths(v(2)) == 1);
+        // Found good in the end; what it is given by hand is old, or is not there at all, and is not what it starts on.
+        let mut kept = begun.start.kept;
+        kept.found_good(v(2));
+        one.keep(&kept, None).unwrap();
+        assert_eq!(one.begin(Some((v(1), b"one".to_vec())), text).unwrap().runs, "two");
+        assert_eq!(one.begin(None, text).unwrap().runs, "two");
+        // The last good one can't be read any more: the one before it is run.
+        one.keep(&kept, Some((v(2), b"bad"))).unwrap();
+        assert_eq!(one.begin(None, text).unwrap().runs, "one");
+        // What is kept is damaged: the node begins anew with what it is given, and the file is set aside.
+        fs::write(one.kept_file(), b"mpv1 and something").unwrap();
+        assert!(one.begin(Some((v(1), b"one".to_vec())), text).unwrap().start.fresh);
+        assert!(one.kept_file().with_extension("broken").exists());
+        assert!(one.begin(None, text).is_err());
+        let _ = fs::remove_dir_all(&root);
+    }
+
+    #[test]
+    fn contents_that_nobody_needs_go_and_others_stay() {
+        let root = dir("room");
+        let one = Directory::open(&root, "n1", Kind::Settings).unwrap();
+        let mut kept = Kept::new(Kind::Settings);
+        for number in 1..20 {
+            one.keep(&kept, Some((v(number), b"text"))).unwrap();
+            kept.found_good(v(number));
+            one.keep(&kept, None).unwrap();
+        }
+        one.keep(&kept, Some((v(30), b"staged"))).unwrap();
+        one.keep(&kept, None).unwrap();
+        let mut left = one.contents();
+        left.sort();
+        assert_eq!(left, [v(18), v(19), v(30)]);
+        let _ = fs::remove_dir_all(&root);
+    }
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod judge;
 pub mod kept;
 pub mod local;
+pub mod orders;
 pub mod pieces;
 pub mod quorum;
 pub mod record;
--- a/crates/rollout/src/local.rs
+++ b/crates/rollout/src/local.rs
@@ -35,6 +35,9 @@
     fn apply(&mut self, version: Version);
     /// The fleet as this node sees it, itself among it.
     fn members(&mut self) -> Vec<Member>;
+    /// Look into a content that is offered here, or into a program's version; answered by [`crate::Rollout::looked_into`]. A host
+    /// that takes no orders is never asked.
+    fn look_into(&mut self, _no: u64, _version: Option<Version>, _content: Option<Vec<u8>>) {}
     /// What all nodes counted in these windows, as far as it is known here.
     fn windows(&mut self, from: u64, until: u64) -> Vec<(u64, Vec<Sample>)>;
 }
@@ -277,6 +280,12 @@
         local
     }
 
+    /// The node ends, by notice: what is on trial did not die. Gives what is to be written before the process ends.
+    pub fn leave(&mut self) -> Kept {
+        self.kept.trial = None;
+        self.kept.clone()
+    }
+
     // ---- What is known ----
 
     /// All changes that are known.
--- /dev/null
+++ b/crates/rollout/src/orders.rs
@@ -0,0 +1,319 @@
+//! What operators order of a node: a content in pieces, which may come in any order and more than once; that it is offered to the
+//! fleet, once the node itself has looked into it; that a change is halted or taken back. The same order may come again, for its
+//! answer may have been lost: it is answered as before and has no second effect.
+
+use crate::change::{Change, ChangeId, Changes, Fate, Kind, Reason, Version};
+use crate::pieces::{self, CONTENT_MAX};
+use crate::stages::{Plan, Reach};
+use crate::wire::{Order, Ordered, PIECE, order};
+use crate::{Nanos, SECOND, mix};
+use std::collections::VecDeque;
+
+/// A content whose pieces stopped coming makes room for another after this.
+const GIVEN_UP: Nanos = 10 * SECOND;
+/// Offers whose answers are remembered.
+const REMEMBERED: usize = 8;
+
+/// What became of an order.
+pub mod state {
+    pub const TAKEN: u32 = 0;
+    pub const LATER: u32 = 1;
+    pub const REFUSED: u32 = 2;
+}
+
+fn answer(state: u32, why: &str, change: u64) -> Ordered {
+    Ordered { state, why: why.to_owned(), change }
+}
+
+fn refused(why: &str) -> Ordered {
+    answer(state::REFUSED, why, 0)
+}
+
+/// A content that comes in pieces.
+#[derive(Clone, Debug)]
+struct Incoming {
+    digest: [u8; 32],
+    bytes: Vec<u8>,
+    have: Vec<bool>,
+    since: Nanos,
+}
+
+/// What an offer is told apart by: the digest of a content, or a program's version.
+type Mark = ([u8; 32], Version);
+
+#[derive(Clone, Debug)]
+enum Outcome {
+    LookedInto { no: u64, since: Nanos },
+    Over(Ordered),
+}
+
+/// What is to be done about an order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// It is answered.
+    Answer(Ordered),
+    /// The node is to look into this, and tell what came of it; the order is answered with "later" until then.
+    LookInto { no: u64, version: Option<Version>, content: Option<Vec<u8>> },
+    /// A change is to be moved towards safety.
+    End { id: ChangeId, fate: Fate, why: String },
+}
+
+/// Orders to one node, about changes of one kind.
+#[derive(Clone, Debug, Default)]
+pub struct Orders {
+    incoming: Option<Incoming>,
+    offers: VecDeque<(Mark, Outcome)>,
+    looks: u64,
+}
+
+/// A look into a content that was not answered for so long may be asked for again.
+const ANSWER: Nanos = 20 * SECOND;
+
+impl Orders {
+    /// An order came.
+    pub fn order(&mut self, now: Nanos, kind: Kind, changes: &Changes, said: &Order) -> Act {
+        match said.kind {
+            order::PIECE if kind == Kind::Settings => Act::Answer(self.piece(now, said)),
+            order::OFFER => self.offer(now, kind, said),
+            order::HALT | order::BACK => {
+                let fate = if said.kind == order::HALT { Fate::Halted } else { Fate::Back };
+                let change = match said.change {
+                    0 => changes.current(kind).or_else(|| changes.head(kind)),
+                    id => changes.get(ChangeId(id)).filter(|change| change.kind == kind),
+                };
+                let Some(change) = change else {
+                    return Act::Answer(refused("no such change is known here"));
+                };
+                if change.fate >= fate || change.fate == Fate::Refused {
+                    let why = format!("it is {} already", change.fate.word());
+                    return Act::Answer(answer(state::TAKEN, &why, change.id.0));
+                }
+                if fate == Fate::Halted && change.fate == Fate::Done {
+                    return Act::Answer(refused("it is done and can't be halted, only taken back"));
+                }
+                let why = if said.why.is_empty() { "an operator said so" } else { &said.why };
+                Act::End { id: change.id, fate, why: why.to_owned() }
+            }
+            _ => Act::Answer(refused("this order is not known here")),
+        }
+    }
+
+    fn piece(&mut self, now: Nanos, said: &Order) -> Ordered {
+        let (size, Ok(digest)) = (said.size as usize, <[u8; 32]>::try_from(said.digest.as_slice())) else {
+            return refused("a piece of nothing that can be named");
+        };
+        if size == 0 || size > CONTENT_MAX {
+            return refused(&format!("{size} bytes, 1 to {CONTENT_MAX} are possible"));
+        }
+        let is_it = |incoming: &Incoming| incoming.digest == digest && incoming.bytes.len() == size;
+        if let Some(other) = self.incoming.as_ref().filter(|incoming| !is_it(incoming)) {
+            if now < other.since + GIVEN_UP && !other.have.iter().all(|have| *have) {
+                return answer(state::LATER, "another content is coming in", 0);
+            }
+            self.incoming = None;
+        }
+        let incoming = self.incoming.get_or_insert_with(|| Incoming {
+            digest,
+            bytes: vec![0; size],
+            have: vec![false; pieces::count(size) as usize],
+            since: now,
+        });
+        let from = (said.no as usize).saturating_mul(PIECE);
+        if from >= size || said.bytes.len() != PIECE.min(size - from) {
+            return refused("a piece that does not fit");
+        }
+        incoming.bytes[from..from + said.bytes.len()].copy_from_slice(&said.bytes);
+        incoming.have[said.no as usize] = true;
+        incoming.since = now;
+        answer(state::TAKEN, "", 0)
+    }
+
+    fn offer(&mut self, now: Nanos, kind: Kind, said: &Order) -> Act {
+        let digest = <[u8; 32]>::try_from(said.digest.as_slice()).unwrap_or_default();
+        let version = Version { number: said.number, hash: said.hash };
+        let mark = (digest, if kind == Kind::Program { version } else { Version::default() });
+        if let Some((_, outcome)) = self.offers.iter().find(|(of, _)| *of == mark) {
+            match outcome {
+                Outcome::Over(answered) => return Act::Answer(answered.clone()),
+                Outcome::LookedInto { since, .. } if now < since + ANSWER => {
+                    return Act::Answer(answer(state::LATER, "the node looks into it", 0));
+                }
+                Outcome::LookedInto { .. } => self.offers.retain(|(of, _)| *of != mark),
+            }
+        }
+        let (version, content) = match kind {
+            Kind::Program => (Some(version), None),
+            Kind::Settings => {
+                let whole = self
+                    .incoming
+                    .as_ref()
+                    .filter(|incoming| incoming.digest == digest && incoming.have.iter().all(|have| *have));
+                let Some(whole) = whole else {
+                    return Act::Answer(refused("pieces of it are missing here; order it anew"));
+                };
+                if pieces::digest(&whole.bytes) != digest {
+                    self.incoming = None;
+                    return Act::Answer(refused("its content is not what its hash says"));
+                }
+                (None, Some(whole.bytes.clone()))
+            }
+        };
+        self.looks += 1;
+        let no = self.looks;
+        self.offers.push_back((mark, Outcome::LookedInto { no, since: now }));
+        while self.offers.len() > REMEMBERED {
+            self.offers.pop_front();
+        }
+        Act::LookInto { no, version, content }
+    }
+
+    /// The node looked into an offer; gives the change to be offered to the fleet, if it is one.
+    pub fn looked_into(
+        &mut self,
+        no: u64,
+        found: Result<Version, String>,
+        (kind, me, unix_ms): (Kind, u64, u64),
+        changes: &Changes,
+        good: Version,
+        plan: &Plan,
+    ) -> Option<(Change, Option<Vec<u8>>)> {
+        let is_it = |outcome: &Outcome| matches!(outcome, Outcome::LookedInto { no: of, .. } if *of == no);
+        let at = self.offers.iter().position(|(_, outcome)| is_it(outcome))?;
+        let (digest, _) = self.offers[at].0;
+        let (answered, offered) = match found {
+            Err(why) => (refused(&why), None),
+            Ok(version) if version.number <= good.number => {
+                let why = format!("version {version} is not higher than {good}, which is in force");
+                (refused(&why), None)
+            }
+            Ok(version) => {
+                match changes.iter().find(|c| c.kind == kind && c.version == version && !c.is_over()) {
+                    Some(known) => (answer(state::TAKEN, "it was offered before", known.id.0), None),
+                    None => {
+                        let whole = self.incoming.take().filter(|incoming| incoming.digest == digest);
+                        let content = whole.map(|incoming| incoming.bytes);
+                        let id = ChangeId(mix(version.hash ^ mix(me ^ mix(unix_ms))));
+                        let change = Change {
+                            id,
+                            kind,
+                            version,
+                            base: good,
+                            digest,
+                            bytes: content.as_ref().map_or(0, |content| content.len() as u32),
+                            by: me,
+                            at_ms: unix_ms,
+                            plan: plan.clone(),
+                            reach: Reach::default(),
+                            fate: Fate::Open,
+                            reason: Reason::default(),
+                        };
+                        (answer(state::TAKEN, "", id.0), Some((change, content)))
+                    }
+                }
+            }
+        };
+        self.offers[at].1 = Outcome::Over(answered);
+        offered
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::change::tests::change;
+
+    fn piece(content: &[u8], no: u32) -> Order {
+        let bytes = pieces::piece(content, no).unwrap().to_vec();
+        let (size, digest) = (content.len() as u32, pieces::digest(content).to_vec());
+        Order { kind: order::PIECE, no, bytes, size, digest, ..Order::default() }
+    }
+
+    fn offer(content: &[u8]) -> Order {
+        Order { kind: order::OFFER, digest: pieces::digest(content).to_vec(), ..Order::default() }
+    }
+
+    fn state(act: &Act) -> Option<u32> {
+        match act {
+            Act::Answer(answered) => Some(answered.state),
+            _ => None,
+        }
+    }
+
+    fn ordered(orders: &mut Orders, now: Nanos, said: &Order) -> Act {
+        orders.order(now, Kind::Settings, &Changes::default(), said)
+    }
+
+    fn looked(orders: &mut Orders, no: u64, found: Result<Version, String>) -> Option<Change> {
+        let good = Version { number: 4, hash: 1 };
+        let of = (Kind::Settings, 7, 1000);
+        let offered = orders.looked_into(no, found, of, &Changes::default(), good, &Plan::default());
+        offered.map(|(change, content)| {
+            assert_eq!(content.map(|c| c.len() as u32), Some(change.bytes));
+            change
+        })
+    }
+
+    #[test]
+    fn a_content_in_pieces_is_offered_once_however_often_that_is_ordered() {
+        let (content, mut orders) = (vec![9; 3000], Orders::default());
+        assert_eq!(state(&ordered(&mut orders, 0, &offer(&content))), Some(state::REFUSED));
+        for no in [2, 0, 0, 1] {
+            assert_eq!(state(&ordered(&mut orders, 0, &piece(&content, no))), Some(state::TAKEN));
+        }
+        let Act::LookInto { no, content: Some(whole), .. } = ordered(&mut orders, 0, &offer(&content)) else {
+            panic!("it is looked into")
+        };
+        assert_eq!(whole, content);
+        assert_eq!(state(&ordered(&mut orders, 1, &offer(&content))), Some(state::LATER));
+        let version = Version { number: 5, hash: 55 };
+        let change = looked(&mut orders, no, Ok(version)).unwrap();
+        assert_eq!((change.version, change.base.number, change.by), (version, 4, 7));
+        assert!(looked(&mut orders, no, Ok(version)).is_none(), "answered once");
+        let again = ordered(&mut orders, 2, &offer(&content));
+        assert_eq!(again, Act::Answer(answer(state::TAKEN, "", change.id.0)));
+    }
+
+    #[test]
+    fn what_is_bad_old_or_spoilt_is_refused_with_the_reason() {
+        let (content, mut orders) = (vec![9; 100], Orders::default());
+        let mut spoilt = piece(&content, 0);
+        spoilt.bytes[5] ^= 1;
+        ordered(&mut orders, 0, &spoilt);
+        assert_eq!(state(&ordered(&mut orders, 0, &offer(&content))), Some(state::REFUSED));
+        ordered(&mut orders, 0, &piece(&content, 0));
+        let Act::LookInto { no, .. } = ordered(&mut orders, 0, &offer(&content)) else { panic!() };
+        assert!(looked(&mut orders, no, Ok(Version { number: 4, hash: 9 })).is_none());
+        let Act::Answer(answered) = ordered(&mut orders, 0, &offer(&content)) else { panic!() };
+        assert!(answered.why.contains("not higher than 4"), "{}", answered.why);
+        let other = vec![8; 2000];
+        ordered(&mut orders, 0, &piece(&other, 0));
+        assert_eq!(state(&ordered(&mut orders, 0, &piece(&content, 0))), Some(state::LATER), "one at a time");
+        assert_eq!(state(&ordered(&mut orders, GIVEN_UP, &piece(&content, 0))), Some(state::TAKEN));
+        let large = Order { size: CONTENT_MAX as u32 + 1, ..piece(&content, 0) };
+        assert_eq!(state(&ordered(&mut orders, 0, &large)), Some(state::REFUSED));
+        assert_eq!(
+            state(&ordered(&mut orders, 0, &Order { no: 9, ..piece(&content, 0) })),
+            Some(state::REFUSED)
+        );
+    }
+
+    #[test]
+    fn a_halt_or_a_way_back_is_for_the_current_change_and_is_taken_again() {
+        let (mut changes, mut orders) = (Changes::default(), Orders::default());
+        let halt = Order { kind: order::HALT, ..Order::default() };
+        let back = Order { kind: order::BACK, why: "it smells".into(), ..Order::default() };
+        let mut act = |changes: &Changes, said: &Order| orders.order(0, Kind::Settings, changes, said);
+        assert_eq!(state(&act(&changes, &halt)), Some(state::REFUSED));
+        changes.hear(&change(3, 9));
+        assert!(matches!(act(&changes, &halt), Act::End { id: ChangeId(3), fate: Fate::Halted, .. }));
+        changes.end(ChangeId(3), Fate::Halted, Reason::new(1, 1, "x"));
+        assert_eq!(state(&act(&changes, &halt)), Some(state::TAKEN));
+        let Act::End { fate: Fate::Back, why, .. } = act(&changes, &back) else { panic!() };
+        assert_eq!(why, "it smells");
+        assert_eq!(state(&act(&changes, &Order { change: 99, ..back })), Some(state::REFUSED));
+        let program = Order { kind: order::OFFER, number: 7, hash: 8, ..Order::default() };
+        let act = orders.order(0, Kind::Program, &changes, &program);
+        let version = Some(Version { number: 7, hash: 8 });
+        assert!(matches!(act, Act::LookInto { version: v, content: None, .. } if v == version));
+    }
+}
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -1,10 +1,12 @@
 //! All of a node's part in changes of one kind: its own, and if it is an arbiter its votes, the record and the conducting.
 
-use crate::change::{Change, ChangeId, Fate};
+use crate::change::{Change, ChangeId, Fate, Version};
 use crate::conduct::{Act, Conduct};
 use crate::local::{Host, Local, Own, Start};
+use crate::orders::{self, Orders, state};
 use crate::quorum::Proposal;
-use crate::wire::Told;
+use crate::stages::Plan;
+use crate::wire::{Order, Ordered, Told};
 use crate::{Nanos, SECOND};
 
 /// A window is looked at so long after its end: words of it are on their way.
@@ -14,6 +16,9 @@
 pub struct Rollout<H: Host> {
     pub local: Local<H>,
     pub conduct: Conduct,
+    /// How a change that is offered here goes out.
+    pub plan: Plan,
+    orders: Orders,
     window_ms: u64,
     looked: Nanos,
 }
@@ -33,6 +38,8 @@
         Rollout {
             local: Local::new(now, unix_ms, (me, zone), start, host),
             conduct: Conduct::new(now, me, kind, arbiters),
+            plan: Plan::default(),
+            orders: Orders::default(),
             window_ms,
             looked: 0,
         }
@@ -103,6 +110,32 @@
         self.local.end(now, unix_ms, id, fate, why)
     }
 
+    /// An operator orders something; gives what became of it.
+    pub fn order(&mut self, now: Nanos, unix_ms: u64, said: &Order) -> Ordered {
+        let kind = self.local.kind();
+        match self.orders.order(now, kind, self.local.changes(), said) {
+            orders::Act::Answer(answer) => answer,
+            orders::Act::LookInto { no, version, content } => {
+                self.local.host.look_into(no, version, content);
+                Ordered { state: state::LATER, why: "the node looks into it".into(), change: 0 }
+            }
+            orders::Act::End { id, fate, why } => {
+                self.local.end(now, unix_ms, id, fate, &why);
+                Ordered { state: state::TAKEN, why: String::new(), change: id.0 }
+            }
+        }
+    }
+
+    /// The node looked into an offer, and found which version it is, or why it can't be run.
+    pub fn looked_into(&mut self, now: Nanos, unix_ms: u64, no: u64, found: Result<Version, String>) {
+        let of = (self.local.kind(), self.local.me(), unix_ms);
+        let good = self.local.kept_now().good.unwrap_or(self.local.running());
+        let offered = self.orders.looked_into(no, found, of, self.local.changes(), good, &self.plan);
+        if let Some((change, content)) = offered {
+            self.local.offer(now, change, content);
+        }
+    }
+
     /// What the node itself came to.
     pub fn own(&mut self, now: Nanos, unix_ms: u64, own: Own) {
         self.local.own(now, unix_ms, own);
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -161,6 +161,32 @@
         what: String,
         within: Duration,
     },
+    /// Settings of this number are offered by way of a node, which takes them or turns them down.
+    Offer {
+        node: String,
+        number: u64,
+        change: String,
+        turned_down: bool,
+    },
+    /// The change that is under way is halted, or taken back, by way of a node.
+    EndChange {
+        node: String,
+        back: bool,
+    },
+    /// All of these nodes that are up run settings of this number.
+    Runs {
+        to: Ends,
+        number: u64,
+        within: Duration,
+    },
+    /// All of these nodes that are up know that the change to this number has come to this, or as far as this stage.
+    Change {
+        to: Ends,
+        number: u64,
+        fate: String,
+        stage: u32,
+        within: Duration,
+    },
     /// So much of the limit on calls is used.
     Used {
         over: Duration,
@@ -239,6 +265,10 @@
     pub below: Below,
     /// A limit by key; none if there are no keys.
     pub keys: Keys,
+    /// Nodes with little memory, which take only small files of settings.
+    pub small: Vec<String>,
+    /// How changes go out, as the settings have it, if they go out in stages.
+    pub rollout: Option<String>,
     /// How long it takes.
     pub time: Duration,
     /// Periods of the fleet, as its settings have them.
@@ -247,6 +277,14 @@
     pub steps: Vec<Step>,
 }
 
+/// An element as text again: what is in it is for another schema.
+fn again(element: &Element) -> String {
+    let attributes: String =
+        element.attributes.iter().map(|a| format!(" {}=\"{}\"", a.name, a.value.value)).collect();
+    let children: String = element.children.iter().map(again).collect();
+    format!("<{}{attributes}>{children}</{}>", element.name, element.name)
+}
+
 fn text<'e>(element: &'e Element, name: &str) -> Option<&'e str> {
     element.get(name).map(|text| text.value.as_str())
 }
@@ -332,6 +370,26 @@
             what: text(element, "what")?.to_owned(),
             within: span(element, "within")?,
         },
+        "offer" => Action::Offer {
+            node: node(),
+            number: number(element, "number")?,
+            change: text(element, "change")?.to_owned(),
+            turned_down: is(element, "turned-down"),
+        },
+        "halt" => Action::EndChange { node: node(), back: false },
+        "back" => Action::EndChange { node: node(), back: true },
+        "runs" => Action::Runs {
+            to: ends("to"),
+            number: number(element, "number")?,
+            within: span(element, "within")?,
+        },
+        "change" => Action::Change {
+            to: ends("to"),
+            number: number(element, "number")?,
+            fate: text(element, "fate").unwrap_or_default().to_owned(),
+            stage: number(element, "stage").unwrap_or(0) as u32,
+            within: span(element, "within")?,
+        },
         "used" => Action::Used {
             over: span(element, "over")?,
             least: share(element, "least"),
@@ -378,6 +436,8 @@
         below: Below::default(),
         keys: Keys::default(),
         floor: number(&root, "floor").unwrap_or(1) as u32,
+        small: words("small"),
+        rollout: root.one("rollout").map(again),
         time: span(&root, "time").unwrap_or_default(),
         periods: Vec::new(),
         steps: Vec::new(),
--- a/crates/shared/src/counts.rs
+++ b/crates/shared/src/counts.rs
@@ -255,6 +255,8 @@
     label: u64,
     total: Rows,
     windows: BTreeMap<u64, Window>,
+    /// What it ran in each window, as it said when that window was its latest.
+    labels: BTreeMap<u64, u64>,
     heard: Nanos,
 }
 
@@ -299,6 +301,12 @@
         let process = self.processes.entry(word.who).or_default();
         let before = (sum(&process.total), process.windows.last_key_value().map(|(no, _)| *no));
         process.label = word.label;
+        if let Some((latest, _)) = word.windows.last_key_value() {
+            process.labels.insert(*latest, word.label);
+            while process.labels.len() > WINDOWS {
+                process.labels.pop_first();
+            }
+        }
         rise(&mut process.total, &word.total);
         for (no, said) in &word.windows {
             let oldest = process.windows.first_key_value().map(|(first, _)| *first);
@@ -372,6 +380,18 @@
         sum
     }
 
+    /// Windows from this one on, each with its number and what the process ran in it, and whether it is the process's first one.
+    pub fn windows(&self, from: u64) -> impl Iterator<Item = (Who, u64, u64, bool, &Window)> {
+        self.processes.iter().flat_map(move |(who, process)| {
+            let first = process.windows.first_key_value().map(|(no, _)| *no);
+            let whole = process.windows.len() < WINDOWS;
+            process.windows.range(from..).map(move |(no, window)| {
+                let label = process.labels.get(no).copied().unwrap_or(process.label);
+                (*who, *no, label, whole && first == Some(*no), window)
+            })
+        })
+    }
+
     /// Processes that are told apart, each with what it runs.
     pub fn processes(&self) -> impl Iterator<Item = (Who, u64)> {
         self.processes.iter().map(|(who, process)| (*who, process.label))
@@ -508,6 +528,19 @@
         assert_eq!((all.processes().count(), arrived(&all)), (1, 105));
     }
 
+    /// What a process ran in a window is what it said then, though it runs something else now.
+    #[test]
+    fn a_window_keeps_what_was_run_in_it() {
+        let (mut all, mut one) = (Counts::new(9), Tally::new(UNIX));
+        for (window, label) in [(0, 1), (1, 1), (2, 2)] {
+            one.add(UNIX + window * WINDOW_MS, 7, column::ARRIVED, 1);
+            all.hear(0, &one.word(who(1, 1), label, 2));
+        }
+        let ran: Vec<(u64, bool)> = all.windows(0).map(|(_, _, label, first, _)| (label, first)).collect();
+        assert_eq!(ran, [(1, true), (1, false), (2, false)]);
+        assert_eq!(all.windows(UNIX / WINDOW_MS + 2).count(), 1);
+    }
+
     #[test]
     fn more_processes_and_rows_than_there_is_room_for_are_left_out() {
         let mut all = Counts::new(3);
--- a/crates/standins/src/rig.rs
+++ b/crates/standins/src/rig.rs
@@ -1,6 +1,8 @@
 //! Several processes of the program, each with its kernel, back end and load, every link through a relay of ours; faults by a
 //! timetable; what must hold is looked at while it runs and over the joined record afterwards.
 
+mod changes;
+
 use crate::checker::{Checker, Statuses};
 use crate::faults::{Faults, Place};
 use crate::keys::KeyRecord;
@@ -127,6 +129,8 @@
     /// What the service below recorded, and what ran by key.
     pub below: Recorded,
     pub keys_ran: usize,
+    /// The most nodes that ran each number of the settings on trial, before it was good.
+    pub on_trial: BTreeMap<u64, usize>,
     /// What became of datagrams at the relay.
     pub datagrams: BTreeMap<&'static str, u64>,
     /// The end of the joined record, where something failed.
@@ -161,6 +165,8 @@
     stop: Arc<AtomicBool>,
     outcome: Outcome,
     files: usize,
+    /// The file of the fleet's keys, the same for all nodes.
+    key_file: PathBuf,
     /// The service below, and the record of keys.
     service: Service,
     keys: KeyRecord,
@@ -232,10 +238,14 @@
             stop: Arc::default(),
             outcome: Outcome::default(),
             files: 0,
+            key_file: PathBuf::new(),
             service,
             keys,
             pauses: 0,
         };
+        let key: String = KEY.iter().map(|b| format!("{b:02x}")).collect();
+        rig.key_file = rig.file("keys", &key)?;
+        let _ = std::fs::remove_dir_all(rig.versions_dir()); // of a process of long ago with this number
         for n in 0..rig.nodes.len() {
             if !rig.script.absent.contains(&rig.nodes[n].place.name) {
                 rig.start_node(n, None, None)?;
@@ -296,27 +306,18 @@
     }
 
     fn start_node(&mut self, n: usize, name: Option<&str>, program: Option<&str>) -> std::io::Result<()> {
-        let key: String = KEY.iter().map(|b| format!("{b:02x}")).collect();
-        let keys = self.file("keys", &key)?;
-        let seeds: String =
-            self.nodes.iter().take(3).map(|node| format!("<seed address=\"{}\"/>", node.reached)).collect();
-        let periods: String =
-            self.script.periods.iter().map(|(name, value)| format!(" {name}=\"{value}\"")).collect();
-        let program = program.map_or_else(String::new, |program| format!(" program=\"{program}\""));
-        let (shared, rules) = (self.shared(), self.rules());
-        let settings = format!(
-            "<translator version=\"1\" number=\"1\">{rules}<fleet name=\"{FLEET}\" keys=\"{}\"{program}>{seeds}{shared}\
-             <periods{periods}/></fleet>{}</translator>",
-            keys.display(),
-            self.setting.more
-        );
+        let settings = self.settings(1, &self.rules(), "", program);
         let settings = self.file("xml", &settings)?;
         let node = &self.nodes[n];
         node.worker.node_starts();
         let own = name.unwrap_or(&node.place.name).to_owned();
         let config =
             crate::program::told(node.kernel.address, node.backend.address, node.members.address, 1024);
-        let config = self.file("json", &config.replace("\"n3\"", &format!("\"{own}\"")))?;
+        let mut config = config.replace("\"n3\"", &format!("\"{own}\""));
+        if self.script.small.contains(&self.nodes[n].place.name) {
+            config = config.replace("\"memory_mb\": 192", "\"memory_mb\": 32");
+        }
+        let config = self.file("json", &config)?;
         let mut child = Command::new(&self.setting.exe)
             .args(["serve", "--log", "json", "--settings"])
             .arg(settings)
@@ -528,6 +529,20 @@
                     ));
                 }
             }
+            Action::Offer { node, number, change, turned_down } => {
+                self.offer(at, node, *number, change, *turned_down);
+            }
+            Action::EndChange { node, back } => self.end_change(at, node, *back),
+            Action::Runs { to, number, within } => {
+                let begun = Instant::now();
+                match self.wait(begun + *within, |rig, seen| rig.not_running(seen, to, *number)) {
+                    Ok(()) => self.took(format!("all run {number}, step {at}"), begun),
+                    Err(what) => self.fail(format!("step {at}: not so within {within:?}: {what}")),
+                }
+            }
+            Action::Change { to, number, fate, stage, within } => {
+                self.change_is(at, to, (*number, fate, *stage), *within);
+            }
             Action::Stranger { to, a_second, time } => self.stranger(to, *a_second, *time),
             Action::Settled { within, sides } => {
                 let begun = Instant::now();
@@ -792,6 +807,7 @@
         }
         self.limits();
         let joined = self.record.joined();
+        self.changes_are_allowed(&joined);
         for line in &joined {
             if line.what.contains("panicked") || line.what.contains("invariant:") {
                 self.outcome.failures.push(line.to_string());
--- /dev/null
+++ b/crates/standins/src/rig/changes.rs
@@ -0,0 +1,328 @@
+//! The rig's part in changes of settings: it offers them, looks what has become of them, and judges the joined record of all nodes by
+//! what the rules of a change allow.
+
+use super::{BETWEEN, FLEET, KEY, LOOK, Rig, Seen, pages};
+use crate::record::Line;
+use crate::script::Ends;
+use madderpoint_fleet::observer::Observer;
+use madderpoint_fleet::seal::Keys;
+use madderpoint_rollout::pieces;
+use madderpoint_rollout::shown::Shown;
+use madderpoint_rollout::wire::{Order, Ordered, order};
+use prost::Message as _;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::UdpSocket;
+use std::path::PathBuf;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The topic of changes of settings.
+const TOPIC: u32 = 2;
+/// What taking an offer may take.
+const TAKEN: Duration = Duration::from_secs(20);
+/// A change that is too large for nodes with little memory has so many bytes.
+const LARGE: usize = 400 << 10;
+
+impl Rig {
+    /// Settings of the fleet: all nodes have the same, but for what the environment tells them.
+    pub(super) fn settings(&self, number: u64, rules: &str, more: &str, program: Option<&str>) -> String {
+        let seeds: String =
+            self.nodes.iter().take(3).map(|node| format!("<seed address=\"{}\"/>", node.reached)).collect();
+        let periods: String =
+            self.script.periods.iter().map(|(name, value)| format!(" {name}=\"{value}\"")).collect();
+        let program = program.map_or_else(String::new, |program| format!(" program=\"{program}\""));
+        let mut shared = self.shared();
+        let rollout = match &self.script.rollout {
+            None => String::new(),
+            Some(rollout) => {
+                if !shared.contains("<arbiter") {
+                    shared =
+                        format!("<arbiter name=\"n0\"/><arbiter name=\"n1\"/><arbiter name=\"n2\"/>{shared}");
+                }
+                let dir = format!("<rollout dir=\"{}\"", self.versions_dir().display());
+                rollout.replacen("<rollout", &dir, 1)
+            }
+        };
+        format!(
+            "<translator version=\"1\" number=\"{number}\">{rules}<fleet name=\"{FLEET}\" keys=\"{}\"{program}>{seeds}{shared}\
+             <periods{periods}/></fleet>{rollout}{}{more}</translator>",
+            self.key_file.display(),
+            self.setting.more
+        )
+    }
+
+    /// Where versions are kept.
+    pub(super) fn versions_dir(&self) -> PathBuf {
+        let name = format!("rig-{}-{}-versions", std::process::id(), self.nodes[0].bind.ip());
+        self.setting.dir.join(name)
+    }
+
+    /// Settings with a change in them.
+    fn changed(&self, number: u64, change: &str) -> String {
+        let rule = |when: &str, then: &str| {
+            format!("<rules><rule name=\"v{number}\"><when>{when}</when>{then}</rule></rules>")
+        };
+        let good = rule("operation == \"read\"", "<give class=\"c\"/>");
+        match change {
+            "throttles" => {
+                self.settings(number, &rule("true", "<throttle pause=\"50ms\" reason=\"new\"/>"), "", None)
+            }
+            "errs-read" => {
+                let rules = rule("operation == \"read\"", "<error status=\"500\" reason=\"new\"/>");
+                self.settings(number, &rules, "", None)
+            }
+            "periods" => self.settings(number, &good, "", None).replace("gossip=\"50ms\"", "gossip=\"60ms\""),
+            "broken" => self.settings(number, &good, "<nonsense/>", None),
+            "large" => self.settings(number, &good, &format!("<!--{}-->", "x".repeat(LARGE)), None),
+            "keys" => {
+                let other = self.key_file.with_extension("other");
+                let _ = std::fs::write(&other, "77".repeat(32));
+                let own = self.key_file.display().to_string();
+                self.settings(number, &good, "", None).replace(&own, &other.display().to_string())
+            }
+            _ => self.settings(number, &good, "", None),
+        }
+    }
+
+    fn observer(&self, socket: &UdpSocket) -> Result<Observer, String> {
+        let port = u64::from(socket.local_addr().map_or(1, |address| address.port()));
+        let seed = u64::from(std::process::id()) << 24 | port | 1 << 51;
+        Ok(Observer::new(FLEET, Keys::new(&[KEY.to_vec()])?, seed, 600_000_000_000).about(TOPIC))
+    }
+
+    /// Orders something of a node, until it is taken or turned down.
+    fn order(&self, n: usize, said: &Order) -> Result<Ordered, String> {
+        let node = &self.nodes[n];
+        let socket = UdpSocket::bind((node.bind.ip(), 0)).map_err(|e| e.to_string())?;
+        socket.set_read_timeout(Some(4 * LOOK)).map_err(|e| e.to_string())?;
+        let (mut observer, begun, mut buffer) = (self.observer(&socket)?, Instant::now(), [0; 2048]);
+        while begun.elapsed() < TAKEN {
+            let unix = || crate::peers::unix_ms().parse::<u64>().unwrap_or(0);
+            let frame = observer.order(unix(), TOPIC, &said.encode_to_vec());
+            socket.send_to(&frame, node.bind).map_err(|e| e.to_string())?;
+            while let Ok((n, _)) = socket.recv_from(&mut buffer) {
+                let now = begun.elapsed().as_nanos() as u64;
+                let Ok(Some(answer)) = observer.ordered(now, unix(), &buffer[..n]) else { continue };
+                let answer = Ordered::decode(answer.as_slice()).map_err(|e| e.to_string())?;
+                if answer.state != 1 {
+                    return Ok(answer);
+                }
+                thread::sleep(BETWEEN);
+                break;
+            }
+        }
+        Err("no answer that is final".into())
+    }
+
+    pub(super) fn offer(&mut self, at: usize, node: &str, number: u64, change: &str, turned_down: bool) {
+        let (n, begun) = (self.node(node), Instant::now());
+        let content = self.changed(number, change).into_bytes();
+        let digest = pieces::digest(&content).to_vec();
+        let mut answer = Err("nothing to offer".to_owned());
+        for no in 0..pieces::count(content.len()) {
+            let bytes = pieces::piece(&content, no).unwrap_or_default().to_vec();
+            let (size, digest) = (content.len() as u32, digest.clone());
+            answer =
+                self.order(n, &Order { kind: order::PIECE, no, bytes, size, digest, ..Order::default() });
+            if !matches!(&answer, Ok(answer) if answer.state == 0) {
+                break;
+            }
+        }
+        if matches!(&answer, Ok(answer) if answer.state == 0) {
+            answer = self.order(n, &Order { kind: order::OFFER, digest, ..Order::default() });
+        }
+        match answer {
+            Ok(answer) if (answer.state == 2) == turned_down => {
+                let word = if turned_down { format!("turned down: {}", answer.why) } else { "taken".into() };
+                self.record.note(node, "rig", format!("settings {number} ({change}): {word}"));
+                self.took(format!("settings {number} offered, step {at}"), begun);
+            }
+            Ok(answer) => self.fail(format!("step {at}: {node} says of settings {number}: {answer:?}")),
+            Err(what) => self.fail(format!("step {at}: {node}, settings {number}: {what}")),
+        }
+    }
+
+    pub(super) fn end_change(&mut self, at: usize, node: &str, back: bool) {
+        let kind = if back { order::BACK } else { order::HALT };
+        let said = Order { kind, why: "the timetable says so".into(), ..Order::default() };
+        match self.order(self.node(node), &said) {
+            Ok(answer) if answer.state == 0 => {}
+            other => self.fail(format!("step {at}: {node} did not take the order: {other:?}")),
+        }
+    }
+
+    /// What keeps nodes from running settings of this number.
+    pub(super) fn not_running(&self, seen: &Seen, to: &Ends, number: u64) -> Option<String> {
+        for (n, node) in self.nodes.iter().enumerate() {
+            if !to.has(&node.place.name, &node.place.zone) || !self.is_up(n) {
+                continue;
+            }
+            let name = &node.place.name;
+            let Some((_, holding)) = &seen[n] else { return Some(format!("{name} was not seen yet")) };
+            let own = holding.members.values().find(|member| member.name == node.name);
+            let runs = own.map_or(0, |own| own.settings.0);
+            if runs != number {
+                return Some(format!("{name} runs settings {runs}, not {number}"));
+            }
+        }
+        None
+    }
+
+    /// Waits until nodes know a change as this.
+    pub(super) fn change_is(&mut self, at: usize, to: &Ends, is: (u64, &str, u32), within: Duration) {
+        let (begun, (number, fate, stage)) = (Instant::now(), is);
+        let mut left: Vec<usize> = (0..self.nodes.len())
+            .filter(|&n| to.has(&self.nodes[n].place.name, &self.nodes[n].place.zone) && self.is_up(n))
+            .collect();
+        let mut last = String::new();
+        while begun.elapsed() < within && !left.is_empty() {
+            left.retain(|&n| match self.knows(n, number) {
+                Some((known_fate, known_stage, line)) => {
+                    last = format!("{}: {line}", self.nodes[n].place.name);
+                    (!fate.is_empty() && known_fate != fate) || known_stage < stage
+                }
+                None => {
+                    last = format!("{}: knows no change to {number}", self.nodes[n].place.name);
+                    true
+                }
+            });
+            thread::sleep(4 * BETWEEN);
+        }
+        if left.is_empty() {
+            self.record.note("rig", "change", last.clone());
+            self.took(format!("settings {number}: {fate} stage {stage}, step {at}"), begun);
+        } else {
+            self.fail(format!("step {at}: settings {number} not {fate} stage {stage} in {within:?}; {last}"));
+        }
+    }
+
+    /// What a node knows of the change to settings of this number: what became of it, its stage, and all in words.
+    fn knows(&self, n: usize, number: u64) -> Option<(String, u32, String)> {
+        let node = &self.nodes[n];
+        let socket = UdpSocket::bind((node.bind.ip(), 0)).ok()?;
+        socket.set_read_timeout(Some(LOOK)).ok()?;
+        let (mut observer, begun) = (self.observer(&socket).ok()?, Instant::now());
+        let bytes = (0..4).find_map(|_| pages(&socket, node.bind, &mut observer, begun))?;
+        let shown = Shown::decode(bytes.as_slice()).ok()?;
+        let is_it = |change: &&madderpoint_rollout::shown::ShownChange| {
+            change.version.is_some_and(|version| version.number == number)
+        };
+        let change = shown.changes.iter().find(is_it)?;
+        let line = format!(
+            "{} stage {} {}; {} {}",
+            change.fate, change.stage, change.why, shown.waits, shown.verdict
+        );
+        Some((change.fate.clone(), change.stage, line))
+    }
+
+    /// Looks over what all nodes said they did about changes.
+    pub(super) fn changes_are_allowed(&mut self, lines: &[Line]) {
+        let mut checked = Checked::default();
+        for line in lines {
+            if line.part == "rig" && line.what.starts_with("started as ") {
+                checked.nodes.insert(line.who.clone(), Node::default());
+            }
+            if line.part == "rollout" {
+                checked.line(&line.who, &line.what);
+            }
+        }
+        self.outcome.on_trial = checked.most;
+        self.outcome.failures.extend(checked.wrong);
+    }
+}
+
+/// What a node said of its versions so far.
+#[derive(Debug, Default)]
+struct Node {
+    running: Option<u64>,
+    trial: Option<u64>,
+    staged: BTreeSet<u64>,
+    good: BTreeSet<u64>,
+    stages: BTreeMap<String, u64>,
+    ended: BTreeMap<String, String>,
+}
+
+/// Holds the joined record against what the rules of a change allow.
+#[derive(Debug, Default)]
+pub struct Checked {
+    nodes: BTreeMap<String, Node>,
+    /// The most nodes with each number on trial at once.
+    pub most: BTreeMap<u64, usize>,
+    pub wrong: Vec<String>,
+}
+
+/// The number that follows a word in a line.
+fn number_after(line: &str, word: &str) -> Option<u64> {
+    let (_, rest) = line.split_once(word)?;
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok()
+}
+
+impl Checked {
+    /// A line of a node about changes of settings.
+    pub fn line(&mut self, who: &str, line: &str) {
+        let Some(line) = line.strip_prefix("settings: ") else { return };
+        let node = self.nodes.entry(who.to_owned()).or_default();
+        let mut wrong = |what: &str| self.wrong.push(format!("{who}: {what}: {line}"));
+        let change = line.strip_prefix("change ").and_then(|rest| rest.split_once(": "));
+        if let Some((id, rest)) = change {
+            if let Some(stage) = number_after(rest, "stage ").filter(|_| rest.ends_with("begins")) {
+                if node.ended.contains_key(id) {
+                    wrong("a stage begins after the change was heard to have ended");
+                }
+                if node.stages.get(id).is_some_and(|before| stage <= *before) {
+                    wrong("a stage begins that is not after the one before");
+                }
+                node.stages.insert(id.to_owned(), stage);
+            }
+            for fate in ["refused", "halted", "back", "done"] {
+                if rest.starts_with(&format!("{fate},")) {
+                    node.ended.insert(id.to_owned(), fate.to_owned());
+                }
+            }
+            if let Some(number) = number_after(rest, "version ").filter(|_| rest.ends_with("is staged")) {
+                node.staged.insert(number);
+            }
+            return;
+        }
+        let Some(number) = number_after(line, "version ") else { return };
+        if line.contains("is on trial") {
+            if !node.staged.contains(&number) {
+                wrong("a version is on trial that was not checked and written here");
+            }
+            (node.running, node.trial) = (Some(number), Some(number));
+        } else if line.contains("is in force") {
+            (node.running, node.trial) = (Some(number), None);
+        } else if line.contains("is good") {
+            node.good.insert(number);
+            node.trial = None;
+        }
+        let on_trial = self.nodes.values().filter(|node| node.trial == Some(number)).count();
+        let most = self.most.entry(number).or_default();
+        *most = (*most).max(on_trial);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_not_allowed_is_found_in_the_record() {
+        let mut checked = Checked::default();
+        for (who, line) in [
+            ("n0", "change 0a: version 2 (aa) is staged"),
+            ("n0", "change 0a: stage 1 begins"),
+            ("n0", "version 2 (aa) is on trial, in place of 1 (bb)"),
+            ("n1", "change 0a: back, errs"),
+            ("n0", "change 0a: back, errs"),
+            ("n0", "version 1 (bb) is in force, in place of 2 (aa)"),
+        ] {
+            checked.line(who, &format!("settings: {line}"));
+        }
+        assert_eq!((checked.wrong.len(), checked.most[&2]), (0, 1), "{:?}", checked.wrong);
+        checked.line("n1", "settings: change 0a: stage 2 begins");
+        checked.line("n1", "settings: version 2 (aa) is on trial, in place of 1 (bb)");
+        assert_eq!(checked.wrong.len(), 2, "{:?}", checked.wrong);
+    }
+}
