--- a/crates/node/src/driver/changes.rs
+++ b/crates/node/src/driver/changes.rs
@@ -30,6 +30,9 @@
 const TASKS: usize = 8;
 /// A node's record takes about so much, for each side of a change: two dozen operations' parts.
 const NODE_RECORD: usize = 12 << 10;
+/// What takes less than this part of the latency objective is quick enough for any caller; in the histogram's units.
+const QUICK: Nanos = 10;
+const TENTH: Nanos = 100_000;
 /// Answers that wait for the fleet's part to send them.
 const ANSWERS: usize = 32;
 
@@ -171,6 +174,7 @@
     pub zone: u32,
     pub arbiters: Vec<u64>,
     pub operations: Vec<String>,
+    pub objectives: Vec<Nanos>,
     pub bytes: usize,
     pub seed: u64,
 }
@@ -206,7 +210,7 @@
     /// Starts the part, and the thread that checks and writes.
     pub fn start(at: Moment, changing: Changing, among: Among, poster: Poster) -> io::Result<Changes> {
         let Changing { start, plan, versions } = changing;
-        let Among { me, zone, arbiters, operations, bytes, seed } = among;
+        let Among { me, zone, arbiters, operations, objectives, bytes, seed } = among;
         let kind = start.kept.kind;
         let (tasks, inbox) = bounded(TASKS);
         // Settings are read there, whose expressions nest in each other.
@@ -226,7 +230,10 @@
         };
         let mut rollout = Rollout::new(at.now, at.unix_ms, (me.0, zone), start, arbiters, WINDOW_MS, hands);
         let names = operations.iter().map(|name| (number(name), name.clone())).collect();
-        rollout.conduct = rollout.conduct.with_names(names).with_room(bytes / NODE_RECORD);
+        let quick = operations.iter().zip(&objectives);
+        let quick =
+            quick.map(|(name, objective)| (number(name), (objective / QUICK / TENTH) as u32)).collect();
+        rollout.conduct = rollout.conduct.with_names(names).with_room(bytes / NODE_RECORD).with_quick(quick);
         rollout.plan = plan;
         let (answers, worker) = (VecDeque::new(), Some(worker));
         Ok(Changes { rollout, kind, next: 0, looked: 0, operations, worker, answers })
@@ -315,7 +322,6 @@
         (hands.members, hands.digests) = (members, digests);
         self.look(at, fleet, counts);
         self.rollout.wake(at.now, at.unix_ms);
-        self.rollout.local.host.windows = Vec::new();
     }
 
     /// An arbiter takes up what all nodes counted, while a change is under way.
--- a/crates/node/src/driver/fleet_link.rs
+++ b/crates/node/src/driver/fleet_link.rs
@@ -50,6 +50,8 @@
     pub service: Option<Service>,
     /// Names of the operations, for those who have counts shown; and the bytes for other processes' counts.
     pub operations: Vec<String>,
+    /// Their latency objectives.
+    pub objectives: Vec<Nanos>,
     pub count_bytes: usize,
     /// Its parts in changes of the settings and of the program, and the bytes for the record of them.
     pub changes: Vec<Changing>,
@@ -310,6 +312,7 @@
             zone,
             arbiters: part.arbiters.clone(),
             operations: part.operations.clone(),
+            objectives: part.objectives.clone(),
             bytes: part.change_bytes,
             seed: seed ^ life.0,
         };
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -114,6 +114,7 @@
         zone: driver::zone_number(&settings.zone),
     });
     let operations = who.start.operations.clone();
+    let objectives = who.start.premises.operations.iter().map(|of| of.latency_objective).collect();
     let (key_bytes, count_bytes, change_bytes) = (0, 0, 0); // as there is room for
     Ok(Some(Box::new(Part {
         bind,
@@ -124,6 +125,7 @@
         key_bytes,
         service,
         operations,
+        objectives,
         count_bytes,
         changes: Vec::new(),
         change_bytes,
--- a/crates/rollout/src/conduct.rs
+++ b/crates/rollout/src/conduct.rs
@@ -94,6 +94,7 @@
     way: Way,
     names: BTreeMap<u32, String>,
     room: usize,
+    quick: BTreeMap<u32, u32>,
 }
 
 /// What a step is decided by.
@@ -130,6 +131,7 @@
             way: Way::Nodes,
             names: BTreeMap::new(),
             room: NODES_MAX,
+            quick: BTreeMap::new(),
         }
     }
 
@@ -151,6 +153,12 @@
         self
     }
 
+    /// What takes less than so long, by operation in tenths of a millisecond, is quick enough for any caller.
+    pub fn with_quick(mut self, quick: BTreeMap<u32, u32>) -> Conduct {
+        self.quick = quick;
+        self
+    }
+
     /// The arbiters are others from here on.
     pub fn set_arbiters(&mut self, arbiters: Vec<u64>) {
         if arbiters != self.arbiters {
@@ -233,7 +241,9 @@
         }
         let Some(change) = changes.under_way(self.kind).filter(|_| self.is_arbiter()) else { return };
         if self.record.as_ref().is_none_or(|record| record.change != change.id) {
-            let mut record = Record::new(change.id, change.version, change.base).with_room(self.room);
+            let mut record = Record::new(change.id, change.version, change.base)
+                .with_room(self.room)
+                .with_quick(self.quick.clone());
             let windows = windows();
             self.counted = windows.iter().map(|(window, _)| window + 1).max().unwrap_or(self.counted);
             record.begin(&windows);
--- a/crates/rollout/src/local.rs
+++ b/crates/rollout/src/local.rs
@@ -210,6 +210,7 @@
     /// When it started, if nothing was on its disk.
     born: Option<Nanos>,
     started: Nanos,
+    abstained: bool,
     fetch: Option<Fetch>,
     /// Contents by version, as far as they are here: of what is staged, so that others can be told.
     contents: BTreeMap<Version, Vec<u8>>,
@@ -245,6 +246,7 @@
             asked: None,
             born: fresh.then_some(now),
             started: now,
+            abstained: false,
             fetch: None,
             contents: contents.into_iter().collect(),
             staged: BTreeMap::new(),
@@ -589,8 +591,6 @@
         let Some(born) = self.born.filter(|_| known > 0) else { return };
         self.born = None;
         if now < born + NEW && self.kept.vote.is_none() {
-            self.host
-                .log(&format!("nothing was on the disk: votes on changes from agreement {} on", known + 3));
             self.kept.abstains_to = known + 2;
         }
     }
@@ -603,6 +603,10 @@
             Ask::Accept { proposal, .. } => proposal.reach.seq,
         };
         if seq <= self.kept.abstains_to && now < self.started + NEW {
+            let from = self.kept.abstains_to + 1;
+            if !std::mem::replace(&mut self.abstained, true) {
+                self.host.log(&format!("nothing was on the disk: votes on changes from agreement {from} on"));
+            }
             return;
         }
         let vote = self.kept.vote.clone().unwrap_or_default();
--- a/crates/rollout/src/rollout.rs
+++ b/crates/rollout/src/rollout.rs
@@ -9,8 +9,8 @@
 use crate::wire::{Order, Ordered, Told};
 use crate::{Nanos, SECOND};
 
-/// A window is looked at so long after its end: words of it are on their way.
-const WORDS: u64 = 3000;
+/// A window is looked at so long after its end: nodes tell their counts each five seconds, and words are on their way.
+const WORDS: u64 = 6000;
 
 /// The part.
 pub struct Rollout<H: Host> {
--- a/crates/standins/src/rig.rs
+++ b/crates/standins/src/rig.rs
@@ -131,6 +131,8 @@
     pub keys_ran: usize,
     /// The most nodes that ran each number of the settings on trial, before it was good.
     pub on_trial: BTreeMap<u64, usize>,
+    /// The number of the settings that each node ran when the play was over.
+    pub ran_last: BTreeMap<String, u64>,
     /// What became of datagrams at the relay.
     pub datagrams: BTreeMap<&'static str, u64>,
     /// The end of the joined record, where something failed.
@@ -138,6 +140,13 @@
 }
 
 impl Outcome {
+    /// Whether all nodes ran the same settings in the end.
+    pub fn one_version_at_the_end(&self) -> bool {
+        let mut numbers = self.ran_last.values();
+        let first = numbers.next();
+        first.is_some() && numbers.all(|number| Some(number) == first)
+    }
+
     /// Panics with all that a failed test is to show.
     pub fn expect_good(&self, script: &Script) -> &Outcome {
         assert!(
@@ -782,6 +791,7 @@
                 self.fail(format!("{} ended by itself with {status}", self.nodes[n].place.name));
             }
         }
+        self.outcome.ran_last = self.settings_run();
         self.stop.store(true, SeqCst);
         for node in &mut self.nodes {
             for load in node.load.drain(..) {
