--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -5,6 +5,7 @@
 mod shared;
 
 use crate::serve::{self, Logging};
+use crate::under;
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use hdrhistogram::Histogram;
 use madderpoint_facts::Start;
@@ -80,6 +81,27 @@
         #[command(subcommand)]
         command: shared::Command,
     },
+    /// Run a node under a small parent that can put another version of the program in its place.
+    #[command(
+        after_help = "Example: PROXY_CONFIG=config.json madderpoint run-under --programs /opt/madderpoint --start 7 \\\n\
+            --state /var/lib/madderpoint -- serve --settings translator.xml"
+    )]
+    RunUnder {
+        /// Where directories of versions are: each named by its number, with the program in it.
+        #[arg(long, value_name = "DIR")]
+        programs: PathBuf,
+        /// The version to start on where none is in force yet, or a newer one is given: one of these directories.
+        #[arg(long, value_name = "DIR")]
+        start: PathBuf,
+        /// Where it is kept what is in force.
+        #[arg(long, value_name = "DIR")]
+        state: PathBuf,
+        #[command(flatten)]
+        log: Log,
+        /// Arguments for the program.
+        #[arg(last = true)]
+        arguments: Vec<String>,
+    },
     /// Change the settings or the program of a fleet in stages.
     Rollout {
         #[command(subcommand)]
@@ -187,6 +209,10 @@
         let ended = match self.command {
             None => return Self::serves(self.settings, self.log),
             Some(Command::Serve { settings, log }) => return Self::serves(settings.or(self.settings), log),
+            Some(Command::RunUnder { programs, start, state, log, arguments }) => {
+                let logging = log.into();
+                under::run(under::Told { programs, start, state, arguments, logging }).map(|()| true)
+            }
             Some(Command::Fleet { command }) => command.run(),
             Some(Command::Shared { command }) => command.run(),
             Some(Command::Rollout { command }) => command.run(),
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -196,6 +196,11 @@
         self.desk.borrow().next_timer()
     }
 
+    /// Whether the kernel is up, and invocations are taken.
+    pub fn is_up(&self) -> bool {
+        self.choice.is_some()
+    }
+
     /// Whether all is answered and every connection gone after the notice to leave.
     pub fn has_left(&self) -> bool {
         self.desk.borrow().has_left()
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -32,7 +32,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
-use std::net::{IpAddr, TcpStream};
+use std::net::{IpAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::thread;
@@ -60,6 +60,8 @@
 pub enum Notice {
     /// To leave.
     Leave,
+    /// To leave, for another process of this node takes its place: nobody is told that the node goes.
+    HandOver,
     /// That its configuration was replaced.
     Moved(Moved),
     /// That its rules were replaced.
@@ -218,8 +220,11 @@
 }
 
 /// What a node has beside what the platform asks for.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Ours {
+    /// The socket to listen on, where a parent has it; and what is done once the node serves.
+    pub listener: Option<TcpListener>,
+    pub serves: Option<Box<dyn FnOnce()>>,
     /// Rules, from settings of ours.
     pub rules: Option<Box<Sheet>>,
     /// Its part in a fleet.
@@ -241,7 +246,9 @@
     let (front_events, front_inbox) = bounded(room.front_events);
     let (events, peers_inbox) = bounded(room.peer_events);
     let inbox = Inbox { front: front_inbox, peers: peers_inbox };
-    let front = Front::open(who.listen, room, front_events)?;
+    let listener = ours.listener.map_or_else(|| TcpListener::bind(who.listen), Ok)?;
+    let front = Front::open(listener, room, front_events)?;
+    let handed = Arc::new(AtomicBool::new(false));
     let leaving = Arc::new(AtomicBool::new(false));
     let addresses = Arc::new(AtomicCell::new(who.peers));
     let mut backend = Vec::new();
@@ -251,7 +258,8 @@
         }
     }
     kernel_link::start(Arc::clone(&addresses), room.commands, events.clone())?;
-    reports::start(Arc::clone(&addresses), who.name.clone(), Arc::clone(&leaving))?;
+    let told = reports::Told { leaving: Arc::clone(&leaving), handed: Arc::clone(&handed) };
+    reports::start(Arc::clone(&addresses), who.name.clone(), told)?;
     let budgets = ours.fleet.as_ref().map_or(Vec::new(), |part| part.budgets.clone());
     let rhythm = ours.fleet.as_ref().map(|part| part.rhythm());
     let with = ours.fleet.as_ref().map(|part| part.with()).unwrap_or_default();
@@ -271,11 +279,15 @@
         None => None,
     };
     let (fleet, fleet_thread) = fleet.unzip();
-    let told = fleet.clone();
+    let (told, hands) = (fleet.clone(), Arc::clone(&handed));
     spawn("notices", move || {
         while let Ok(notice) = notices.recv() {
             let event = match notice {
                 Notice::Leave => Event::Drain,
+                Notice::HandOver => {
+                    hands.store(true, SeqCst);
+                    Event::Drain
+                }
                 Notice::Moved(moved) => Event::Moved(moved),
                 Notice::Ruled(sheet) => Event::Ruled(sheet),
                 Notice::Fleet(reset) => {
@@ -297,9 +309,10 @@
     if let Some(sheet) = ours.rules {
         core.handle(clock.read(), Event::Ruled(sheet));
     }
-    run(&mut core, clock, &inbox);
+    run(&mut core, clock, &inbox, ours.serves);
     core.let_go(clock.now());
-    core.out(|out| out.fleet.iter().for_each(FleetLink::leave));
+    let handed = handed.load(SeqCst);
+    core.out(|out| out.fleet.iter().for_each(|fleet| fleet.leave(handed)));
     if let Some(thread) = fleet_thread {
         let _ = thread.join();
     }
@@ -307,8 +320,11 @@
 }
 
 /// Takes what waits, then fires the timers that are due, so that what came in counts before a time-out.
-fn run(core: &mut Core<Sockets>, clock: Clock, inbox: &Inbox) {
+fn run(core: &mut Core<Sockets>, clock: Clock, inbox: &Inbox, mut serves: Option<Box<dyn FnOnce()>>) {
     while !core.has_left() {
+        if let Some(serves) = serves.take_if(|_| core.is_up()) {
+            serves();
+        }
         let due = core.next_timer().unwrap_or(Nanos::MAX);
         let wait = Duration::from_nanos(due.saturating_sub(clock.now()));
         turn(core, clock, inbox, wait);
--- a/crates/node/src/driver/changes.rs
+++ b/crates/node/src/driver/changes.rs
@@ -188,6 +188,8 @@
     operations: Vec<String>,
     worker: Option<JoinHandle<()>>,
     answers: VecDeque<(std::net::SocketAddr, u32, Ordered)>,
+    /// Whether another process has taken this one's place.
+    handed: bool,
 }
 
 struct Called<'a, H: FleetHost> {
@@ -236,7 +238,7 @@
         rollout.conduct = rollout.conduct.with_names(names).with_room(bytes / NODE_RECORD).with_quick(quick);
         rollout.plan = plan;
         let (answers, worker) = (VecDeque::new(), Some(worker));
-        Ok(Changes { rollout, kind, next: 0, looked: 0, operations, worker, answers })
+        Ok(Changes { rollout, kind, next: 0, looked: 0, operations, worker, answers, handed: false })
     }
 
     pub fn kind(&self) -> Kind {
@@ -263,6 +265,7 @@
     /// The thread did something.
     pub fn done(&mut self, at: Moment, done: Done) {
         let rollout = &mut self.rollout;
+        self.handed |= self.kind == Kind::Program && matches!(&done, Done::Applied(_, Ok(())));
         match done {
             Done::Checked(change, found) => rollout.local.checked(at.now, change, found),
             Done::LookedInto(no, found) => rollout.looked_into(at.now, at.unix_ms, no, found),
@@ -385,12 +388,20 @@
         shown.encode_to_vec()
     }
 
-    /// The node ends, by notice: what it had on trial did not die, and that is written before the process is gone.
-    pub fn leave(&mut self) {
+    /// Whether another process is being started to take this one's place: nothing else may change then.
+    pub fn hands_over(&self) -> bool {
+        self.kind == Kind::Program && (self.handed || self.rollout.local.is_applying())
+    }
+
+    /// The node ends, by notice: what it had on trial did not die, and that is written before the process is gone. Where another
+    /// process takes its place, that one has it on trial, and writes.
+    pub fn leave(&mut self, handed: bool) {
         let kept = Box::new(self.rollout.local.leave());
         let (tasks, _) = bounded(0);
         let tasks = std::mem::replace(&mut self.rollout.local.host.tasks, tasks);
-        let _ = tasks.send(Task::Keep { no: 0, kept, content: None });
+        if !handed {
+            let _ = tasks.send(Task::Keep { no: 0, kept, content: None });
+        }
         drop(tasks);
         if let Some(worker) = self.worker.take() {
             let _ = worker.join();
--- a/crates/node/src/driver/fleet_link.rs
+++ b/crates/node/src/driver/fleet_link.rs
@@ -1,7 +1,7 @@
 //! The fleet's socket, and the thread in which this node's part in the fleet lives. It shares nothing with the core but two
 //! bounded queues: words of the core, and what is seen of the fleet. Neither waits for the other.
 
-use super::changes::{Among, Changes, Changing, topic};
+use super::changes::{Among, Changes, Changing, SETTINGS_CHANGES, topic};
 use super::{Message, STACK};
 use crate::company::Word;
 use crate::core::{Event, Service, With};
@@ -53,6 +53,8 @@
     /// Their latency objectives.
     pub objectives: Vec<Nanos>,
     pub count_bytes: usize,
+    /// Whether another process may still have the place where it listens: then it is waited for.
+    pub waits: bool,
     /// Its parts in changes of the settings and of the program, and the bytes for the record of them.
     pub changes: Vec<Changing>,
     pub change_bytes: usize,
@@ -103,7 +105,8 @@
     Word(Word),
     Reset(Box<Reset>),
     Done(Kind, Done),
-    Leave,
+    /// Whether another process takes this one's place.
+    Leave(bool),
 }
 
 /// The end by which that thread tells what it did.
@@ -149,9 +152,9 @@
         self.order(Order::Reset(Box::new(reset)));
     }
 
-    /// Says that the node leaves, and ends the thread.
-    pub fn leave(&self) {
-        self.order(Order::Leave);
+    /// Says that the node leaves, and ends the thread; or that another process takes its place.
+    pub fn leave(&self, handed: bool) {
+        self.order(Order::Leave(handed));
     }
 }
 
@@ -271,10 +274,50 @@
     clock: impl Fn() -> Moment + Send + 'static,
     events: Sender<Message>,
 ) -> io::Result<(FleetLink, JoinHandle<()>)> {
-    let socket = UdpSocket::bind(part.bind)?;
-    socket.set_nonblocking(true)?;
     let bell = Arc::new(eventfd(0, EventfdFlags::CLOEXEC | EventfdFlags::NONBLOCK)?);
     let (orders, inbox) = bounded(WORDS);
+    let link = FleetLink { orders, bell };
+    let thread = thread::Builder::new().name("fleet".into()).stack_size(STACK);
+    let socket = match UdpSocket::bind(part.bind) {
+        Err(e) if part.waits && e.kind() == ErrorKind::AddrInUse => None,
+        bound => Some(bound?),
+    };
+    if let Some(socket) = socket {
+        let (fleet, beside) = begin(part, seed, &clock, events, socket, &link)?;
+        let bell = Arc::clone(&link.bell);
+        return Ok((link, thread.spawn(move || serve(fleet, beside, &clock, &inbox, &bell))?));
+    }
+    let own = link.clone();
+    let waiting = move || {
+        // Words that come meanwhile are lost but for the notice to leave: the core says them anew.
+        let socket = loop {
+            match UdpSocket::bind(part.bind) {
+                Ok(socket) => break socket,
+                Err(_) if inbox.try_iter().any(|order| matches!(order, Order::Leave(_))) => return,
+                Err(_) => thread::sleep(BIND_AGAIN),
+            }
+        };
+        match begin(part, seed, &clock, events, socket, &own) {
+            Ok((fleet, beside)) => serve(fleet, beside, &clock, &inbox, &own.bell),
+            Err(e) => log!("fleet: no part in it: {e}"),
+        }
+    };
+    Ok((link, thread.spawn(waiting)?))
+}
+
+/// Between two tries to have the place where another process still listens.
+const BIND_AGAIN: Duration = Duration::from_millis(20);
+
+/// The part on its socket, and all that lives beside it.
+fn begin(
+    part: Part,
+    seed: u64,
+    clock: &impl Fn() -> Moment,
+    events: Sender<Message>,
+    socket: UdpSocket,
+    link: &FleetLink,
+) -> io::Result<(Fleet<Hands>, Beside)> {
+    socket.set_nonblocking(true)?;
     let zone = part.settings.zone.clone();
     log!(
         "fleet {}: {} on {}, reached at {}",
@@ -304,7 +347,7 @@
     let (key, life) = fleet.me();
     let me = Who { key: key.0, life: life.0 };
     let zone = zone_number(&zone);
-    let poster = Poster { orders: orders.clone(), bell: Arc::clone(&bell) };
+    let poster = Poster { orders: link.orders.clone(), bell: Arc::clone(&link.bell) };
     let mut changes = Vec::new();
     for changing in part.changes {
         let among = Among {
@@ -324,16 +367,13 @@
         let settings = shared::Settings { zone, most, rhythm, counted, key_bytes: part.key_bytes, ..usual };
         Shared::new(settings, seed ^ life.0, clock().now, teller)
     });
-    let link = FleetLink { orders, bell: Arc::clone(&bell) };
-    let thread = thread::Builder::new().name("fleet".into()).stack_size(STACK);
     let health = part.service.map(|service| Health {
         service: Key::of(&service.name).0,
         witnesses: Witnesses::new(WITNESSES),
         told: 0,
     });
     let beside = Beside { bank, health, changes, label, operations: part.operations };
-    let thread = thread.spawn(move || serve(fleet, beside, &clock, &inbox, &bell))?;
-    Ok((link, thread))
+    Ok((fleet, beside))
 }
 
 /// Zones as numbers, which is enough to tell them apart.
@@ -451,8 +491,8 @@
                         changes.done(clock(), done);
                     }
                 }
-                Order::Leave => {
-                    changes.iter_mut().for_each(Changes::leave);
+                Order::Leave(handed) => {
+                    changes.iter_mut().for_each(|changes| changes.leave(handed));
                     bank.iter_mut().for_each(|bank| bank.leave(clock().now));
                     post(&mut fleet, &mut bank, clock);
                     fleet.leave(clock());
@@ -465,7 +505,12 @@
         if clock().now >= fleet.next() {
             fleet.wake(clock());
         }
+        // While another process is being started in this one's place nothing else changes.
+        let hands_over = changes.iter().any(Changes::hands_over);
         for (from, topic, parcel) in std::mem::take(&mut fleet.host.parcels) {
+            if hands_over && topic == SETTINGS_CHANGES {
+                continue;
+            }
             if let Some(changes) = changes.iter_mut().find(|changes| is_about(changes, topic)) {
                 changes.told(clock(), Key(from.key), &parcel);
                 continue;
@@ -489,7 +534,7 @@
             of.into_iter().for_each(|changes| changes.order(clock(), from, no, &order));
         }
         let asked = std::mem::take(&mut fleet.host.asked);
-        for changes in &mut changes {
+        for changes in changes.iter_mut().filter(|of| !hands_over || of.kind() == Kind::Program) {
             changes.wake(clock(), &fleet, bank.as_ref().and_then(Shared::counts_of_all));
             changes.post(clock(), &mut fleet);
             let topic = topic(changes.kind());
--- a/crates/node/src/driver/front.rs
+++ b/crates/node/src/driver/front.rs
@@ -42,8 +42,7 @@
 
 impl Front {
     /// Listens, and hands on what comes.
-    pub fn open(listen: SocketAddr, room: Room, events: Sender<Message>) -> io::Result<Arc<Front>> {
-        let listener = TcpListener::bind(listen)?;
+    pub fn open(listener: TcpListener, room: Room, events: Sender<Message>) -> io::Result<Arc<Front>> {
         listener.set_nonblocking(true)?;
         let places = Arc::new(Places::new(room));
         let stopped = AtomicBool::new(false);
--- a/crates/node/src/driver/reports.rs
+++ b/crates/node/src/driver/reports.rs
@@ -15,16 +15,25 @@
 const RETRY: Duration = Duration::from_millis(200);
 const STEP: Duration = Duration::from_millis(400);
 
+/// What the reports go by: whether the node leaves; and whether another process takes its place, which then reports.
+pub struct Told {
+    pub leaving: Arc<AtomicBool>,
+    pub handed: Arc<AtomicBool>,
+}
+
 /// Reports from here on that the node is up, or that it is leaving.
-pub fn start(addresses: Addresses, node: String, leaving: Arc<AtomicBool>) -> io::Result<()> {
-    spawn("reports", move || report(&addresses, &node, &leaving))
+pub fn start(addresses: Addresses, node: String, told: Told) -> io::Result<()> {
+    spawn("reports", move || report(&addresses, &node, &told))
 }
 
-fn report(addresses: &Addresses, node: &str, leaving: &AtomicBool) {
-    let mut failing = false;
+fn report(addresses: &Addresses, node: &str, told: &Told) {
+    let (leaving, mut failing) = (&told.leaving, false);
     loop {
         let address = addresses.load().members;
         let out = leaving.load(SeqCst);
+        if told.handed.load(SeqCst) {
+            return;
+        }
         let phase = if out { Phase::Out } else { Phase::Up };
         let done = report_once(address, &members::report(&address.to_string(), node, phase));
         if let Err(e) = &done
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod log;
 pub mod members;
 pub mod outward;
+pub mod parent;
 pub mod program;
 pub mod request;
 pub mod room;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,6 +6,7 @@
 
 mod cli;
 mod serve;
+mod under;
 
 use clap::Parser;
 use std::process::ExitCode;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -9,6 +9,7 @@
 use madderpoint_node::core::Service;
 use madderpoint_node::driver::{self, Changing, Notice, Ours, Part, Reset, Versions};
 use madderpoint_node::log;
+use madderpoint_node::parent::{self, ProgramVersions};
 use madderpoint_node::room::Beside;
 use madderpoint_node::versions::Directory;
 use madderpoint_rollout::{Kept, Kind as ChangeKind, Version};
@@ -127,6 +128,7 @@
         operations,
         objectives,
         count_bytes,
+        waits: false,
         changes: Vec::new(),
         change_bytes,
     })))
@@ -342,6 +344,7 @@
     file: &Path,
     who: &Arc<Identity>,
     notices: &crossbeam_channel::Sender<Notice>,
+    beside: bool,
     told: impl Fn(&str) -> Option<String>,
 ) -> Result<Started, String> {
     let given = read(file, &with_room(who));
@@ -350,7 +353,9 @@
             .map(|read| Started { read, changing: None })
             .map_err(|e| format!("settings not taken:\n{e}"));
     };
-    let directory = Directory::open(&dir, &who.name, ChangeKind::Settings)?;
+    let open = if beside { Directory::beside } else { Directory::open };
+    let mut directory =
+        open(&dir, &who.name, ChangeKind::Settings).map_err(|e| format!("rollout/@dir: {e}"))?;
     // What is given may be broken or gone: what was in force is on the disk.
     let content = match &given {
         Ok(read) => {
@@ -388,6 +393,16 @@
     Ok(Started { read, changing: Some((in_force, changing)) })
 }
 
+/// Has the log written so.
+pub fn logs(node: &str, logging: Logging) {
+    if logging.json {
+        log::as_json(node);
+    }
+    if logging.follow {
+        log::follow_invocations();
+    }
+}
+
 /// Serves until the notice to leave has been carried out.
 pub fn serve(settings: Option<PathBuf>, logging: Logging) -> Result<(), String> {
     // First of all, so that neither signal ever ends the process by its default.
@@ -395,24 +410,38 @@
     let path = PathBuf::from(std::env::var_os("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?);
     let told = |name: &str| std::env::var(name).ok();
     let who = Arc::new(config::read(&path, told)?);
-    if logging.json {
-        log::as_json(&who.name);
-    }
-    if logging.follow {
-        log::follow_invocations();
-    }
+    logs(&who.name, logging);
     let (notices, inbox) = crossbeam_channel::bounded(1);
+    let adopted = match told(parent::UNDER) {
+        Some(_) => Some(parent::adopt()?),
+        None => None,
+    };
+    let beside = adopted.as_ref().is_some_and(|adopted| adopted.begin.beside);
     let (mut ours, mut fleet, mut in_force) = (Ours::default(), None, None);
     if let Some(file) = &settings {
-        let Started { mut read, changing } = start(file, &who, &notices, told)?;
+        let Started { mut read, changing } = start(file, &who, &notices, beside, told)?;
         ours.fleet = part(file, &read, &who, told).map_err(|e| format!("settings not taken: {e}"))?;
         if let (Some(part), Some((now, changing))) = (&mut ours.fleet, changing) {
             part.changes.push(changing);
             in_force = Some(now);
         }
+        if let (Some(part), Some(adopted)) = (&mut ours.fleet, &adopted) {
+            part.waits = true;
+            if part.shares() {
+                let plan = read.rollout.as_ref().map(|rollout| rollout.plan.clone()).unwrap_or_default();
+                let versions = Box::new(ProgramVersions(Arc::clone(&adopted.link)));
+                part.changes.push(Changing { start: parent::start(&adopted.begin), plan, versions });
+            }
+        }
         ours.rules = Some(sheet(&mut read));
         fleet = read.fleet;
     }
+    if let Some(mut adopted) = adopted {
+        let link = Arc::clone(&adopted.link);
+        ours.listener = adopted.listener.take();
+        ours.serves = Some(Box::new(move || link.ready()));
+        adopted.listen(notices.clone()).map_err(|e| format!("parent: {e}"))?;
+    }
     let first = Arc::clone(&who);
     let stack = if settings.is_some() { STACK_TO_READ } else { STACK };
     let listening = thread::Builder::new().name("signals".into()).stack_size(stack).spawn(move || {
--- a/crates/node/src/versions.rs
+++ b/crates/node/src/versions.rs
@@ -10,18 +10,26 @@
 use std::fs::{self, File, TryLockError};
 use std::io::{self, ErrorKind, Read, Write};
 use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
 
 /// Files of contents that are looked at; there are a handful.
 const CONTENTS: usize = 64;
 
-/// The directory, of one node; no other process has it at the same time.
+/// The directory, of one node; no other process writes there at the same time.
 #[derive(Debug)]
 pub struct Directory {
     dir: PathBuf,
     kind: Kind,
-    _lock: File,
+    lock: Option<File>,
+    /// What was read while another process had it: it must be the same when that one is gone.
+    read: Option<Vec<u8>>,
 }
 
+/// How long the process before this one is waited for, and between two looks.
+const BEFORE: Duration = Duration::from_secs(15);
+const LOOK: Duration = Duration::from_millis(20);
+
 fn word(kind: Kind) -> &'static str {
     match kind {
         Kind::Settings => "settings",
@@ -63,16 +71,46 @@
 impl Directory {
     /// The part of a directory that is this node's: several nodes of a machine may be told the same one.
     pub fn open(dir: &Path, node: &str, kind: Kind) -> Result<Directory, String> {
+        let mut directory = Directory::beside(dir, node, kind)?;
+        directory.take(Duration::ZERO)?;
+        Ok(directory)
+    }
+
+    /// Where it is.
+    pub fn path(&self) -> &Path {
+        &self.dir
+    }
+
+    /// The same, while another process of this node may still have it: it is read, and written only once that one is gone.
+    pub fn beside(dir: &Path, node: &str, kind: Kind) -> Result<Directory, String> {
         let dir = dir.join(plain(node));
-        let wrong = |what: &dyn std::fmt::Display| format!("rollout/@dir: {}: {what}", dir.display());
-        fs::create_dir_all(&dir).map_err(|e| wrong(&e))?;
-        let lock = File::create(dir.join(format!("{}.lock", word(kind)))).map_err(|e| wrong(&e))?;
-        match lock.try_lock() {
-            Ok(()) => {}
-            Err(TryLockError::WouldBlock) => return Err(wrong(&"another process has it")),
-            Err(TryLockError::Error(e)) => return Err(wrong(&e)),
+        fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+        Ok(Directory { dir, kind, lock: None, read: None })
+    }
+
+    /// Has it for this process alone.
+    fn take(&mut self, within: Duration) -> Result<(), String> {
+        if self.lock.is_some() {
+            return Ok(());
+        }
+        let wrong = |what: &dyn std::fmt::Display| format!("{}: {what}", self.dir.display());
+        let lock = File::create(self.dir.join(format!("{}.lock", word(self.kind)))).map_err(|e| wrong(&e))?;
+        let begun = Instant::now();
+        loop {
+            match lock.try_lock() {
+                Ok(()) => break,
+                Err(TryLockError::WouldBlock) if begun.elapsed() < within => thread::sleep(LOOK),
+                Err(TryLockError::WouldBlock) => return Err(wrong(&"another process has it")),
+                Err(TryLockError::Error(e)) => return Err(wrong(&e)),
+            }
         }
-        Ok(Directory { dir, kind, _lock: lock })
+        if let Some(read) = &self.read
+            && read_bounded(&self.kept_file(), FILE_MAX).ok().flatten().as_ref() != Some(read)
+        {
+            return Err(wrong(&"what is kept was changed by the process before, after it was read"));
+        }
+        (self.lock, self.read) = (Some(lock), None);
+        Ok(())
     }
 
     fn kept_file(&self) -> PathBuf {
@@ -117,7 +155,8 @@
     }
 
     /// Writes what is kept, and a content with it, which goes first; then contents that nobody needs any more go.
-    pub fn keep(&self, kept: &Kept, content: Option<(Version, &[u8])>) -> Result<(), String> {
+    pub fn keep(&mut self, kept: &Kept, content: Option<(Version, &[u8])>) -> Result<(), String> {
+        self.take(BEFORE)?;
         let wrong = |e: io::Error| format!("{}: {e}", self.dir.display());
         if let Some((version, bytes)) = content {
             self.write(&self.content_file(version), bytes).map_err(wrong)?;
@@ -136,7 +175,8 @@
         Ok(())
     }
 
-    fn read_kept(&self) -> (Kept, bool) {
+    /// What is kept, and whether nothing was.
+    pub fn read_kept(&self) -> (Kept, bool) {
         let path = self.kept_file();
         let read = match read_bounded(&path, FILE_MAX) {
             Ok(None) => return (Kept::new(self.kind), true),
@@ -156,14 +196,23 @@
 
     /// The node starts: it runs the first of the versions that it may which can be run. What it is given by hand may be missing;
     /// then only what is on the disk can be run.
+    /// Where another process of this node runs meanwhile, what is on trial there did not die: it stays on trial here.
     pub fn begin<T>(
-        &self,
+        &mut self,
         given: Option<(Version, Vec<u8>)>,
         mut runs: impl FnMut(Version, &[u8]) -> Result<T, String>,
     ) -> Result<Begun<T>, String> {
+        let is_beside = self.lock.is_none();
+        if is_beside {
+            self.read = read_bounded(&self.kept_file(), FILE_MAX).ok().flatten();
+        }
         let (mut kept, fresh) = self.read_kept();
         let (given_version, given_content) = given.unwrap_or_default();
-        let (all, died) = kept.begin(given_version);
+        let trial = kept.trial.filter(|_| is_beside);
+        let (all, died) = match trial {
+            Some(trial) => (vec![trial.version], None),
+            None => kept.begin(given_version),
+        };
         let contents = self.contents();
         let mut first_wrong = None;
         for version in all.into_iter().filter(|version| *version != Version::default()) {
@@ -217,7 +266,7 @@
     fn a_node_starts_on_the_last_good_version_whatever_was_cut() {
         let root = dir("start");
         let open = || Directory::open(&root, "n/1", Kind::Settings);
-        let one = open().unwrap();
+        let mut one = open().unwrap();
         assert!(open().unwrap_err().contains("another process has it"));
         let begun = one.begin(Some((v(1), b"one".to_vec())), text).unwrap();
         assert_eq!((begun.runs.as_str(), begun.start.running, begun.start.fresh), ("one", v(1), true));
@@ -229,7 +278,7 @@
         // Killed on trial, and in the middle of a write.
         fs::write(root.join(plain("n/1")).join("settings.new"), b"cut").unwrap();
         drop(one);
-        let one = open().unwrap();
+        let mut one = open().unwrap();
         let begun = one.begin(Some((v(1), b"one".to_vec())), text).unwrap();
         assert_eq!((begun.runs.as_str(), begun.start.died.unwrap().version), ("one", v(2)));
         assert!(!begun.start.fresh && begun.start.kept.deaths(v(2)) == 1);
@@ -250,10 +299,37 @@
         let _ = fs::remove_dir_all(&root);
     }
 
+    #[test]
+    fn one_that_starts_beside_another_reads_and_writes_only_when_that_one_is_gone() {
+        let root = dir("beside");
+        let mut old = Directory::open(&root, "n1", Kind::Settings).unwrap();
+        let mut kept = Kept::new(Kind::Settings);
+        kept.found_good(v(1));
+        kept.trial = Some(Trial { change: ChangeId(5), version: v(2), tries: 1 });
+        old.keep(&kept, Some((v(2), b"two"))).unwrap();
+        let mut new = Directory::beside(&root, "n1", Kind::Settings).unwrap();
+        let begun = new.begin(Some((v(1), b"one".to_vec())), text).unwrap();
+        assert_eq!(
+            (begun.runs.as_str(), begun.start.died, begun.start.kept.trial),
+            ("two", None, kept.trial)
+        );
+        assert!(new.take(Duration::ZERO).unwrap_err().contains("another process"));
+        drop(old);
+        new.keep(&begun.start.kept, None).unwrap();
+        // What the one before wrote after it was read is not written over.
+        let mut late = Directory::beside(&root, "n1", Kind::Settings).unwrap();
+        late.begin(None, text).unwrap();
+        kept.found_good(v(2));
+        new.keep(&kept, None).unwrap();
+        drop(new);
+        assert!(late.keep(&begun.start.kept, None).unwrap_err().contains("was changed"));
+        let _ = fs::remove_dir_all(&root);
+    }
+
     #[test]
     fn contents_that_nobody_needs_go_and_others_stay() {
         let root = dir("room");
-        let one = Directory::open(&root, "n1", Kind::Settings).unwrap();
+        let mut one = Directory::open(&root, "n1", Kind::Settings).unwrap();
         let mut kept = Kept::new(Kind::Settings);
         for number in 1..20 {
             one.keep(&kept, Some((v(number), b"text"))).unwrap();
--- /dev/null
+++ b/crates/node/tests/program.rs
@@ -0,0 +1,271 @@
+//! The program changed under a parent: a new one beside the old on one socket, back again if it does not serve or dies, and a node
+//! that serves whatever is killed.
+
+use madderpoint_standins::checker::Checker;
+use madderpoint_standins::load::{self, Ask};
+use madderpoint_standins::peers::nobody;
+use madderpoint_standins::program::{Program, told};
+use madderpoint_standins::worker::Worker;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::os::unix::fs::{PermissionsExt, symlink};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::sync::mpsc::{self, Receiver};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const EXE: &str = env!("CARGO_BIN_EXE_madderpoint");
+const PROGRAM: Program = Program { exe: EXE, dir: env!("CARGO_TARGET_TMPDIR") };
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A node under a parent, its kernel, and the place where the parent's versions are.
+struct Under {
+    parent: Child,
+    log: Receiver<String>,
+    lines: Vec<String>,
+    listen: SocketAddr,
+    worker: Worker,
+    programs: PathBuf,
+    config: PathBuf,
+    settings: PathBuf,
+    at: SocketAddr,
+}
+
+/// Ports of loopback that nobody has at this moment.
+fn free() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A directory of a version: the program itself, or a script in its place.
+fn version(programs: &Path, name: &str, script: Option<&str>) {
+    let dir = programs.join(name);
+    std::fs::create_dir_all(&dir).unwrap();
+    let file = dir.join("madderpoint");
+    match script {
+        None => symlink(EXE, &file).unwrap(),
+        Some(text) => {
+            std::fs::write(&file, format!("#!/bin/sh\n{text}\n")).unwrap();
+            std::fs::set_permissions(&file, std::fs::Permissions::from_mode(0o755)).unwrap();
+        }
+    }
+}
+
+impl Under {
+    fn start(least: &str) -> Under {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let name = format!("under-{}-{}", std::process::id(), NEXT.fetch_add(1, SeqCst));
+        let dir = PathBuf::from(PROGRAM.dir).join(name);
+        let _ = std::fs::remove_dir_all(&dir);
+        let programs = dir.join("programs");
+        version(&programs, "1", None);
+        let worker = Worker::start_for_many();
+        let (listen, at) = (free(), std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap());
+        let config = told(worker.address, nobody(), nobody(), 1024);
+        let config = PROGRAM.config(&config.replace("127.0.0.1:0", &listen.to_string()));
+        let keys = PROGRAM.file("keys", &"07".repeat(32));
+        let text = format!(
+            "<translator version=\"1\" number=\"1\"><fleet name=\"f\" keys=\"{}\" bind=\"{at}\"><arbiter name=\"n3\"/></fleet>\
+             <rollout dir=\"{}\"><stage share=\"1\" least=\"{least}\" sample=\"1\" spread=\"0s\"/></rollout></translator>",
+            keys.display(),
+            dir.join("versions").display()
+        );
+        let settings = PROGRAM.file("xml", &text);
+        let (parent, log) = Under::parent(&programs, &config, &settings);
+        let mut under =
+            Under { parent, log, lines: Vec::new(), listen, worker, programs, config, settings, at };
+        under.logged("version 1 ");
+        under.logged(" serves");
+        under
+    }
+
+    fn parent(programs: &Path, config: &Path, settings: &Path) -> (Child, Receiver<String>) {
+        let state = programs.with_file_name("state");
+        let mut parent = Command::new(EXE)
+            .args(["run-under", "--start", "1", "--programs"])
+            .arg(programs)
+            .arg("--state")
+            .arg(state)
+            .args(["--", "serve", "--settings"])
+            .arg(settings)
+            .env("PROXY_CONFIG", config)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let stderr = BufReader::new(parent.stderr.take().unwrap());
+        let (lines, log) = mpsc::channel();
+        thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| lines.send(line)));
+        (parent, log)
+    }
+
+    /// Waits for a line with this in it, of the parent or of any of its processes.
+    fn logged(&mut self, what: &str) -> String {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match self.log.recv_timeout(until.saturating_duration_since(Instant::now())) {
+                Ok(line) => {
+                    self.lines.push(line.clone());
+                    if line.contains(what) {
+                        return line;
+                    }
+                }
+                Err(e) => panic!("{what:?} was not logged: {e}\n{}", self.lines.join("\n")),
+            }
+        }
+    }
+
+    fn rollout(&self, arguments: &[&str]) -> (Option<i32>, String) {
+        let at = self.at.to_string();
+        let settings = self.settings.display().to_string();
+        let output = Command::new(EXE)
+            .arg("rollout")
+            .args(arguments)
+            .args(["--program", "--settings", &settings, "--at", &at])
+            .output()
+            .unwrap();
+        (output.status.code(), String::from_utf8([output.stdout, output.stderr].concat()).unwrap())
+    }
+
+    /// Offers a version; the fleet's part of the node may be changing hands at this moment.
+    fn offer(&self, name: &str) -> String {
+        let dir = self.programs.join(name).display().to_string();
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let (code, text) = self.rollout(&["start", &dir]);
+            if code == Some(0) || Instant::now() > until {
+                return text;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// The processes of the program that the parent has, by the file that it writes.
+    fn processes(&self) -> Vec<u32> {
+        let file = self.programs.with_file_name("state").join("n3").join("processes");
+        let text = std::fs::read_to_string(file).unwrap_or_default();
+        text.lines().filter_map(|line| line.split_once(' ')?.0.parse().ok()).collect()
+    }
+
+    fn signal(pid: u32, name: &str) {
+        assert!(Command::new("kill").args([name, &pid.to_string()]).status().unwrap().success());
+    }
+
+    /// Asks without a pause while something is done; all must be answered once and in time, and nothing run twice.
+    fn under_load(&mut self, during: impl FnOnce(&mut Under)) -> usize {
+        self.worker.forget();
+        let (checker, stop) = (Mutex::new(Checker::default()), AtomicBool::new(false));
+        let (listen, worker) = (self.listen, self.worker.clone());
+        thread::scope(|scope| {
+            let load = scope.spawn(|| {
+                let ask = |conn: usize, no: usize| Ask::of(["/call/read", "/call/pay"][(conn + no) % 2]);
+                load::run(listen, (4, 1, usize::MAX), &checker, &stop, ask);
+            });
+            during(self);
+            stop.store(true, SeqCst);
+            load.join().unwrap();
+        });
+        let statuses = checker.into_inner().unwrap().verdict(&worker.started(), Duration::from_secs(4));
+        let statuses = statuses.unwrap_or_else(|wrong| panic!("{wrong:#?}\n{}", self.lines.join("\n")));
+        assert!(statuses.keys().all(|status| status == "200" || status == "429"), "{statuses:?}");
+        statuses["200"]
+    }
+
+    fn ends_well(mut self) {
+        Under::signal(self.parent.id(), "-TERM");
+        assert!(self.parent.wait().unwrap().success());
+        assert!(self.processes().is_empty());
+    }
+}
+
+impl Drop for Under {
+    fn drop(&mut self) {
+        let _ = self.parent.kill();
+        let _ = self.parent.wait();
+        for pid in self.processes() {
+            let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+        }
+    }
+}
+
+/// A good version takes the place of the one before, under load, and back again by an order; nothing is lost or run twice.
+#[test]
+fn a_good_version_takes_the_place_of_the_one_before_without_a_loss() {
+    let mut under = Under::start("1s");
+    version(&under.programs, "2", None);
+    let answered = under.under_load(|under| {
+        let text = under.offer("2");
+        assert!(text.contains("change "), "{text}");
+        under.logged("starts beside the old one");
+        under.logged("is told to leave");
+        under.logged("has left");
+        under.logged("is good, and the one to start on");
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let (code, text) = under.rollout(&["status"]);
+            if code == Some(0) && text.contains("done") && text.contains("1 run 2") {
+                break;
+            }
+            assert!(Instant::now() < until, "{text}\n{}", under.lines.join("\n"));
+            thread::sleep(Duration::from_millis(100));
+        }
+        let (code, text) = under.rollout(&["back", "--why", "it is late"]);
+        assert_eq!(code, Some(0), "{text}");
+        under.logged("version 1 ");
+        under.logged("is told to leave");
+        under.logged("has left");
+    });
+    assert!(answered > 500, "{answered}");
+    under.ends_well();
+}
+
+/// One that ends at once, one that never serves in time is not waited for here, and one that dies on trial: the node goes on with the
+/// last good version.
+#[test]
+fn a_version_that_does_not_serve_or_dies_is_followed_by_the_last_good_one() {
+    let mut under = Under::start("20s");
+    version(&under.programs, "2", Some("exit 3"));
+    version(&under.programs, "3", Some(&format!("exec timeout -s KILL 4 {EXE} \"$@\"")));
+    let answered = under.under_load(|under| {
+        under.offer("2");
+        under.logged("did not come to serve: it ended before it served");
+        under.logged("can't be run");
+        under.offer("3");
+        under.logged("is told to leave");
+    });
+    assert!(answered > 200, "{answered}");
+    under.logged("died, ");
+    under.logged("died on trial here, started on the last good one");
+    under.logged("version 1 ");
+    under.logged("serves");
+    assert!(under.under_load(|_| thread::sleep(Duration::from_millis(500))) > 50);
+    under.ends_well();
+}
+
+/// The node is killed: it starts anew. The parent is killed: the node goes on, and another parent takes its place without a gap.
+#[test]
+fn a_kill_of_either_leaves_a_node_that_serves() {
+    let mut under = Under::start("1s");
+    let first = under.processes();
+    assert_eq!(first.len(), 1);
+    Under::signal(first[0], "-KILL");
+    under.logged("died, ");
+    under.logged("serves");
+    let second = under.processes();
+    assert!(second.len() == 1 && second != first);
+    under.parent.kill().unwrap();
+    under.parent.wait().unwrap();
+    assert!(under.under_load(|_| thread::sleep(Duration::from_millis(500))) > 50);
+    let (parent, log) = Under::parent(&under.programs, &under.config, &under.settings);
+    (under.parent, under.log) = (parent, log);
+    under.logged("1 processes from before");
+    under.logged("of the parent before is told to leave");
+    let until = Instant::now() + PATIENCE;
+    while PathBuf::from(format!("/proc/{}", second[0])).exists() {
+        assert!(Instant::now() < until, "the process of the parent before did not leave");
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(under.under_load(|_| thread::sleep(Duration::from_millis(500))) > 50);
+    under.ends_well();
+}
--- /dev/null
+++ b/crates/rollout/src/handover.rs
@@ -0,0 +1,559 @@
+//! A small parent's decisions: which version of the program runs, how a new one takes the place of an old one on the same listening
+//! socket, and what is started when one dies. No I/O: fed what happens and the time, it acts through [`Host`].
+//!
+//! Rules: the old one is told to leave only once the new one serves and was told that it is in charge, so that at every moment at
+//! least one is there that nobody told to leave, but for the time in which one that died is started anew. What is on the disk is
+//! written by the one in charge alone.
+
+use crate::change::Version;
+use crate::kept::{Kept, Trial};
+use crate::{Nanos, SECOND};
+use std::collections::BTreeMap;
+
+/// A process that the parent started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Child(pub u64);
+
+/// What a process starts with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Begin {
+    pub kept: Kept,
+    pub version: Version,
+    pub died: Option<Trial>,
+    pub fresh: bool,
+    /// Whether another one serves meanwhile: then it waits until it is told that it is in charge.
+    pub beside: bool,
+}
+
+/// What the decisions do to the world.
+pub trait Host {
+    /// Start a process; what becomes of it is told by [`Parent::ready`] and [`Parent::ended`].
+    fn start(&mut self, child: Child, begin: &Begin) -> Result<(), String>;
+    /// Tell it that it is in charge.
+    fn in_charge(&mut self, child: Child);
+    /// Tell it to leave and that another one takes its place.
+    fn hand_over(&mut self, child: Child);
+    /// Give it the notice to leave for good.
+    fn leave(&mut self, child: Child);
+    fn kill(&mut self, child: Child);
+    /// Write what is kept; it is on the disk when this returns.
+    fn keep(&mut self, kept: &Kept) -> Result<(), String>;
+    /// Whether a version is here.
+    fn has(&mut self, version: Version) -> Result<(), String>;
+    /// Answer a question of a process.
+    fn answer(&mut self, child: Child, no: u64, result: Result<(), String>);
+    /// One line a change.
+    fn log(&mut self, line: &str);
+}
+
+/// A new one is ready within this, or is none.
+const READY: Nanos = 30 * SECOND;
+/// Between two starts of what dies at once: doubled each time, up to the longest; one that lived so long was no such one.
+const AGAIN: Nanos = SECOND;
+const AGAIN_MOST: Nanos = 30 * SECOND;
+const LIVED: Nanos = 60 * SECOND;
+/// What died at once so often goes after the others that may run.
+const DEATHS_AT_ONCE: u32 = 3;
+
+#[derive(Clone, Copy, Debug)]
+struct Process {
+    child: Child,
+    version: Version,
+    since: Nanos,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Starting {
+    process: Process,
+    /// Who asked for it, and by which question; nobody if it was started because there was none.
+    asked: Option<(Child, u64)>,
+}
+
+/// The parent.
+pub struct Parent<H: Host> {
+    pub host: H,
+    kept: Kept,
+    fresh: bool,
+    /// What the operator gave to start on.
+    given: Version,
+    /// What an old one may take to leave.
+    stop: Nanos,
+    charge: Option<Process>,
+    starting: Option<Starting>,
+    leaving: Vec<Process>,
+    children: u64,
+    died: Option<Trial>,
+    /// None is started before this; and how often in a row one died at once.
+    not_before: Nanos,
+    deaths: u32,
+    /// How often a version died at once since one lived; what does not even come to serve counts as if it had died often enough.
+    failures: BTreeMap<Version, u32>,
+    ends: bool,
+}
+
+impl<H: Host> Parent<H> {
+    /// A parent that read this from its disk, and starts a process.
+    pub fn new(now: Nanos, kept: Kept, fresh: bool, given: Version, stop: Nanos, host: H) -> Parent<H> {
+        let mut parent = Parent {
+            host,
+            kept,
+            fresh,
+            given,
+            stop,
+            charge: None,
+            starting: None,
+            leaving: Vec::new(),
+            children: 0,
+            died: None,
+            not_before: 0,
+            deaths: 0,
+            failures: BTreeMap::new(),
+            ends: false,
+        };
+        parent.start_one(now);
+        parent
+    }
+
+    /// Which process is in charge, and what it runs.
+    pub fn in_charge(&self) -> Option<(Child, Version)> {
+        self.charge.map(|process| (process.child, process.version))
+    }
+
+    /// Whether all is over.
+    pub fn is_over(&self) -> bool {
+        self.ends && self.charge.is_none() && self.starting.is_none() && self.leaving.is_empty()
+    }
+
+    /// Starts one where there is none: of the versions that it may, the first that is here.
+    fn start_one(&mut self, now: Nanos) {
+        if self.ends || self.charge.is_some() || self.starting.is_some() || now < self.not_before {
+            return;
+        }
+        let (all, died) = self.kept.begin(self.given);
+        if let Some(trial) = died {
+            self.died = Some(trial);
+            if let Err(why) = self.host.keep(&self.kept) {
+                self.host.log(&format!("that version {} died could not be written: {why}", trial.version));
+            }
+        }
+        // What did not come to serve lately, or died at once again and again, goes after the others.
+        let mut all = all;
+        all.sort_by_key(|version| self.failures.get(version).copied().unwrap_or(0) / DEATHS_AT_ONCE);
+        for version in all {
+            let started = self.host.has(version).and_then(|()| self.start(now, version, None));
+            match started {
+                Ok(()) => return,
+                Err(why) => self.host.log(&format!("version {version} can't be started: {why}")),
+            }
+        }
+        self.wait_longer(now);
+    }
+
+    fn wait_longer(&mut self, now: Nanos) {
+        self.not_before = now + (AGAIN << self.deaths.min(8)).min(AGAIN_MOST);
+        self.deaths += 1;
+    }
+
+    fn start(&mut self, now: Nanos, version: Version, asked: Option<(Child, u64)>) -> Result<(), String> {
+        self.children += 1;
+        let child = Child(self.children);
+        let beside = self.charge.is_some();
+        let begin = Begin { kept: self.kept.clone(), version, died: self.died, fresh: self.fresh, beside };
+        self.host.start(child, &begin)?;
+        self.host
+            .log(&format!("version {version} starts{}", if beside { " beside the old one" } else { "" }));
+        self.starting = Some(Starting { process: Process { child, version, since: now }, asked });
+        Ok(())
+    }
+
+    // ---- What processes say ----
+
+    /// A process serves.
+    pub fn ready(&mut self, now: Nanos, child: Child) {
+        let Some(starting) = self.starting.take_if(|starting| starting.process.child == child) else {
+            return;
+        };
+        let process = Process { since: now, ..starting.process };
+        self.host.in_charge(child);
+        (self.died, self.fresh) = (None, false);
+        match self.charge.replace(process) {
+            Some(old) => {
+                let line = format!("version {} serves, {} is told to leave", process.version, old.version);
+                self.host.log(&line);
+                self.host.hand_over(old.child);
+                self.leaving.push(Process { since: now, ..old });
+            }
+            None => self.host.log(&format!("version {} serves", process.version)),
+        }
+    }
+
+    /// What is to be kept; only the one in charge, or the only one that is there, says what.
+    pub fn keep(&mut self, child: Child, no: u64, kept: Kept) {
+        let only = self.starting.filter(|_| self.charge.is_none()).map(|starting| starting.process.child);
+        if self.charge.map(|process| process.child).or(only) != Some(child) {
+            return self.host.answer(child, no, Err("another process is in charge".into()));
+        }
+        let written = self.host.keep(&kept);
+        if written.is_ok() {
+            self.kept = kept;
+        }
+        self.host.answer(child, no, written);
+    }
+
+    /// Whether a version can be run here.
+    pub fn check(&mut self, child: Child, no: u64, version: Version) {
+        let here = self.host.has(version);
+        self.host.answer(child, no, here);
+    }
+
+    /// The one in charge wants another version to take its place. It is answered only if that can't be: else it is told to leave.
+    pub fn apply(&mut self, now: Nanos, child: Child, no: u64, version: Version) {
+        let Some(charge) = self.charge.filter(|process| process.child == child) else {
+            return self.host.answer(child, no, Err("another process is in charge".into()));
+        };
+        if charge.version == version {
+            return self.host.answer(child, no, Ok(()));
+        }
+        if self.starting.is_some() || self.ends {
+            return self.host.answer(
+                child,
+                no,
+                Err("another one is being started, or all of it ends".into()),
+            );
+        }
+        let started = self.host.has(version).and_then(|()| self.start(now, version, Some((child, no))));
+        if let Err(why) = started {
+            self.host.answer(child, no, Err(why));
+        }
+    }
+
+    /// A process ended.
+    pub fn ended(&mut self, now: Nanos, child: Child, how: &str) {
+        if let Some(at) = self.leaving.iter().position(|process| process.child == child) {
+            let process = self.leaving.remove(at);
+            self.host.log(&format!("version {} has left, {how}", process.version));
+        }
+        if let Some(starting) = self.starting.take_if(|starting| starting.process.child == child) {
+            self.failed(now, &starting, &format!("it ended before it served, {how}"));
+        }
+        if let Some(process) = self.charge.take_if(|process| process.child == child) {
+            if self.ends {
+                return;
+            }
+            self.host.log(&format!("version {} died, {how}", process.version));
+            if now >= process.since + LIVED {
+                (self.deaths, self.failures) = (0, BTreeMap::new());
+            } else {
+                *self.failures.entry(process.version).or_default() += 1;
+            }
+            if self.deaths > 0 {
+                self.wait_longer(now);
+            } else {
+                self.deaths = 1; // the first time at once
+            }
+            // One that is being started takes its place when it serves; else one is started now.
+            self.start_one(now);
+        }
+    }
+
+    /// What was started does not serve.
+    fn failed(&mut self, now: Nanos, starting: &Starting, why: &str) {
+        let version = starting.process.version;
+        self.host.log(&format!("version {version} did not come to serve: {why}"));
+        match (starting.asked, self.charge) {
+            (Some((child, no)), Some(charge)) if charge.child == child => {
+                self.host.answer(child, no, Err(why.to_owned()));
+            }
+            _ => {
+                *self.failures.entry(version).or_default() += DEATHS_AT_ONCE;
+                self.wait_longer(now);
+                self.start_one(now);
+            }
+        }
+    }
+
+    // ---- Time and notices ----
+
+    /// Does what is due; to be called some times a second.
+    pub fn wake(&mut self, now: Nanos) {
+        if let Some(starting) = self.starting.take_if(|starting| now > starting.process.since + READY) {
+            self.host.kill(starting.process.child);
+            self.failed(now, &starting, "it was not ready in time");
+        }
+        let late = |process: &Process| now > process.since + self.stop;
+        for process in self.leaving.iter_mut().filter(|process| late(process)) {
+            self.host.log(&format!("version {} did not leave in time, and is killed", process.version));
+            self.host.kill(process.child);
+            process.since = now;
+        }
+        self.start_one(now);
+    }
+
+    /// The parent itself got the notice to leave: all leave.
+    pub fn leave(&mut self, now: Nanos) {
+        if std::mem::replace(&mut self.ends, true) {
+            return;
+        }
+        if let Some(starting) = self.starting.take() {
+            self.host.leave(starting.process.child);
+            self.leaving.push(Process { since: now, ..starting.process });
+        }
+        if let Some(process) = self.charge.take() {
+            self.host.leave(process.child);
+            self.leaving.push(Process { since: now, ..process });
+        }
+    }
+
+    /// What is on the disk.
+    pub fn kept(&self) -> &Kept {
+        &self.kept
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::change::{ChangeId, Kind};
+    use rand::{RngExt, SeedableRng};
+    use rand_pcg::Pcg64Mcg;
+    use std::collections::BTreeSet;
+
+    /// Processes as the world has them.
+    #[derive(Default)]
+    struct World {
+        started: Vec<(Child, Begin)>,
+        there: BTreeMap<Child, Version>,
+        told_to_leave: BTreeSet<Child>,
+        in_charge: Vec<Child>,
+        answers: Vec<(Child, u64, Result<(), String>)>,
+        lacks: BTreeSet<u64>,
+        disk: Option<Kept>,
+        full: bool,
+        lines: Vec<String>,
+    }
+
+    impl Host for World {
+        fn start(&mut self, child: Child, begin: &Begin) -> Result<(), String> {
+            self.started.push((child, begin.clone()));
+            self.there.insert(child, begin.version);
+            Ok(())
+        }
+        fn in_charge(&mut self, child: Child) {
+            self.in_charge.push(child);
+        }
+        fn hand_over(&mut self, child: Child) {
+            self.told_to_leave.insert(child);
+        }
+        fn leave(&mut self, child: Child) {
+            self.told_to_leave.insert(child);
+        }
+        fn kill(&mut self, child: Child) {
+            self.told_to_leave.insert(child);
+        }
+        fn keep(&mut self, kept: &Kept) -> Result<(), String> {
+            if self.full {
+                return Err("no room".into());
+            }
+            self.disk = Some(kept.clone());
+            Ok(())
+        }
+        fn has(&mut self, version: Version) -> Result<(), String> {
+            if self.lacks.contains(&version.number) { Err("it is not here".into()) } else { Ok(()) }
+        }
+        fn answer(&mut self, child: Child, no: u64, result: Result<(), String>) {
+            self.answers.push((child, no, result));
+        }
+        fn log(&mut self, line: &str) {
+            self.lines.push(line.to_owned());
+        }
+    }
+
+    fn v(number: u64) -> Version {
+        Version { number, hash: number * 11 }
+    }
+
+    const STOP: Nanos = 5 * SECOND;
+
+    fn serving(number: u64) -> Parent<World> {
+        let mut kept = Kept::new(Kind::Program);
+        kept.found_good(v(number));
+        let mut parent = Parent::new(0, kept, false, v(number), STOP, World::default());
+        let child = parent.host.started[0].0;
+        parent.ready(1, child);
+        parent
+    }
+
+    fn on_trial(kept: &Kept, number: u64) -> Kept {
+        Kept { trial: Some(Trial { change: ChangeId(1), version: v(number), tries: 1 }), ..kept.clone() }
+    }
+
+    #[test]
+    fn a_new_one_serves_before_the_old_one_is_told_to_leave() {
+        let mut parent = serving(1);
+        let old = Child(1);
+        let kept = on_trial(parent.kept(), 2);
+        parent.keep(old, 7, kept);
+        parent.apply(SECOND, old, 8, v(2));
+        let (new, begin) = parent.host.started[1].clone();
+        assert!(begin.beside && begin.kept.trial.is_some() && parent.host.told_to_leave.is_empty());
+        parent.ready(2 * SECOND, new);
+        assert_eq!(parent.host.in_charge, [old, new]);
+        assert!(parent.host.told_to_leave.contains(&old) && parent.in_charge() == Some((new, v(2))));
+        // The old one has nothing to write any more, and gets no answer but the notice.
+        parent.keep(old, 9, Kept::new(Kind::Program));
+        assert!(
+            parent
+                .host
+                .answers
+                .iter()
+                .any(|(child, no, result)| (*child, *no) == (old, 9) && result.is_err())
+        );
+        assert!(!parent.host.answers.iter().any(|(_, no, _)| *no == 8));
+        parent.ended(3 * SECOND, old, "well");
+        assert!(parent.in_charge() == Some((new, v(2))) && parent.host.started.len() == 2);
+    }
+
+    #[test]
+    fn one_that_dies_or_is_not_ready_leaves_the_old_one_in_charge() {
+        let mut parent = serving(1);
+        parent.apply(SECOND, Child(1), 8, v(2));
+        parent.ended(SECOND, Child(2), "killed");
+        parent.apply(2 * SECOND, Child(1), 9, v(2));
+        parent.wake(2 * SECOND + READY + 1);
+        parent.host.lacks.insert(3);
+        parent.apply(40 * SECOND, Child(1), 10, v(3));
+        let failed: Vec<u64> =
+            parent.host.answers.iter().filter(|(_, _, r)| r.is_err()).map(|(_, no, _)| *no).collect();
+        assert_eq!(failed, [8, 9, 10]);
+        assert_eq!(parent.in_charge(), Some((Child(1), v(1))));
+        assert!(!parent.host.told_to_leave.contains(&Child(1)));
+    }
+
+    #[test]
+    fn one_that_dies_on_trial_is_followed_by_the_last_good_one() {
+        let mut parent = serving(1);
+        let kept = on_trial(parent.kept(), 2);
+        parent.keep(Child(1), 7, kept);
+        parent.apply(SECOND, Child(1), 8, v(2));
+        parent.ready(2 * SECOND, Child(2));
+        parent.ended(3 * SECOND, Child(1), "well");
+        parent.ended(4 * SECOND, Child(2), "signal 11");
+        let (_, begin) = parent.host.started.last().unwrap();
+        assert_eq!((begin.version, begin.died.unwrap().version, begin.kept.deaths(v(2))), (v(1), v(2), 1));
+        assert_eq!(parent.host.disk.as_ref().unwrap().deaths(v(2)), 1);
+    }
+
+    #[test]
+    fn a_good_version_that_does_not_come_to_serve_is_followed_by_the_one_before() {
+        let mut kept = Kept::new(Kind::Program);
+        [1, 2].into_iter().for_each(|number| kept.found_good(v(number)));
+        let mut parent = Parent::new(0, kept, false, v(1), STOP, World::default());
+        assert_eq!(parent.host.started[0].1.version, v(2));
+        parent.ended(SECOND, Child(1), "dead");
+        parent.wake(10 * SECOND);
+        assert_eq!(parent.host.started[1].1.version, v(1));
+        parent.ready(11 * SECOND, Child(2));
+        assert_eq!(parent.in_charge(), Some((Child(2), v(1))));
+    }
+
+    #[test]
+    fn a_good_version_that_dies_at_once_thrice_is_followed_by_the_one_before() {
+        let mut kept = Kept::new(Kind::Program);
+        [1, 2].into_iter().for_each(|number| kept.found_good(v(number)));
+        let mut parent = Parent::new(0, kept, false, v(1), STOP, World::default());
+        let mut now = 0;
+        while parent.host.started.len() < 4 {
+            now += SECOND;
+            let child = parent.host.started.last().unwrap().0;
+            parent.ready(now, child);
+            parent.ended(now, child, "dead");
+            parent.wake(now);
+        }
+        let ran: Vec<u64> = parent.host.started.iter().map(|(_, begin)| begin.version.number).collect();
+        assert_eq!(ran, [2, 2, 2, 1]);
+    }
+
+    #[test]
+    fn what_dies_at_once_is_started_again_more_and_more_seldom() {
+        let mut parent = serving(1);
+        let mut now = SECOND;
+        parent.ended(now, Child(1), "dead");
+        for _ in 0..200 {
+            now += SECOND;
+            if let Some((child, _)) = parent.host.started.last().cloned() {
+                parent.ready(now, child);
+                parent.ended(now, child, "dead");
+            }
+            parent.wake(now);
+        }
+        assert!((8..16).contains(&parent.host.started.len()), "{}", parent.host.started.len());
+    }
+
+    /// Whatever happens, in any order: once one serves, there is always one that was not told to leave or one that is being started,
+    /// and what is in charge is what the disk says may run.
+    #[test]
+    fn there_is_always_one_that_serves_or_starts() {
+        for seed in 0..400 {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let mut parent = serving(1);
+            let (mut now, mut number) = (SECOND, 1);
+            for no in 0..60 {
+                now += rng.random_range(0..8) * SECOND;
+                let all: Vec<Child> = parent.host.there.keys().copied().collect();
+                let any = |rng: &mut Pcg64Mcg| all.get(rng.random_range(0..all.len().max(1))).copied();
+                match rng.random_range(0..8) {
+                    0 | 1 => {
+                        if let Some((child, _)) = parent.in_charge() {
+                            number += 1;
+                            let kept = on_trial(parent.kept(), number);
+                            parent.keep(child, no, kept);
+                            parent.apply(now, child, no + 1000, v(number));
+                        }
+                    }
+                    2 | 3 => {
+                        if let Some(child) = any(&mut rng) {
+                            parent.ready(now, child);
+                        }
+                    }
+                    4 => {
+                        if let Some(child) = any(&mut rng) {
+                            parent.host.there.remove(&child);
+                            parent.ended(now, child, "dead");
+                        }
+                    }
+                    5 => {
+                        if let Some((child, version)) = parent.in_charge() {
+                            let mut kept = parent.kept().clone();
+                            kept.found_good(version);
+                            parent.keep(child, no, kept);
+                        }
+                    }
+                    6 => parent.host.full = rng.random_bool(0.3),
+                    _ => parent.wake(now),
+                }
+                parent.wake(now);
+                let serves = parent.in_charge().is_some_and(|(child, _)| {
+                    parent.host.there.contains_key(&child) && !parent.host.told_to_leave.contains(&child)
+                });
+                assert!(
+                    serves || parent.starting.is_some() || parent.not_before > now,
+                    "seed {seed}, step {no}"
+                );
+                assert!(
+                    parent.leaving.iter().all(|process| parent.host.told_to_leave.contains(&process.child))
+                );
+            }
+            // One that was being started may have taken too long; the next one comes after its pause.
+            parent.wake(now + AGAIN_MOST + 1);
+            if parent.starting.is_none() {
+                parent.wake(now + 2 * AGAIN_MOST + 2);
+            }
+            now += 2 * AGAIN_MOST;
+            assert!(parent.in_charge().is_some() || parent.starting.is_some(), "seed {seed}");
+            parent.leave(now + 2 * AGAIN_MOST);
+            let left: Vec<Child> = parent.host.there.keys().copied().collect();
+            left.into_iter().for_each(|child| parent.ended(now + 2 * AGAIN_MOST, child, "well"));
+            assert!(parent.is_over(), "seed {seed}: {:?} {:?}", parent.starting, parent.leaving);
+        }
+    }
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod change;
 pub mod conduct;
+pub mod handover;
 pub mod judge;
 pub mod kept;
 pub mod local;
@@ -17,6 +18,7 @@
 pub mod quorum;
 pub mod record;
 pub mod rollout;
+pub mod sayings;
 pub mod shown;
 pub mod sim;
 pub mod stages;
--- a/crates/rollout/src/local.rs
+++ b/crates/rollout/src/local.rs
@@ -305,6 +305,11 @@
         self.me
     }
 
+    /// Whether another version is taking force at this moment.
+    pub fn is_applying(&self) -> bool {
+        matches!(self.waits, Waits::Apply { .. })
+    }
+
     /// What it says of itself.
     pub fn report(&self) -> &Report {
         &self.report
--- /dev/null
+++ b/crates/rollout/src/sayings.rs
@@ -0,0 +1,192 @@
+//! What a parent and the processes that it starts say to each other, over a stream: each saying after its length (4 bytes, lowest
+//! first). Fields by number: one that is not known is passed over, a saying that is not known is none, so that an old parent and a
+//! new program, or the other way round, understand each other.
+
+use crate::change::{ChangeId, Version};
+use crate::handover::Begin;
+use crate::kept::{Kept, Trial};
+use prost::Message;
+
+/// The most bytes of a saying.
+pub const SAYING_MAX: usize = 16 << 10;
+
+/// Kinds of sayings.
+pub mod kind {
+    /// From the parent: what the process starts with; with it comes the listening socket.
+    pub const BEGIN: u32 = 1;
+    /// That it is in charge; that another one takes its place, and it is to leave.
+    pub const IN_CHARGE: u32 = 2;
+    pub const HAND_OVER: u32 = 3;
+    /// The answer to a question.
+    pub const DONE: u32 = 4;
+    /// From a process: that it serves; what is to be kept; whether a version is here; that one is to take its place.
+    pub const READY: u32 = 5;
+    pub const KEEP: u32 = 6;
+    pub const CHECK: u32 = 7;
+    pub const APPLY: u32 = 8;
+}
+
+/// A saying.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Saying {
+    #[prost(uint32, tag = "1")]
+    pub kind: u32,
+    /// The number of a question, and of its answer.
+    #[prost(uint64, tag = "2")]
+    pub no: u64,
+    /// What is kept, as it is on the disk.
+    #[prost(bytes = "vec", tag = "3")]
+    pub kept: Vec<u8>,
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+    #[prost(fixed64, tag = "5")]
+    pub hash: u64,
+    #[prost(bool, tag = "6")]
+    pub refused: bool,
+    #[prost(string, tag = "7")]
+    pub why: String,
+    /// Of a version that died on trial: how often it was begun, its change and itself; tries are 0 if none did.
+    #[prost(uint32, tag = "8")]
+    pub died_tries: u32,
+    #[prost(fixed64, tag = "9")]
+    pub died_change: u64,
+    #[prost(uint64, tag = "10")]
+    pub died_number: u64,
+    #[prost(fixed64, tag = "11")]
+    pub died_hash: u64,
+    #[prost(bool, tag = "12")]
+    pub fresh: bool,
+    #[prost(bool, tag = "13")]
+    pub beside: bool,
+}
+
+impl Saying {
+    /// One that says nothing but its kind.
+    pub fn plain(kind: u32) -> Saying {
+        Saying { kind, ..Saying::default() }
+    }
+
+    /// The version that it is about.
+    pub fn version(&self) -> Version {
+        Version { number: self.number, hash: self.hash }
+    }
+
+    /// A question about a version.
+    pub fn about(kind: u32, no: u64, version: Version) -> Saying {
+        Saying { kind, no, number: version.number, hash: version.hash, ..Saying::default() }
+    }
+
+    /// An answer.
+    pub fn done(no: u64, result: &Result<(), String>) -> Saying {
+        let why = result.as_ref().err().cloned().unwrap_or_default();
+        Saying { kind: kind::DONE, no, refused: result.is_err(), why, ..Saying::default() }
+    }
+
+    /// What a process starts with.
+    pub fn begin(begin: &Begin) -> Saying {
+        let died = begin.died;
+        let of = died.map(|trial| trial.version).unwrap_or_default();
+        Saying {
+            kept: begin.kept.write(),
+            died_tries: died.map_or(0, |trial| trial.tries.max(1)),
+            died_change: died.map_or(0, |trial| trial.change.0),
+            died_number: of.number,
+            died_hash: of.hash,
+            fresh: begin.fresh,
+            beside: begin.beside,
+            ..Saying::about(kind::BEGIN, 0, begin.version)
+        }
+    }
+
+    /// The same, read.
+    pub fn as_begin(&self) -> Option<Begin> {
+        let version = Version { number: self.died_number, hash: self.died_hash };
+        let trial = Trial { change: ChangeId(self.died_change), version, tries: self.died_tries };
+        Some(Begin {
+            kept: Kept::read(&self.kept).ok().filter(|_| self.kind == kind::BEGIN)?,
+            version: self.version(),
+            died: (self.died_tries > 0).then_some(trial),
+            fresh: self.fresh,
+            beside: self.beside,
+        })
+    }
+
+    /// As it goes over the stream.
+    pub fn write(&self) -> Vec<u8> {
+        let body = self.encode_to_vec();
+        [&(body.len() as u32).to_le_bytes()[..], &body].concat()
+    }
+}
+
+/// Bytes that came.
+#[derive(Debug, Default)]
+pub struct Reader {
+    bytes: Vec<u8>,
+}
+
+/// The other side says what can't be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spoilt;
+
+impl Reader {
+    /// More came.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// The next whole saying, if there is one.
+    pub fn take(&mut self) -> Result<Option<Saying>, Spoilt> {
+        let Some(length) = self.bytes.first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_le_bytes(*length) as usize;
+        if length > SAYING_MAX {
+            return Err(Spoilt);
+        }
+        let Some(body) = self.bytes.get(4..4 + length) else { return Ok(None) };
+        let saying = Saying::decode(body).map_err(|_| Spoilt)?;
+        self.bytes.drain(..4 + length);
+        Ok(Some(saying))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::change::Kind;
+
+    #[test]
+    fn sayings_come_in_any_pieces_and_unknown_fields_are_passed_over() {
+        let mut kept = Kept::new(Kind::Program);
+        kept.found_good(Version { number: 3, hash: 9 });
+        let trial = Trial { change: ChangeId(5), version: Version { number: 4, hash: 8 }, tries: 1 };
+        let begin = Begin {
+            kept,
+            version: Version { number: 3, hash: 9 },
+            died: Some(trial),
+            fresh: false,
+            beside: true,
+        };
+        let failed = Err("it is not here".to_owned());
+        let all = [Saying::begin(&begin), Saying::plain(kind::READY), Saying::done(7, &failed)];
+        let mut bytes: Vec<u8> = all.iter().flat_map(Saying::write).collect();
+        // A field of a later version, number 99.
+        let mut later = Saying::plain(kind::IN_CHARGE).encode_to_vec();
+        later.extend([0x98, 0x06, 0x01]);
+        bytes.extend((later.len() as u32).to_le_bytes());
+        bytes.extend(later);
+        for step in [1, 3, 1000] {
+            let (mut reader, mut read) = (Reader::default(), Vec::new());
+            for part in bytes.chunks(step) {
+                reader.feed(part);
+                while let Some(saying) = reader.take().unwrap() {
+                    read.push(saying);
+                }
+            }
+            assert_eq!((&read[..3], read[3].kind), (&all[..], kind::IN_CHARGE));
+            assert_eq!(read[0].as_begin(), Some(begin.clone()));
+            assert_eq!(read[1].as_begin(), None);
+        }
+        let mut reader = Reader::default();
+        reader.feed(&u32::MAX.to_le_bytes());
+        assert_eq!(reader.take(), Err(Spoilt));
+    }
+}
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -47,6 +47,8 @@
 pub struct Worker {
     pub address: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
+    /// What each link has by itself, where there may be several at once.
+    links: Arc<Mutex<Vec<Worker>>>,
 }
 
 /// The result that a run of this request gives: it names the run, so that an answer can be told to be its own.
@@ -58,7 +60,7 @@
     /// Listens on a free port.
     pub fn start() -> Worker {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let worker = Worker { address: listener.local_addr().unwrap(), state: Arc::default() };
+        let worker = Worker::at(listener.local_addr().unwrap());
         let serving = worker.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -68,6 +70,25 @@
         worker
     }
 
+    fn at(address: SocketAddr) -> Worker {
+        Worker { address, state: Arc::default(), links: Arc::default() }
+    }
+
+    /// One that has several links at once, as where one program takes the place of another: each tells of its own runs.
+    pub fn start_for_many() -> Worker {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let worker = Worker::at(listener.local_addr().unwrap());
+        let all = worker.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let one = Worker::at(all.address);
+                all.links.lock().unwrap().push(one.clone());
+                thread::spawn(move || one.serve(stream));
+            }
+        });
+        worker
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(reader) = stream.try_clone() else { return };
@@ -182,7 +203,9 @@
 
     /// All that was started so far.
     pub fn started(&self) -> Vec<Started> {
-        self.state.0.lock().unwrap().started.clone()
+        let mut all = self.state.0.lock().unwrap().started.clone();
+        self.links.lock().unwrap().iter().for_each(|link| all.extend(link.started()));
+        all
     }
 
     /// Waits until so many runs were started, and gives them.
@@ -198,6 +221,7 @@
     /// Forgets what was started, for loads that go on for long.
     pub fn forget(&self) {
         self.state.0.lock().unwrap().started.clear();
+        self.links.lock().unwrap().iter().for_each(Worker::forget);
     }
 }
 
