Two builds with other messages side by side; renewals without a loss; a late kernel costs nothing

Need: old and new programs are one fleet while a change goes out, and a hand-over must lose no request.

A build feature `later` gives all messages among nodes another version, a field more, some less and kinds that the present build does not know; a timetable has two of five nodes of it, sharing a budget and a limit by key, and a change that one of them offers. SIGUSR2 to the parent renews the node by another process of its version.

Seen and mended: a process beside another took connections before its kernel was up and answered one that it was not (1 in 5 s of load); it takes none now before it serves. The old one went on looking at the shared listening socket after it had stopped, without end, as a registration outlives its descriptor where another process has the socket; it is taken out first.

--- a/crates/fleet/src/fleet/spread.rs
+++ b/crates/fleet/src/fleet/spread.rs
@@ -153,10 +153,13 @@
             });
             self.spreading.spend(pack.size - before);
         }
-        if spreads && pack.datagram.from != 0 {
+        if spreads && pack.datagram.from != 0 && !wire::LATER {
             pack.datagram.pulses = self.pulses();
         }
-        let message = pack.datagram.encode_to_vec();
+        let mut message = pack.datagram.encode_to_vec();
+        if message.len() + wire::LATER_BYTES <= MESSAGE_MAX {
+            message = wire::later(message);
+        }
         if message.len() > MESSAGE_MAX {
             debug_assert!(false, "a datagram of kind {} has its bound", pack.datagram.kind);
             self.count("invariant: datagrams beyond their bound", 1);
@@ -164,6 +167,10 @@
         }
         let frame = self.seal.seal(at.unix_ms, &message);
         self.host.send(to, &frame);
+        if wire::LATER && pack.datagram.kind == kind::GOSSIP {
+            let from = pack.datagram.from;
+            self.send(at, to, Datagram { from, kind: wire::LATER_KIND, ..Datagram::default() });
+        }
         frame.len()
     }
 
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -5,7 +5,7 @@
 //! itself raises its bump or its revision. So all that is said of it may come in any order, twice or late, and whoever
 //! has heard the same holds the same.
 
-use crate::wire::{Hung, News, Told};
+use crate::wire::{self, Hung, News, Told};
 use prost::Message;
 use siphasher::sip::SipHasher24;
 use std::fmt;
@@ -227,7 +227,7 @@
             settings_hash: settings.1,
             parts: parts.into_iter().map(|p| Hung { id: p.id, version: p.version, bytes: p.bytes }).collect(),
         };
-        Details::read(&told.encode_to_vec())
+        Details::read(&wire::later(told.encode_to_vec()))
     }
 
     /// Reads what a member said. Fields that are not known stay in what is passed on.
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -2,7 +2,7 @@
 //! `docs/design/fleet.md` has the format byte by byte.
 
 /// The version of the messages that is spoken, and the oldest that is still read.
-pub const WIRE: u32 = 1;
+pub const WIRE: u32 = if LATER { 2 } else { 1 };
 pub const WIRE_LEAST: u32 = 1;
 
 /// The most bytes of a datagram, sealed.
@@ -11,6 +11,24 @@
 /// The most bytes of a parcel.
 pub const PARCEL_MAX: usize = 1200;
 
+/// Whether this is a build with a later version of the messages: a field more in each, one less in some, and kinds that the present
+/// version does not know. For tests of both side by side.
+pub const LATER: bool = cfg!(feature = "later");
+/// A field that the present version does not know: number 250, a text.
+const LATER_FIELD: [u8; 8] = [0xd2, 0x0f, 5, b'l', b'a', b't', b'e', b'r'];
+/// A kind of message that it does not know.
+pub const LATER_KIND: u32 = 90;
+
+pub(crate) const LATER_BYTES: usize = LATER_FIELD.len();
+
+/// What a later version adds to a message.
+pub(crate) fn later(mut message: Vec<u8>) -> Vec<u8> {
+    if LATER {
+        message.extend(LATER_FIELD);
+    }
+    message
+}
+
 /// What a datagram is for.
 pub mod kind {
     /// Are you there?
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -246,8 +246,16 @@
     let (front_events, front_inbox) = bounded(room.front_events);
     let (events, peers_inbox) = bounded(room.peer_events);
     let inbox = Inbox { front: front_inbox, peers: peers_inbox };
+    let (go, word) = bounded(1);
+    let word = ours.listener.as_ref().map(|_| word);
     let listener = ours.listener.map_or_else(|| TcpListener::bind(who.listen), Ok)?;
-    let front = Front::open(listener, room, front_events)?;
+    let front = Front::open(listener, word, room, front_events)?;
+    let serves = ours.serves.map(|told| -> Box<dyn FnOnce()> {
+        Box::new(move || {
+            let _ = go.send(());
+            told();
+        })
+    });
     let handed = Arc::new(AtomicBool::new(false));
     let leaving = Arc::new(AtomicBool::new(false));
     let addresses = Arc::new(AtomicCell::new(who.peers));
@@ -309,7 +317,7 @@
     if let Some(sheet) = ours.rules {
         core.handle(clock.read(), Event::Ruled(sheet));
     }
-    run(&mut core, clock, &inbox, ours.serves);
+    run(&mut core, clock, &inbox, serves);
     core.let_go(clock.now());
     let handed = handed.load(SeqCst);
     core.out(|out| out.fleet.iter().for_each(|fleet| fleet.leave(handed)));
--- a/crates/node/src/driver/changes.rs
+++ b/crates/node/src/driver/changes.rs
@@ -356,6 +356,11 @@
                 }
             }
         }
+        if wire::LATER && self.next == at.now + WAKE {
+            for to in self.rollout.local.host.some(1) {
+                fleet.send_parcel(at, Key(to), topic, &wire::later_kind());
+            }
+        }
         if let Some(report) = self.rollout.local.host.shown.take() {
             let part = Hung { id: topic, version: 1, bytes: wire::write_part(&report) };
             let _ = fleet.set_part(at, part); // one that does not fit is counted there
--- a/crates/node/src/driver/fleet_link.rs
+++ b/crates/node/src/driver/fleet_link.rs
@@ -555,6 +555,12 @@
 
 /// Sends what lending and borrowing have to say.
 fn post(fleet: &mut Fleet<Hands>, bank: &mut Bank, clock: &impl Fn() -> Moment) {
+    let says = bank.as_ref().is_some_and(|bank| !bank.host.sent.is_empty());
+    if shared::wire::LATER && says {
+        for key in fleet.some_others(1) {
+            fleet.send_parcel(clock(), key, SHARED, &shared::wire::later_kind());
+        }
+    }
     for (to, told) in bank.iter_mut().flat_map(|bank| std::mem::take(&mut bank.host.sent)) {
         fleet.send_parcel(clock(), Key(to), SHARED, &write_parcel(&told));
     }
--- a/crates/node/src/driver/front.rs
+++ b/crates/node/src/driver/front.rs
@@ -10,7 +10,7 @@
 use crate::log::log;
 use crate::outward::ConnId;
 use crate::room::Room;
-use crossbeam_channel::Sender;
+use crossbeam_channel::{Receiver, Sender};
 use rustix::buffer::spare_capacity;
 use rustix::event::Timespec;
 use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
@@ -41,15 +41,20 @@
 }
 
 impl Front {
-    /// Listens, and hands on what comes.
-    pub fn open(listener: TcpListener, room: Room, events: Sender<Message>) -> io::Result<Arc<Front>> {
+    /// Listens, and hands on what comes. Where another process listens on the same socket none is taken from it before the word
+    /// comes that this one serves.
+    pub fn open(
+        listener: TcpListener,
+        word: Option<Receiver<()>>,
+        room: Room,
+        events: Sender<Message>,
+    ) -> io::Result<Arc<Front>> {
         listener.set_nonblocking(true)?;
         let places = Arc::new(Places::new(room));
         let stopped = AtomicBool::new(false);
         let front = Arc::new(Front { places, listen: listener.local_addr()?, stopped });
         log!("listening on {}", front.listen);
         let poll = epoll::create(CreateFlags::CLOEXEC)?;
-        epoll::add(&poll, &listener, EventData::new_u64(LISTENER), EventFlags::IN)?;
         let reader = Reader {
             front: Arc::clone(&front),
             events,
@@ -59,7 +64,17 @@
             reading: HashMap::new(),
             resting: BinaryHeap::new(),
         };
-        spawn("front", move || reader.serve())?;
+        if word.is_none() {
+            reader.look_at(LISTENER)?;
+        }
+        spawn("front", move || {
+            if let Some(word) = word
+                && let (Ok(()), Err(e)) = (word.recv(), reader.look_at(LISTENER))
+            {
+                log!("dispatcher: no connection is taken: {e}");
+            }
+            reader.serve();
+        })?;
         Ok(front)
     }
 
@@ -142,8 +157,11 @@
 
     fn accept(&mut self) {
         for _ in 0..ACCEPTED {
-            if self.front.stopped.load(SeqCst) {
-                self.listener = None;
+            if self.front.stopped.load(SeqCst)
+                && let Some(listener) = self.listener.take()
+            {
+                // Another process may have the same socket: then it stays open, and would be looked at without end.
+                let _ = epoll::delete(&self.poll, &listener);
             }
             let Some(listener) = &self.listener else { return };
             let room = self.front.places.has_one();
--- a/crates/node/src/under.rs
+++ b/crates/node/src/under.rs
@@ -15,7 +15,7 @@
     AddressFamily, SendAncillaryBuffer, SendAncillaryMessage, SendFlags, SocketFlags, SocketType,
 };
 use rustix::process::{Pid, Signal, kill_process};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR2};
 use signal_hook::iterator::Signals;
 use std::collections::BTreeMap;
 use std::io::{self, IoSlice, Read, Write};
@@ -248,7 +248,8 @@
 
 /// Runs until all processes have left after the notice to leave.
 pub fn run(told: Told) -> Result<(), String> {
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR2]).map_err(|e| format!("signals: {e}"))?;
     let path = PathBuf::from(std::env::var_os("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?);
     let who = config::read(&path, |name| std::env::var(name).ok())?;
     serve::logs(&who.name, told.logging);
@@ -285,6 +286,7 @@
         Event::Signal(SIGHUP) => {
             parent.host.processes.values().for_each(|process| process.signal(Signal::HUP));
         }
+        Event::Signal(SIGUSR2) => parent.renew(now()),
         Event::Signal(_) => parent.leave(now()),
         Event::Ended(child, how) => {
             parent.host.processes.remove(&child);
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -9,6 +9,7 @@
 fn setting() -> Setting {
     Setting {
         exe: env!("CARGO_BIN_EXE_madderpoint").into(),
+        later: None,
         dir: env!("CARGO_TARGET_TMPDIR").into(),
         more: String::new(),
     }
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -154,22 +154,30 @@
 
     /// Asks without a pause while something is done; all must be answered once and in time, and nothing run twice.
     fn under_load(&mut self, during: impl FnOnce(&mut Under)) -> usize {
+        self.measured(during).0
+    }
+
+    /// The same, with what one caller beside measured.
+    fn measured(&mut self, during: impl FnOnce(&mut Under)) -> (usize, Vec<(Instant, Duration)>) {
         self.worker.forget();
         let (checker, stop) = (Mutex::new(Checker::default()), AtomicBool::new(false));
         let (listen, worker) = (self.listen, self.worker.clone());
-        thread::scope(|scope| {
+        let latencies = thread::scope(|scope| {
+            let measuring = scope.spawn(|| measure(listen, &checker, &stop));
             let load = scope.spawn(|| {
                 let ask = |conn: usize, no: usize| Ask::of(["/call/read", "/call/pay"][(conn + no) % 2]);
                 load::run(listen, (4, 1, usize::MAX), &checker, &stop, ask);
             });
+            let ends = Ends(&stop);
             during(self);
-            stop.store(true, SeqCst);
+            drop(ends);
             load.join().unwrap();
+            measuring.join().unwrap()
         });
         let statuses = checker.into_inner().unwrap().verdict(&worker.started(), Duration::from_secs(4));
         let statuses = statuses.unwrap_or_else(|wrong| panic!("{wrong:#?}\n{}", self.lines.join("\n")));
         assert!(statuses.keys().all(|status| status == "200" || status == "429"), "{statuses:?}");
-        statuses["200"]
+        (statuses["200"], latencies)
     }
 
     fn ends_well(mut self) {
@@ -243,6 +251,69 @@
     under.ends_well();
 }
 
+/// Latencies of one caller's requests, one after the other, until it is told to stop; with when each was sent.
+fn measure(listen: SocketAddr, checker: &Mutex<Checker>, stop: &AtomicBool) -> Vec<(Instant, Duration)> {
+    let mut all = Vec::new();
+    while !stop.load(SeqCst) {
+        let sent = Instant::now();
+        load::run(listen, (1, 1, 1), checker, &AtomicBool::new(false), |_, _| Ask::of("/call/read"));
+        all.push((sent, sent.elapsed()));
+        thread::sleep(Duration::from_millis(2));
+    }
+    all
+}
+
+/// Ends what goes on beside, also where a check fails.
+struct Ends<'a>(&'a AtomicBool);
+
+impl Drop for Ends<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, SeqCst);
+    }
+}
+
+fn quantile(of: impl Iterator<Item = Duration>, part: f64) -> Duration {
+    let mut all: Vec<Duration> = of.collect();
+    all.sort();
+    all.get(((all.len() as f64 * part) as usize).min(all.len().saturating_sub(1)))
+        .copied()
+        .unwrap_or_default()
+}
+
+/// Many renewals under load; the figures are in docs/design/rollout.md. MADDERPOINT_TIMES says how many, 3 if it is not told.
+#[test]
+fn renewals_lose_nothing_and_cost_little() {
+    let times = std::env::var("MADDERPOINT_TIMES").ok().and_then(|times| times.parse().ok()).unwrap_or(3);
+    let mut under = Under::start("1s");
+    let (mut began, mut took) = (Instant::now(), Vec::new());
+    let (answered, latencies) = under.measured(|under| {
+        thread::sleep(Duration::from_millis(if times > 10 { 60_000 } else { 1000 }));
+        began = Instant::now();
+        for _ in 0..times {
+            let since = Instant::now();
+            Under::signal(under.parent.id(), "-USR2");
+            under.logged("is told to leave");
+            took.push(since.elapsed());
+            under.logged("has left");
+        }
+    });
+    println!("{answered} answered over {times} renewals");
+    let of =
+        |during: bool| latencies.iter().filter(move |(sent, _)| (*sent >= began) == during).map(|(_, l)| *l);
+    println!(
+        "new one serves after {:?} at the median; p50 {:?} before, {:?} during; p99 {:?} before, {:?} during; most {:?} and {:?}",
+        quantile(took.iter().copied(), 0.5),
+        quantile(of(false), 0.5),
+        quantile(of(true), 0.5),
+        quantile(of(false), 0.99),
+        quantile(of(true), 0.99),
+        quantile(of(false), 1.0),
+        quantile(of(true), 1.0)
+    );
+    assert!(quantile(of(true), 0.99) < Duration::from_secs(1), "a renewal holds nobody up for long");
+    under.ends_well();
+}
+
 /// The node is killed: it starts anew. The parent is killed: the node goes on, and another parent takes its place without a gap.
 #[test]
 fn a_kill_of_either_leaves_a_node_that_serves() {
--- a/crates/node/tests/rollout.rs
+++ b/crates/node/tests/rollout.rs
@@ -8,8 +8,35 @@
 
 const EXE: &str = env!("CARGO_BIN_EXE_madderpoint");
 
+/// The program with a later version of all messages, built beside the present one.
+fn later() -> std::path::PathBuf {
+    let target = Path::new(env!("CARGO_TARGET_TMPDIR")).join("later");
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
+    let built = std::process::Command::new(cargo)
+        .args([
+            "build",
+            "--locked",
+            "--quiet",
+            "--package",
+            "madderpoint-node",
+            "--features",
+            "later",
+            "--target-dir",
+        ])
+        .arg(&target)
+        .current_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."))
+        .status();
+    assert!(built.unwrap().success(), "the later build");
+    target.join("debug").join("madderpoint")
+}
+
 fn play(script: &Script) -> Outcome {
-    let setting = Setting { exe: EXE.into(), dir: env!("CARGO_TARGET_TMPDIR").into(), more: String::new() };
+    let setting = Setting {
+        exe: EXE.into(),
+        later: None,
+        dir: env!("CARGO_TARGET_TMPDIR").into(),
+        more: String::new(),
+    };
     Rig::start(script.clone(), setting).unwrap().play()
 }
 
@@ -58,6 +85,18 @@
     holds("rollout-restarts.xml");
 }
 
+/// Two nodes are of a build whose messages have another version, a field more, some less and kinds that the others do not know. All
+/// of them see each other, share limits and budgets, and a change that one of the later ones offers reaches all.
+#[test]
+fn two_builds_with_other_messages_are_one_fleet() {
+    let script = read("rollout-later.xml");
+    let (exe, dir) = (EXE.into(), env!("CARGO_TARGET_TMPDIR").into());
+    let setting = Setting { exe, later: Some(later()), dir, more: String::new() };
+    let outcome = Rig::start(script.clone(), setting).unwrap().play();
+    outcome.expect_good(&script);
+    assert!(outcome.below.calls > 300 && outcome.keys_ran > 300, "{:?}", outcome.below);
+}
+
 /// Pairs of hard cases drawn by seed, one within the other, while a good change goes out; afterwards one version is in force.
 #[test]
 fn pairs_of_faults_by_seed_while_a_change_goes_out() {
--- a/crates/node/tests/shared.rs
+++ b/crates/node/tests/shared.rs
@@ -10,7 +10,7 @@
 const EXE: &str = env!("CARGO_BIN_EXE_madderpoint");
 
 fn setting() -> Setting {
-    Setting { exe: EXE.into(), dir: env!("CARGO_TARGET_TMPDIR").into(), more: String::new() }
+    Setting { exe: EXE.into(), later: None, dir: env!("CARGO_TARGET_TMPDIR").into(), more: String::new() }
 }
 
 fn play(script: &Script) -> Outcome {
--- a/crates/rollout/src/handover.rs
+++ b/crates/rollout/src/handover.rs
@@ -227,6 +227,14 @@
         }
     }
 
+    /// The operator wants the node renewed: another process of the version in charge takes its place, without a gap.
+    pub fn renew(&mut self, now: Nanos) {
+        let Some(charge) = self.charge.filter(|_| self.starting.is_none() && !self.ends) else { return };
+        if let Err(why) = self.start(now, charge.version, None) {
+            self.host.log(&format!("version {} can't be started anew: {why}", charge.version));
+        }
+    }
+
     /// A process ended.
     pub fn ended(&mut self, now: Nanos, child: Child, how: &str) {
         if let Some(at) = self.leaving.iter().position(|process| process.child == child) {
@@ -413,6 +421,21 @@
         assert!(parent.in_charge() == Some((new, v(2))) && parent.host.started.len() == 2);
     }
 
+    #[test]
+    fn a_node_is_renewed_by_one_of_the_same_version() {
+        let mut parent = serving(1);
+        parent.renew(SECOND);
+        parent.renew(SECOND);
+        assert_eq!(parent.host.started.len(), 2, "one at a time");
+        parent.ended(SECOND, Child(2), "dead");
+        assert_eq!(parent.in_charge(), Some((Child(1), v(1))));
+        parent.renew(5 * SECOND);
+        parent.ready(6 * SECOND, Child(3));
+        assert!(
+            parent.in_charge() == Some((Child(3), v(1))) && parent.host.told_to_leave.contains(&Child(1))
+        );
+    }
+
     #[test]
     fn one_that_dies_or_is_not_ready_leaves_the_old_one_in_charge() {
         let mut parent = serving(1);
--- a/crates/rollout/src/kept.rs
+++ b/crates/rollout/src/kept.rs
@@ -123,7 +123,7 @@
             vote: self.vote.as_ref().map(wire::write_vote),
             abstains_to: self.abstains_to,
         };
-        let body = body.encode_to_vec();
+        let body = wire::later(body.encode_to_vec());
         let mut file = MAGIC.to_vec();
         file.extend((body.len() as u32).to_le_bytes());
         file.extend(crc32fast::hash(&body).to_le_bytes());
--- a/crates/rollout/src/sayings.rs
+++ b/crates/rollout/src/sayings.rs
@@ -113,7 +113,7 @@
 
     /// As it goes over the stream.
     pub fn write(&self) -> Vec<u8> {
-        let body = self.encode_to_vec();
+        let body = crate::wire::later(self.encode_to_vec());
         [&(body.len() as u32).to_le_bytes()[..], &body].concat()
     }
 }
--- a/crates/rollout/src/wire.rs
+++ b/crates/rollout/src/wire.rs
@@ -180,6 +180,27 @@
     died_ms: u64,
 }
 
+/// Whether this is a build with a later version of the messages: a field more in each, one less in some, and kinds that the present
+/// version does not know. For tests of both side by side.
+pub const LATER: bool = cfg!(feature = "later");
+/// A field that the present version does not know: number 250, a text.
+const LATER_FIELD: [u8; 8] = [0xd2, 0x0f, 5, b'l', b'a', b't', b'e', b'r'];
+/// A kind of message that it does not know.
+pub const LATER_KIND: u32 = 90;
+
+/// A parcel of a kind that the present version does not know.
+pub fn later_kind() -> Vec<u8> {
+    later(Parcel { kind: LATER_KIND, ..Parcel::default() }.encode_to_vec())
+}
+
+/// What a later version adds to a message.
+pub(crate) fn later(mut message: Vec<u8>) -> Vec<u8> {
+    if LATER && message.len() + LATER_FIELD.len() <= PARCEL_MAX {
+        message.extend(LATER_FIELD);
+    }
+    message
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct Parcel {
     #[prost(uint32, tag = "1")]
@@ -414,7 +435,8 @@
         why: report.why.clone(),
         digest: report.digest,
         good: one(report.good),
-        died_ms: report.died_ms,
+        // A field that a later version drops.
+        died_ms: if LATER { 0 } else { report.died_ms },
     }
 }
 
@@ -489,7 +511,7 @@
             }
         }
     }
-    parcel.encode_to_vec()
+    later(parcel.encode_to_vec())
 }
 
 /// Words about changes, in as many parcels as they need; the last one asks for an answer, if one is wanted.
@@ -556,7 +578,7 @@
 /// What a node hangs on its entry: its report.
 pub fn write_part(report: &Report) -> Vec<u8> {
     // Why is told to those who ask: an entry has little room.
-    write_report(&Report { why: String::new(), ..report.clone() }).encode_to_vec()
+    later(write_report(&Report { why: String::new(), ..report.clone() }).encode_to_vec())
 }
 
 /// Reads it.
--- a/crates/shared/src/wire.rs
+++ b/crates/shared/src/wire.rs
@@ -201,6 +201,27 @@
     waits: Vec<u32>,
 }
 
+/// Whether this is a build with a later version of the messages: a field more in each, one less in some, and kinds that the present
+/// version does not know. For tests of both side by side.
+pub const LATER: bool = cfg!(feature = "later");
+/// A field that the present version does not know: number 250, a text.
+const LATER_FIELD: [u8; 8] = [0xd2, 0x0f, 5, b'l', b'a', b't', b'e', b'r'];
+/// A kind of message that it does not know.
+pub const LATER_KIND: u32 = 90;
+
+/// A parcel of a kind that the present version does not know.
+pub fn later_kind() -> Vec<u8> {
+    later(Parcel { kind: LATER_KIND, ..Parcel::default() }.encode_to_vec())
+}
+
+/// What a later version adds to a message.
+pub(crate) fn later(mut message: Vec<u8>) -> Vec<u8> {
+    if LATER && message.len() + LATER_FIELD.len() <= PARCEL_MAX {
+        message.extend(LATER_FIELD);
+    }
+    message
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct Parcel {
     #[prost(uint32, tag = "1")]
@@ -463,7 +484,7 @@
                 .collect();
         }
     }
-    parcel.encode_to_vec()
+    later(parcel.encode_to_vec())
 }
 
 fn budgets(parcel: &mut Parcel, message: &Message) {
--- a/crates/standins/src/bin/madderpoint-rig.rs
+++ b/crates/standins/src/bin/madderpoint-rig.rs
@@ -26,6 +26,9 @@
         /// The program; the one beside this one if it is not told.
         #[arg(long)]
         exe: Option<PathBuf>,
+        /// Another build of it, for nodes that a timetable starts as program `later`: see docs/operators/rig.md.
+        #[arg(long)]
+        later: Option<PathBuf>,
         /// How often each is played.
         #[arg(long, default_value_t = 1)]
         times: u32,
@@ -47,7 +50,13 @@
     script::read(&name, &text).map_err(|complaints| complaints.to_string())
 }
 
-fn run(files: &[PathBuf], exe: Option<PathBuf>, times: u32, seed: Option<u64>) -> Result<bool, String> {
+fn run(
+    files: &[PathBuf],
+    exe: Option<PathBuf>,
+    later: Option<PathBuf>,
+    times: u32,
+    seed: Option<u64>,
+) -> Result<bool, String> {
     let beside = std::env::current_exe().ok().and_then(|own| Some(own.parent()?.join("madderpoint")));
     let exe = exe.or(beside).filter(|exe| exe.is_file()).ok_or("no program; name it by --exe")?;
     let dir = std::env::temp_dir().join(format!("madderpoint-rig-{}", std::process::id()));
@@ -57,7 +66,8 @@
         for time in 0..times {
             let mut script = read(file)?;
             script.seed = seed.map_or(script.seed, |seed| seed + u64::from(time));
-            let setting = Setting { exe: exe.clone(), dir: dir.clone(), more: String::new() };
+            let setting =
+                Setting { exe: exe.clone(), later: later.clone(), dir: dir.clone(), more: String::new() };
             let rig =
                 rig::Rig::start(script.clone(), setting).map_err(|e| format!("{}: {e}", file.display()))?;
             let outcome = rig.play();
@@ -92,7 +102,7 @@
 
 fn main() -> ExitCode {
     let ended = match Line::parse().command {
-        Command::Run { files, exe, times, seed } => run(&files, exe, times, seed),
+        Command::Run { files, exe, later, times, seed } => run(&files, exe, later, times, seed),
         Command::Check { files } => files
             .iter()
             .try_for_each(|file| {
--- a/crates/standins/src/rig.rs
+++ b/crates/standins/src/rig.rs
@@ -53,6 +53,8 @@
 #[derive(Clone, Debug)]
 pub struct Setting {
     pub exe: PathBuf,
+    /// Another build of it, which nodes are that are started as program `later`.
+    pub later: Option<PathBuf>,
     pub dir: PathBuf,
     /// More of the settings' text, inside the element `<translator>`, after `<fleet>`.
     pub more: String,
@@ -315,6 +317,9 @@
     }
 
     fn start_node(&mut self, n: usize, name: Option<&str>, program: Option<&str>) -> std::io::Result<()> {
+        let later = self.setting.later.clone().filter(|_| program == Some("later"));
+        let exe = later.clone().unwrap_or_else(|| self.setting.exe.clone());
+        let program = program.filter(|_| later.is_none());
         let settings = self.settings(1, &self.rules(), "", program);
         let settings = self.file("xml", &settings)?;
         let node = &self.nodes[n];
@@ -327,7 +332,7 @@
             config = config.replace("\"memory_mb\": 192", "\"memory_mb\": 32");
         }
         let config = self.file("json", &config)?;
-        let mut child = Command::new(&self.setting.exe)
+        let mut child = Command::new(exe)
             .args(["serve", "--log", "json", "--settings"])
             .arg(settings)
             .env("PROXY_CONFIG", config)
--- a/crates/standins/src/rig/changes.rs
+++ b/crates/standins/src/rig/changes.rs
@@ -62,7 +62,8 @@
         let rule = |when: &str, then: &str| {
             format!("<rules><rule name=\"v{number}\"><when>{when}</when>{then}</rule></rules>")
         };
-        let good = rule("operation == \"read\"", "<give class=\"c\"/>");
+        let base = self.rules();
+        let good = if base.is_empty() { rule("operation == \"read\"", "<give class=\"c\"/>") } else { base };
         match change {
             "throttles" => {
                 self.settings(number, &rule("true", "<throttle pause=\"50ms\" reason=\"new\"/>"), "", None)
