--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -32,6 +32,7 @@
     config: PathBuf,
     settings: PathBuf,
     at: SocketAddr,
+    name: String,
 }
 
 /// Ports of loopback that nobody has at this moment.
@@ -54,34 +55,52 @@
 }
 
 impl Under {
+    /// A fleet of one.
     fn start(least: &str) -> Under {
+        Under::fleet(1, least, "").pop().unwrap()
+    }
+
+    /// A fleet of some, each node with its parent, with these stages before the last.
+    fn fleet(nodes: usize, least: &str, stages: &str) -> Vec<Under> {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let name = format!("under-{}-{}", std::process::id(), NEXT.fetch_add(1, SeqCst));
         let dir = PathBuf::from(PROGRAM.dir).join(name);
         let _ = std::fs::remove_dir_all(&dir);
-        let programs = dir.join("programs");
-        version(&programs, "1", None);
-        let worker = Worker::start_for_many();
-        let (listen, at) = (free(), std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap());
-        let config = told(worker.address, nobody(), nobody(), 1024);
-        let config = PROGRAM.config(&config.replace("127.0.0.1:0", &listen.to_string()));
         let keys = PROGRAM.file("keys", &"07".repeat(32));
+        let bind = || std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let places: Vec<SocketAddr> = (0..nodes).map(|_| bind()).collect();
+        let seeds: String = places.iter().map(|at| format!("<seed address=\"{at}\"/>")).collect();
+        let arbiters: String = (0..nodes).map(|n| format!("<arbiter name=\"n{n}\"/>")).collect();
         let text = format!(
-            "<translator version=\"1\" number=\"1\"><fleet name=\"f\" keys=\"{}\" bind=\"{at}\"><arbiter name=\"n3\"/></fleet>\
-             <rollout dir=\"{}\"><stage share=\"1\" least=\"{least}\" sample=\"1\" spread=\"0s\"/></rollout></translator>",
+            "<translator version=\"1\" number=\"1\"><fleet name=\"f\" keys=\"{}\">{seeds}{arbiters}</fleet>\
+             <rollout dir=\"{}\" of-zone=\"0.7\">{stages}<stage share=\"1\" least=\"{least}\" sample=\"1\" spread=\"0s\"/>\
+             </rollout></translator>",
             keys.display(),
             dir.join("versions").display()
         );
         let settings = PROGRAM.file("xml", &text);
-        let (parent, log) = Under::parent(&programs, &config, &settings);
-        let mut under =
-            Under { parent, log, lines: Vec::new(), listen, worker, programs, config, settings, at };
-        under.logged("version 1 ");
-        under.logged(" serves");
-        under
+        let programs = dir.join("programs");
+        version(&programs, "1", None);
+        let mut all: Vec<Under> = Vec::new();
+        for (n, at) in places.into_iter().enumerate() {
+            let (name, worker, listen) = (format!("n{n}"), Worker::start_for_many(), free());
+            let config = told(worker.address, nobody(), nobody(), 1024);
+            let config =
+                config.replace("127.0.0.1:0", &listen.to_string()).replace("\"n3\"", &format!("\"{name}\""));
+            let config = PROGRAM.config(&config);
+            let (parent, log) = Under::parent(&programs, &config, &settings, at);
+            let (settings, programs) = (settings.clone(), programs.clone());
+            let lines = Vec::new();
+            all.push(Under { parent, log, lines, listen, worker, programs, config, settings, at, name });
+        }
+        for under in &mut all {
+            under.logged("version 1 ");
+            under.logged(" serves");
+        }
+        all
     }
 
-    fn parent(programs: &Path, config: &Path, settings: &Path) -> (Child, Receiver<String>) {
+    fn parent(programs: &Path, config: &Path, settings: &Path, at: SocketAddr) -> (Child, Receiver<String>) {
         let state = programs.with_file_name("state");
         let mut parent = Command::new(EXE)
             .args(["run-under", "--start", "1", "--programs"])
@@ -91,6 +110,7 @@
             .args(["--", "serve", "--settings"])
             .arg(settings)
             .env("PROXY_CONFIG", config)
+            .env("MADDERPOINT_FLEET_BIND", at.to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -117,12 +137,16 @@
     }
 
     fn rollout(&self, arguments: &[&str]) -> (Option<i32>, String) {
+        self.changed(&[arguments, &["--program"]].concat())
+    }
+
+    fn changed(&self, arguments: &[&str]) -> (Option<i32>, String) {
         let at = self.at.to_string();
         let settings = self.settings.display().to_string();
         let output = Command::new(EXE)
             .arg("rollout")
             .args(arguments)
-            .args(["--program", "--settings", &settings, "--at", &at])
+            .args(["--settings", &settings, "--at", &at])
             .output()
             .unwrap();
         (output.status.code(), String::from_utf8([output.stdout, output.stderr].concat()).unwrap())
@@ -143,7 +167,7 @@
 
     /// The processes of the program that the parent has, by the file that it writes.
     fn processes(&self) -> Vec<u32> {
-        let file = self.programs.with_file_name("state").join("n3").join("processes");
+        let file = self.programs.with_file_name("state").join(&self.name).join("processes");
         let text = std::fs::read_to_string(file).unwrap_or_default();
         text.lines().filter_map(|line| line.split_once(' ')?.0.parse().ok()).collect()
     }
@@ -251,6 +275,99 @@
     under.ends_well();
 }
 
+/// A version that serves and does worse, among three nodes: found out at one of them by what callers get, and taken back.
+#[test]
+fn a_version_that_does_worse_is_taken_back_at_one_node_of_three() {
+    let stages = r#"<stage share="one" least="2s" sample="100" spread="0s"/>"#;
+    let mut fleet = Under::fleet(3, "2s", stages);
+    // The program with a file of rules of its own, which throttles all reads.
+    let text = std::fs::read_to_string(&fleet[0].settings).unwrap();
+    let rules = "<rules><rule name=\"worse\"><when>operation == \"read\"</when><throttle reason=\"worse\"/></rule></rules>";
+    let worse = PROGRAM.file("xml", &text.replace("number=\"1\">", &format!("number=\"1\">{rules}")));
+    let (worse, other) = (worse.display(), fleet[0].programs.with_file_name("other"));
+    let script = format!("MADDERPOINT_ROLLOUT_DIR={} exec {EXE} serve --settings {worse}", other.display());
+    version(&fleet[0].programs, "2", Some(&script));
+    let (checkers, stop) = ([0, 1, 2].map(|_| Mutex::new(Checker::default())), AtomicBool::new(false));
+    thread::scope(|scope| {
+        let ends = Ends(&stop);
+        for (under, checker) in fleet.iter().zip(&checkers) {
+            let (listen, stop) = (under.listen, &stop);
+            scope.spawn(move || {
+                while !stop.load(SeqCst) {
+                    load::run(listen, (2, 1, 1), checker, stop, |conn, _| {
+                        Ask::of(["/call/read", "/call/book"][conn])
+                    });
+                    thread::sleep(Duration::from_millis(15));
+                }
+            });
+        }
+        // Counts of a while before, so that what is usual is known.
+        thread::sleep(Duration::from_secs(12));
+        let text = fleet[0].offer("2");
+        assert!(text.contains("change "), "{text}");
+        let until = Instant::now() + PATIENCE;
+        let ended = loop {
+            let (_, text) = fleet[0].rollout(&["status"]);
+            if text.contains(", back") || Instant::now() > until {
+                break text;
+            }
+            thread::sleep(Duration::from_millis(200));
+        };
+        assert!(ended.contains("throttled"), "{ended}");
+        let of = |under: &mut Under| {
+            while let Ok(line) = under.log.try_recv() {
+                under.lines.push(line);
+            }
+            under.lines.iter().filter(|line| line.contains("version 2 ") && line.contains("serves, ")).count()
+        };
+        assert_eq!(fleet.iter_mut().map(of).sum::<usize>(), 1, "it served at one node: {ended}");
+        let until = Instant::now() + PATIENCE;
+        while !fleet[0].rollout(&["status"]).1.contains("3 run 1") {
+            assert!(Instant::now() < until, "{}", fleet[0].rollout(&["status"]).1);
+            thread::sleep(Duration::from_millis(200));
+        }
+        drop(ends);
+    });
+    for (under, checker) in fleet.iter().zip(checkers) {
+        let verdict = checker.into_inner().unwrap().verdict(&under.worker.started(), Duration::from_secs(4));
+        let statuses = verdict.unwrap_or_else(|wrong| panic!("{wrong:#?}\n{}", under.lines.join("\n")));
+        assert!(statuses["200"] > 500, "{statuses:?}");
+    }
+    fleet.into_iter().for_each(Under::ends_well);
+}
+
+/// A swap of settings under load; the figures are in docs/design/rollout.md.
+#[test]
+fn a_swap_of_settings_holds_nobody_up() {
+    let mut under = Under::start("1s");
+    let text = std::fs::read_to_string(&under.settings).unwrap();
+    let rules =
+        "<rules><rule name=\"r\"><when>operation == \"read\"</when><give class=\"c\"/></rule></rules>";
+    let next = PROGRAM.file("xml", &text.replace("number=\"1\">", &format!("number=\"2\">{rules}")));
+    let times = std::env::var("MADDERPOINT_TIMES").ok().and_then(|times| times.parse().ok()).unwrap_or(3);
+    let mut began = Instant::now();
+    let (answered, latencies) = under.measured(|under| {
+        thread::sleep(Duration::from_millis(if times > 10 { 60_000 } else { 1000 }));
+        began = Instant::now();
+        let (code, text) = under.changed(&["start", &next.display().to_string()]);
+        assert_eq!(code, Some(0), "{text}");
+        under.logged("settings: version 2 ");
+        under.logged("is good, and the one to start on");
+    });
+    let of = |during: bool| {
+        latencies.iter().filter(move |(sent, _)| (*sent >= began) == during).map(|(_, latency)| *latency)
+    };
+    println!(
+        "{answered} answered; a swap: p99 {:?} before, {:?} during, most {:?} and {:?}",
+        quantile(of(false), 0.99),
+        quantile(of(true), 0.99),
+        quantile(of(false), 1.0),
+        quantile(of(true), 1.0)
+    );
+    assert!(quantile(of(true), 0.99) < Duration::from_secs(1), "a swap holds nobody up for long");
+    under.ends_well();
+}
+
 /// Latencies of one caller's requests, one after the other, until it is told to stop; with when each was sent.
 fn measure(listen: SocketAddr, checker: &Mutex<Checker>, stop: &AtomicBool) -> Vec<(Instant, Duration)> {
     let mut all = Vec::new();
@@ -328,7 +445,7 @@
     under.parent.kill().unwrap();
     under.parent.wait().unwrap();
     assert!(under.under_load(|_| thread::sleep(Duration::from_millis(500))) > 50);
-    let (parent, log) = Under::parent(&under.programs, &under.config, &under.settings);
+    let (parent, log) = Under::parent(&under.programs, &under.config, &under.settings, under.at);
     (under.parent, under.log) = (parent, log);
     under.logged("1 processes from before");
     under.logged("of the parent before is told to leave");
--- a/crates/rollout/src/shown.rs
+++ b/crates/rollout/src/shown.rs
@@ -13,6 +13,8 @@
 const NODES: usize = 300;
 const POINTS: usize = 180;
 const FINDINGS: usize = 24;
+/// More than this is as good as certain.
+const EVIDENCE: f64 = 1e9;
 
 /// A version.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -223,7 +225,7 @@
         old: of.old,
         harm: of.harm,
         error: of.error,
-        evidence: of.evidence,
+        evidence: of.evidence.min(EVIDENCE),
         margin: of.margin,
     }
 }
@@ -273,9 +275,9 @@
         let mut nodes: Vec<ShownNode> = members
             .iter()
             .map(|(member, said)| {
-                // Who conducts has heard more of it than it shows to all.
-                let heard =
-                    conduct.report(member.node).filter(|heard| Some(heard.change) == current.map(|c| c.id));
+                // Who conducts has heard more of it than it shows to all, while the change goes on.
+                let goes_on = current.filter(|change| change.fate == Fate::Open).map(|change| change.id);
+                let heard = conduct.report(member.node).filter(|heard| Some(heard.change) == goes_on);
                 let said = heard.or(said.as_ref());
                 let (name, zone) = names.node(member.node).unwrap_or_default();
                 ShownNode {
