A node that hands over rests, one that leaves is not held up, one whose disk has room again writes

Read once more, found: while another process took its place a node's fleet thread turned without a pause, as the part that is frozen then was always due; a node that left waited for the thread that writes however long that took; and what a full disk had not taken was written with the next change only, so that a restart before it went by what was no more (the safe way: as a death on trial).

Those that are frozen are not waited for; a leaving node waits 300 ms; what could not be written is tried each 10 s. The rig plays a disk that takes nothing: a change that a node can't write down is refused, and one on trial goes back all the same.

--- a/crates/node/src/cli/fleet.rs
+++ b/crates/node/src/cli/fleet.rs
@@ -637,6 +637,7 @@
             | Action::Holds { .. }
             | Action::Offer { .. }
             | Action::EndChange { .. }
+            | Action::Disk { .. }
             | Action::Runs { .. }
             | Action::Change { .. }
             | Action::Used { .. } => {
--- a/crates/node/src/driver/changes.rs
+++ b/crates/node/src/driver/changes.rs
@@ -18,7 +18,8 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
-use std::thread::{self, JoinHandle};
+use std::thread;
+use std::time::Duration;
 
 /// The topics of parcels, pages, orders and parts of entries.
 pub const SETTINGS_CHANGES: u32 = 2;
@@ -33,6 +34,8 @@
 /// What takes less than this part of the latency objective is quick enough for any caller; in the histogram's units.
 const QUICK: Nanos = 10;
 const TENTH: Nanos = 100_000;
+/// How long a node that leaves waits for what it writes last.
+const LEAVES: Duration = Duration::from_millis(300);
 /// Answers that wait for the fleet's part to send them.
 const ANSWERS: usize = 32;
 
@@ -186,7 +189,8 @@
     next: Nanos,
     looked: Nanos,
     operations: Vec<String>,
-    worker: Option<JoinHandle<()>>,
+    /// Ends with the thread that checks and writes.
+    worker: Receiver<()>,
     answers: VecDeque<(std::net::SocketAddr, u32, Ordered)>,
     /// Whether another process has taken this one's place.
     handed: bool,
@@ -217,7 +221,11 @@
         let (tasks, inbox) = bounded(TASKS);
         // Settings are read there, whose expressions nest in each other.
         let thread = thread::Builder::new().name("versions".into()).stack_size(8 * STACK);
-        let worker = thread.spawn(move || work(kind, versions, &inbox, &poster))?;
+        let (ends, worker) = bounded(0);
+        thread.spawn(move || {
+            let _ends: Sender<()> = ends;
+            work(kind, versions, &inbox, &poster);
+        })?;
         let rng = Pcg64Mcg::seed_from_u64(seed ^ me.0 ^ topic(kind) as u64);
         let hands = Hands {
             kind,
@@ -237,7 +245,7 @@
             quick.map(|(name, objective)| (number(name), (objective / QUICK / TENTH) as u32)).collect();
         rollout.conduct = rollout.conduct.with_names(names).with_room(bytes / NODE_RECORD).with_quick(quick);
         rollout.plan = plan;
-        let (answers, worker) = (VecDeque::new(), Some(worker));
+        let answers = VecDeque::new();
         Ok(Changes { rollout, kind, next: 0, looked: 0, operations, worker, answers, handed: false })
     }
 
@@ -405,12 +413,11 @@
         let (tasks, _) = bounded(0);
         let tasks = std::mem::replace(&mut self.rollout.local.host.tasks, tasks);
         if !handed {
-            let _ = tasks.send(Task::Keep { no: 0, kept, content: None });
+            let _ = tasks.try_send(Task::Keep { no: 0, kept, content: None });
         }
         drop(tasks);
-        if let Some(worker) = self.worker.take() {
-            let _ = worker.join();
-        }
+        // A disk that takes longer leaves the note of a trial behind: then that counts as a death, which is the safe side.
+        let _ = self.worker.recv_timeout(LEAVES);
     }
 }
 
--- a/crates/node/src/driver/fleet_link.rs
+++ b/crates/node/src/driver/fleet_link.rs
@@ -436,7 +436,7 @@
     let Beside { mut bank, mut health, mut changes, mut label, operations } = beside;
     loop {
         let next = bank.as_ref().map_or(Nanos::MAX, Shared::next).min(fleet.next());
-        let next = changes.iter().map(Changes::next).fold(next, Nanos::min);
+        let next = going_on(&changes).map(|changes| changes.next()).fold(next, Nanos::min);
         wait(&fleet, next, clock().now, bell);
         let mut count = [0; 8];
         let _ = rustix::io::read(bell, &mut count);
@@ -549,6 +549,12 @@
     }
 }
 
+/// Those that go on: while another process is being started in this one's place, only the program's.
+fn going_on(changes: &[Changes]) -> impl Iterator<Item = &Changes> {
+    let hands_over = changes.iter().any(Changes::hands_over);
+    changes.iter().filter(move |of| !hands_over || of.kind() == Kind::Program)
+}
+
 fn is_about(changes: &Changes, of: u32) -> bool {
     topic(changes.kind()) == of
 }
--- a/crates/rollout/src/local.rs
+++ b/crates/rollout/src/local.rs
@@ -151,6 +151,8 @@
 /// After a death the version is tried once more, after this; who dies twice takes it back.
 const AGAIN: Nanos = 20 * SECOND;
 pub(crate) const DEATHS: u32 = 2;
+/// What could not be written is tried again after this.
+const REWRITE: Nanos = 10 * SECOND;
 /// A node alone halts what is plainly bad: of so many invocations since, so much less succeed than of as many before.
 const OWN_SAMPLE: u64 = 50;
 const OWN_LESS: f64 = 0.5;
@@ -211,6 +213,8 @@
     born: Option<Nanos>,
     started: Nanos,
     abstained: bool,
+    /// Since when what is kept is not on the disk as it should be, or was last tried.
+    unwritten: Option<Nanos>,
     fetch: Option<Fetch>,
     /// Contents by version, as far as they are here: of what is staged, so that others can be told.
     contents: BTreeMap<Version, Vec<u8>>,
@@ -247,6 +251,7 @@
             born: fresh.then_some(now),
             started: now,
             abstained: false,
+            unwritten: None,
             fetch: None,
             contents: contents.into_iter().collect(),
             staged: BTreeMap::new(),
@@ -486,6 +491,10 @@
             }
             _ => {}
         }
+        // A disk that has room again gets what it lacks: else the node would start on what is no more.
+        if self.waits == Waits::Nothing && self.unwritten.is_some_and(|since| now >= since + REWRITE) {
+            self.write(now, Then::Rest, None);
+        }
         if now >= self.compared + COMPARE {
             self.compared = now;
             self.changes.tidy(unix_ms, REMEMBERED);
@@ -753,8 +762,15 @@
             _ => return,
         };
         self.waits = Waits::Nothing;
+        let was_unwritten = self.unwritten.take().is_some();
+        if result.is_err() {
+            self.unwritten = Some(now);
+        } else if was_unwritten {
+            self.host.log("what is in force is written again");
+        }
         match (then, result) {
             (Then::Rest, Ok(())) => {}
+            (Then::Rest, Err(_)) if was_unwritten => {} // told before
             (Then::Rest, Err(why)) => self.host.log(&format!("what is in force could not be written: {why}")),
             (Then::Staged(id), result) => {
                 if let Some(change) = self.changes.get(id).cloned() {
--- a/crates/rollout/tests/fleets.rs
+++ b/crates/rollout/tests/fleets.rs
@@ -349,6 +349,25 @@
     fine(&fleet);
 }
 
+/// A node whose disk is full goes back all the same; once there is room, what it starts on is written.
+#[test]
+fn what_could_not_be_written_is_written_once_there_is_room() {
+    let mut fleet = Fleet::new(shape(31, 6));
+    let id = fleet.offer(0, 2, Effect::NONE);
+    assert!(fleet.until(10 * MINUTE, |fleet| fleet.stage(id) == 1 && fleet.running(2) == 1));
+    let node = (0..6).find(|node| fleet.runs(*node).unwrap().number == 2).unwrap();
+    fleet.fill(node, true);
+    fleet.end(3, id, Fate::Back);
+    assert!(fleet.until(MINUTE, |fleet| fleet.running(1) == 6), "{}", line(&fleet));
+    fleet.fill(node, false);
+    fleet.run(MINUTE);
+    fleet.crash(node);
+    fleet.start(node);
+    let says = |fleet: &Fleet| fleet.rollout(node).unwrap().local.host.lines.join("; ");
+    assert!(!says(&fleet).contains("died on trial"), "{}", says(&fleet));
+    fine(&fleet);
+}
+
 #[test]
 fn a_full_disk_keeps_a_change_from_beginning_and_not_from_going_back() {
     let mut fleet = Fleet::new(shape(11, 8));
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -173,6 +173,11 @@
         node: String,
         back: bool,
     },
+    /// A node can write down nothing of its versions any more, or can again.
+    Disk {
+        node: String,
+        full: bool,
+    },
     /// All of these nodes that are up run settings of this number.
     Runs {
         to: Ends,
@@ -378,6 +383,7 @@
         },
         "halt" => Action::EndChange { node: node(), back: false },
         "back" => Action::EndChange { node: node(), back: true },
+        "disk" => Action::Disk { node: node(), full: is(element, "full") },
         "runs" => Action::Runs {
             to: ends("to"),
             number: number(element, "number")?,
--- a/crates/standins/src/rig.rs
+++ b/crates/standins/src/rig.rs
@@ -546,6 +546,7 @@
             Action::Offer { node, number, change, turned_down } => {
                 self.offer(at, node, *number, change, *turned_down);
             }
+            Action::Disk { node, full } => self.fill(at, node, *full),
             Action::EndChange { node, back } => self.end_change(at, node, *back),
             Action::Runs { to, number, within } => {
                 let begun = Instant::now();
--- a/crates/standins/src/rig/changes.rs
+++ b/crates/standins/src/rig/changes.rs
@@ -143,6 +143,15 @@
         }
     }
 
+    /// Has a node's writes of what it keeps fail: something stands where it writes the new file before it is put in its place.
+    pub(super) fn fill(&mut self, at: usize, node: &str, full: bool) {
+        let place = self.versions_dir().join(&self.nodes[self.node(node)].name).join("settings.new");
+        let done = if full { std::fs::create_dir_all(&place) } else { std::fs::remove_dir(&place) };
+        if let Err(e) = done {
+            self.fail(format!("step {at}: {}: {e}", place.display()));
+        }
+    }
+
     pub(super) fn end_change(&mut self, at: usize, node: &str, back: bool) {
         let kind = if back { order::BACK } else { order::HALT };
         let said = Order { kind, why: "the timetable says so".into(), ..Order::default() };
