--- a/crates/node/src/under.rs
+++ b/crates/node/src/under.rs
@@ -152,9 +152,15 @@
             let _ = told.send(Event::Ended(child, how));
         });
         let sent = hand(&ours, &Saying::begin(begin).write(), &self.listener);
-        self.processes.insert(child, Process { stream: ours, alive });
+        let started = Process { stream: ours, alive };
+        if let Err(e) = sent {
+            // It ended already, or takes nothing: its end tells the rest.
+            log::line(format_args!("parent: {}: {e}", file.display()));
+            started.signal(Signal::KILL);
+        }
+        self.processes.insert(child, started);
         self.note();
-        sent.map_err(|e| wrong(&e))
+        Ok(())
     }
 }
 
