Repeats of tokened operations are known by the platform's key; told patience is kept

A probe on a scratch copy that logged the names of parameters showed HTTP_X_OPERATION_KEY on every try of a tokened operation, the same 32 digits with the same body on each repeat; with passes_deadline HTTP_X_DEADLINE_MS came too, and requests were lost by it.

Changed: request.rs reads both fields and refuses what can't be one; desk.rs makes the key of tenant, operation and key, so that nobody meets another customer's result; kept.rs judges a window by the arrival at the machine, 50 ms more as the protocol allows, and keeps what may still be read late. What the kernel did not take up (EINVAL, or MOOT to the only command) leaves no key behind. The module forgets the key of what its caller left before it ran, and stops no tokened run whose caller left: its repeat could only err. Keys take none of the kernel's memory on sockets, so the node tells the module none.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -378,7 +378,8 @@
             }
             Ok(Wanted::Invocation(head)) => {
                 let front = Open { conn, id };
-                let given = Self::given(&mut desk, front, &head, ruled, &request.body);
+                let arrived = moment.now.saturating_sub(head.age(moment.unix_ms));
+                let given = Self::given(&mut desk, front, &head, ruled, &request.body, arrived);
                 drop(desk);
                 if let Some(given) = given {
                     self.arrive(moment, front, head, request.body, given);
@@ -465,10 +466,11 @@
         head: &Head,
         ruled: Option<Ruled>,
         body: &[u8],
+        arrived: Nanos,
     ) -> Option<Given> {
         let Open { conn, id } = front;
         let ruled = ruled.unwrap_or_default();
-        let key = desk.key(head, ruled.key, body);
+        let key = desk.key(head, ruled.key, body, arrived);
         if ruled.key.is_some() && key.is_none() {
             desk.count("keys of rules for operations that have no use for them", 1);
         }
@@ -518,7 +520,7 @@
     }
 
     fn arrive(&mut self, moment: Moment, front: Open, head: Head, body: Vec<u8>, given: Given) {
-        let age = moment.unix_ms.saturating_sub(head.arrived_ms).saturating_mul(1_000_000);
+        let age = head.age(moment.unix_ms);
         let has_subject = head.subject.is_some() || given.key.is_some();
         let (id, repeats) = self.desk.borrow_mut().take(front, &head, body, age, given);
         let arrival = Arrival {
@@ -527,7 +529,7 @@
             tenant: head.tenant,
             dispatcher: head.dispatcher,
             has_subject,
-            time_left: None,
+            time_left: head.patience.map(|patience| patience.saturating_sub(age)),
             work_hint: head.work_hint,
             held_kb: head.held_kb,
             age,
@@ -714,6 +716,8 @@
         if self.choice.is_none() && !self.desk.borrow().is_leaving() {
             let mut site = self.start.premises.clone();
             site.cold = cold;
+            // Keys and results are kept in this process, under its own limit: the kernel's memory has no part in them.
+            site.key_kb = 0.0;
             let born = now.saturating_sub((up_ms * 1e6) as Nanos);
             let hands = Hands(Rc::clone(&self.desk));
             self.choice = Some(Choice::new(born, hands, site, self.seed));
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+mod repeats;
 mod rules;
 mod shared;
 
--- /dev/null
+++ b/crates/node/src/core/tests/repeats.rs
@@ -0,0 +1,222 @@
+//! Repeats of tokened operations, which bear the key that the platform sends: what ran within the window never runs again,
+//! whatever crosses it.
+
+use super::*;
+
+const C: &str = "00000000000000cc";
+const KEY: &str = "35703cb5dbe0981838ed43bf61d23a03";
+
+impl Node {
+    /// A try of the tokened operation, which reached the machine so long ago.
+    fn try_of(&mut self, id: u16, rid: &str, key: &str, age_ms: u64) {
+        self.try_as(id, rid, &[("HTTP_X_OPERATION_KEY", key)], age_ms, b"body");
+    }
+
+    fn try_as(&mut self, id: u16, rid: &str, more: &[(&str, &str)], age_ms: u64, body: &[u8]) {
+        let arrived = (self.now / MS - age_ms).to_string();
+        let named = |(name, _): &(&str, &str)| more.iter().all(|(n, _)| n != name);
+        let call = support::call("/call/book", rid, &arrived);
+        let params: Vec<_> = call.into_iter().filter(named).chain(more.iter().copied()).collect();
+        self.send(id, &params, body);
+    }
+
+    /// Runs the first try to its end.
+    fn ran(&mut self) {
+        self.try_of(1, A, KEY, 0);
+        assert_eq!(self.kernel_lines(), [sched(A, "book")]);
+        self.reap(A, End::Ok, b"done");
+        assert_eq!(self.statuses(), [(1, "200".into())]);
+    }
+
+    fn bodies(&mut self) -> Vec<(String, Vec<u8>)> {
+        self.answers().into_iter().map(|a| (a.status, a.body)).collect()
+    }
+}
+
+fn done() -> (String, Vec<u8>) {
+    ("200".into(), b"done".to_vec())
+}
+
+#[test]
+fn a_repeat_is_known_by_the_platforms_key_and_never_runs() {
+    let mut node = Node::new();
+    node.try_of(1, A, KEY, 0);
+    node.try_of(2, B, KEY, 0);
+    assert_eq!(node.kernel_lines(), [sched(A, "book")], "the repeat waits for what it repeats");
+    node.reap(A, End::Ok, b"done");
+    assert_eq!(node.bodies(), [done(), done()]);
+    node.wait(4900);
+    node.try_of(3, C, KEY, 0);
+    assert_eq!((node.bodies(), node.kernel_lines().len()), (vec![done()], 0), "from what is kept");
+}
+
+#[test]
+fn keys_of_tenants_operations_and_bodies_do_not_meet() {
+    let settings = support::SETTINGS.replace("}]}", r#"}, {"Name": "other", "QuotaRps": 50.0}]}"#).to_owned();
+    let mut node = Node::with(&settings);
+    node.ran();
+    // The same key of another tenant is another invocation: nobody gets another customer's result.
+    node.try_as(2, B, &[("HTTP_X_OPERATION_KEY", KEY), ("HTTP_X_ORG", "other")], 0, b"body");
+    assert_eq!(node.kernel_lines(), [sched(B, "book")]);
+    // With another body it is a mistake of the callers, which is told.
+    node.try_as(3, C, &[("HTTP_X_OPERATION_KEY", KEY)], 0, b"else");
+    assert_eq!((&node.statuses()[..], node.kernel_lines().len()), (&[(3, "409".into())][..], 0));
+    node.reap(B, End::Ok, b"theirs");
+    // An operation that may run again has no use for it.
+    node.send(
+        4,
+        &[support::call("/call/read", C, "1000"), vec![("HTTP_X_OPERATION_KEY", KEY)]].concat(),
+        b"body",
+    );
+    assert_eq!(node.kernel_lines(), [sched(C, "read")]);
+}
+
+#[test]
+fn what_is_no_key_is_refused_and_not_run_unprotected() {
+    let mut node = Node::new();
+    let long = "k".repeat(256);
+    for key in ["", &long, "a\u{7f}b", "sch\u{f6}n"] {
+        node.try_of(1, A, key, 0);
+        assert_eq!(node.statuses(), [(1, "400".into())], "{key:?}");
+    }
+    assert_eq!(node.kernel_lines().len(), 0);
+}
+
+#[test]
+fn the_window_counts_by_arrival_at_the_machine_however_late_a_repeat_is_read() {
+    // Read 900 ms after the window of 5 s, but it reached the machine within it.
+    let mut node = Node::new();
+    node.ran();
+    node.wait(5900);
+    node.try_of(2, B, KEY, 950);
+    assert_eq!((node.bodies(), node.kernel_lines().len()), (vec![done()], 0));
+    // The very end, by what the protocol allows clocks to differ.
+    let mut node = Node::new();
+    node.ran();
+    node.wait(5049);
+    node.try_of(2, B, KEY, 0);
+    assert_eq!((node.bodies(), node.kernel_lines().len()), (vec![done()], 0));
+    // What arrives later is a new invocation, and is known by the same key from then on.
+    let mut node = Node::new();
+    node.ran();
+    node.wait(5100);
+    node.try_of(2, B, KEY, 0);
+    assert_eq!(node.kernel_lines(), [sched(B, "book")]);
+    node.reap(B, End::Ok, b"two");
+    node.answers();
+    node.wait(4000);
+    node.try_of(3, C, KEY, 0);
+    assert_eq!(node.bodies(), [("200".into(), b"two".to_vec())]);
+}
+
+#[test]
+fn a_repeat_after_the_first_callers_connection_is_gone_gets_the_result() {
+    for aborted in [true, false] {
+        let mut node = Node::new();
+        node.try_of(1, A, KEY, 0);
+        node.kernel_lines();
+        match aborted {
+            true => node.event(Event::Front(node.conn, fastcgi::Event::Abort(1))),
+            false => node.event(Event::Disconnected(node.conn)),
+        }
+        assert_eq!(
+            node.kernel_lines().len(),
+            0,
+            "what must not run twice is not stopped: its repeat could only err"
+        );
+        node.answers();
+        node.conn = ConnId(7);
+        node.event(Event::Connected(node.conn, None));
+        node.try_of(2, B, KEY, 0);
+        node.reap(A, End::Ok, b"done");
+        assert_eq!((node.bodies(), node.kernel_lines().len()), (vec![done()], 0), "aborted {aborted}");
+    }
+}
+
+#[test]
+fn what_its_caller_left_before_it_ran_may_come_again() {
+    let mut node = Node::new();
+    // One core: what comes is held.
+    for n in 0..2u16 {
+        node.ask(n + 10, "/call/read", &format!("{n:016x}"));
+    }
+    node.kernel_lines();
+    node.try_of(1, A, KEY, 0);
+    assert_eq!(node.kernel_lines().len(), 0, "it is held");
+    node.event(Event::Front(node.conn, fastcgi::Event::Abort(1)));
+    node.try_of(2, B, KEY, 0);
+    node.answers();
+    for n in 0..2u16 {
+        node.reap(&format!("{n:016x}"), End::Ok, b"");
+    }
+    assert!(node.kernel_lines().contains(&sched(B, "book")), "nothing had run under its key");
+}
+
+#[test]
+fn what_the_kernel_did_not_take_up_leaves_no_key_behind() {
+    // A stranger has seen a key; the kernel knows no such request, so that nothing ran.
+    let mut node = Node::new();
+    node.try_of(1, A, KEY, 0);
+    node.kernel_lines();
+    node.event(Event::Kernel(Notice::EInval { command: "SCHED".into(), rid: A.into() }));
+    assert_eq!(node.statuses(), [(1, "500".into())]);
+    node.try_of(2, B, KEY, 0);
+    assert_eq!(node.kernel_lines(), [sched(B, "book")]);
+    // MOOT to the one command that was ever given: nothing was started.
+    let mut node = Node::new();
+    node.try_of(1, A, KEY, 0);
+    node.event(Event::Front(node.conn, fastcgi::Event::Abort(1)));
+    node.reap(A, End::Moot, b"");
+    node.kernel_lines();
+    node.answers();
+    node.try_of(2, B, KEY, 0);
+    assert_eq!(node.kernel_lines(), [sched(B, "book")]);
+}
+
+#[test]
+fn moot_to_a_second_question_proves_nothing() {
+    // The end of a run was lost with its link; asked after it, the kernel only knows that none goes on.
+    let mut node = Node::new();
+    node.try_of(1, A, KEY, 0);
+    node.kernel_lines();
+    node.break_link();
+    node.relink(0);
+    node.info();
+    node.wait(1100);
+    assert_eq!(node.statuses(), [(1, "500".into())], "in doubt");
+    node.reap(A, End::Moot, b"");
+    node.kernel_lines();
+    node.try_of(2, B, KEY, 0);
+    assert_eq!((node.statuses(), node.kernel_lines().len()), (vec![(2, "500".into())], 0));
+}
+
+#[test]
+fn a_callers_patience_counts_where_it_is_told() {
+    let told = support::SETTINGS.replace(r#""Cores": 1"#, r#""Cores": 1, "PassesDeadline": true"#);
+    let patience = |settings: &str, more: &[(&str, &str)]| {
+        let mut node = Node::with(settings);
+        let call = [support::call("/call/read", A, "900"), more.to_vec()].concat();
+        node.send(1, &call, b"body");
+        let from = node.now;
+        loop {
+            if let Some(answer) = node.answers().pop() {
+                return (answer.status, (node.now - from) / MS);
+            }
+            node.wait(1);
+        }
+    };
+    // It reached the machine 100 ms ago, and its caller waits for 700 ms from then.
+    let (status, after) = patience(&told, &[("HTTP_X_DEADLINE_MS", "700")]);
+    assert!(status == "500" && (500..600).contains(&after), "{status} after {after} ms");
+    // Never longer than its operation's client timeout, and that where nothing is told.
+    for more in [&[("HTTP_X_DEADLINE_MS", "9000")][..], &[]] {
+        let (status, after) = patience(&told, more);
+        assert!(status == "500" && (2800..2900).contains(&after), "{status} after {after} ms");
+    }
+    for wrong in ["", "-1", "nan", "x"] {
+        assert_eq!(patience(&told, &[("HTTP_X_DEADLINE_MS", wrong)]), ("400".into(), 0), "{wrong:?}");
+    }
+    // Where the settings say that it is not passed on, it means nothing.
+    let (_, after) = patience(support::SETTINGS, &[("HTTP_X_DEADLINE_MS", "700")]);
+    assert!((2800..2900).contains(&after), "after {after} ms");
+}
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -14,7 +14,7 @@
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fmt;
-use std::hash::Hasher;
+use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::IpAddr;
 use std::rc::Rc;
 
@@ -47,6 +47,8 @@
 /// Between two looks at the counts, and at runs that should be over; those are runs on which nobody has waited
 /// for so long after the client timeout.
 const LOOK_PERIOD: Nanos = 10_000 * MILLISECOND;
+/// By so much more than its window counts what arrives, as the protocol has every time limit.
+const CLOCKS_DIFFER: Nanos = 50 * MILLISECOND;
 /// Connections to the back end. What spoils one is lost for all calls on it, so they are spread. A call goes
 /// round one on which a late reply to an earlier call of the same invocation may still come.
 pub const BACKEND_LINKS: usize = 8;
@@ -206,12 +208,15 @@
     op: OpId,
     body: Vec<u8>,
     arrived: Nanos,
+    /// How long its caller waits from then on.
+    patience: Nanos,
     /// `None` once it is answered or its caller has left.
     front: Option<Open>,
     run: Option<Run>,
     ran: bool,
-    /// Whether the kernel was ever told to run it.
-    asked: bool,
+    /// How often the kernel was told to run it, and whether none of it can have run all the same.
+    asked: u32,
+    never_ran: bool,
     call: Option<Call>,
     /// Whether a call that it waits for failed before; calls so far.
     call_failed: bool,
@@ -263,6 +268,8 @@
     /// The links to the back end, by place.
     below: [Below; BACKEND_LINKS],
     kept: Kept,
+    /// By it keys that callers chose become numbers: nobody outside can make two of them meet.
+    secret: RandomState,
     /// None where no rules are set: nothing is asked then.
     pub rules: Option<Box<Classifier>>,
     /// None where the fleet shares no budget.
@@ -311,6 +318,7 @@
             kernel: KernelLink::default(),
             below: Default::default(),
             kept: Kept::new(room.results),
+            secret: RandomState::new(),
             rules: None,
             budgets: None,
             calls_waiting: VecDeque::new(),
@@ -460,20 +468,23 @@
     }
 
     /// What an invocation is known again by: the key that a rule gave, where its operation has a use for one, else
-    /// what a read is about.
-    pub fn key(&self, head: &Head, ruled: Option<u64>, body: &[u8]) -> Option<Key> {
+    /// the one that it bears, or what a read is about. Nobody meets another tenant's.
+    pub fn key(&self, head: &Head, ruled: Option<u64>, body: &[u8], arrived: Nanos) -> Option<Key> {
         let effect = self.effect(head.op);
         let shares = self.start.premises.answer_fresh > 0 && effect == Effect::Idempotent;
         let once = effect == Effect::Tokened;
-        match ruled {
+        let borne = head.token.as_ref().filter(|_| once);
+        let borne = borne.map(|token| self.secret.hash_one((head.tenant.map(|t| t.0), token)));
+        match ruled.or(borne) {
             Some(subject) if shares || once => {
-                Some(Key { op: head.op.0, subject, body: Some(fingerprint(body)), once })
+                Some(Key { op: head.op.0, subject, body: Some(fingerprint(body)), once, arrived })
             }
             _ => head.subject.filter(|_| shares).map(|subject| Key {
                 op: head.op.0,
                 subject,
                 body: None,
                 once: false,
+                arrived,
             }),
         }
     }
@@ -500,16 +511,19 @@
         self.next_id += 1;
         let id = InvId(self.next_id);
         let Given { key, class, held, gated } = given;
+        let patience = head.patience.unwrap_or(self.start.premises.operations[head.op.0].client_timeout);
         let repeats = key.and_then(|key| self.kept.original(self.now, key));
         let invocation = Invocation {
             rid: head.rid.clone(),
             op: head.op,
             body,
             arrived: self.now.saturating_sub(age),
+            patience,
             front: Some(front),
             run: None,
             ran: false,
-            asked: false,
+            asked: 0,
+            never_ran: false,
             call: None,
             call_failed: false,
             calls: 0,
@@ -545,9 +559,8 @@
             &inv.rid,
             format_args!("answered {status} after {} ms", (self.now - arrived) / MILLISECOND),
         );
-        let op = inv.op;
-        let timeout = self.start.premises.operations[op.0].client_timeout;
-        if self.now > arrived + timeout {
+        let (op, patience) = (inv.op, inv.patience);
+        if self.now > arrived + patience {
             self.count("answers after the client timeout", 1);
         }
         self.counts_answer(op, status, self.now.saturating_sub(arrived));
@@ -597,7 +610,7 @@
         }
         let result = self.kept.result(id).map(<[u8]>::to_vec);
         if result.is_none() {
-            self.kept.over(id, inv.asked);
+            self.kept.over(id, inv.asked > 0 && !inv.never_ran);
         }
         for joiner in inv.joiners {
             self.deferred.push_back(Deferred::JoinEnded(joiner, result.clone()));
@@ -683,7 +696,9 @@
     fn remember(&mut self, id: InvId, lifetime: Nanos) {
         let desk = &mut *self.0.borrow_mut();
         let Some(key) = desk.invs.get(&id).and_then(|inv| inv.key) else { return };
-        desk.kept.remember(desk.now, id, key, desk.now + lifetime);
+        let window = desk.now + lifetime + if key.once { CLOCKS_DIFFER } else { 0 };
+        let late = if key.once { desk.start.premises.operations[key.op].client_timeout } else { 0 };
+        desk.kept.remember(desk.now, id, key, window, late);
     }
     fn forget(&mut self, id: InvId) {
         self.0.borrow_mut().kept.forget(id);
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -163,7 +163,7 @@
                 call_body: Vec::new(),
             });
             run.sent = sent;
-            inv.asked |= sent > 0;
+            inv.asked += u32::from(sent > 0);
             if self.effect(op) != Effect::Idempotent {
                 self.set_timer(MARK, Timer::AskGauges);
             }
@@ -224,6 +224,8 @@
         };
         inv.run = None;
         inv.ran |= end != End::Moot;
+        // To a second command MOOT only says that no run goes on: the first one may have run, and its end been lost.
+        inv.never_ran = end == End::Moot && inv.asked == 1;
         self.out.step(rid, format_args!("run over: {end:?}"));
         let call = inv.call.take();
         if let Some(call) = call {
@@ -249,6 +251,7 @@
         let id = self.ids.get(rid).copied().filter(|_| command == "SCHED")?;
         let inv = self.invs.get_mut(&id)?;
         inv.run.take_if(|run| !run.seen)?;
+        inv.never_ran = true; // no command for it was ever carried out
         if let Some(front) = inv.front {
             self.strike(front.conn); // the kernel never heard of it: no dispatcher's
         }
--- a/crates/node/src/kept.rs
+++ b/crates/node/src/kept.rs
@@ -23,6 +23,8 @@
     /// Whether it is that of what must run once: then it is only forgotten if nothing can have run, or when its window
     /// is over, whatever becomes of the result.
     pub once: bool,
+    /// When what bears it reached the machine: the window is judged by this, for what comes within it may be read later.
+    pub arrived: Nanos,
 }
 
 impl Key {
@@ -36,6 +38,8 @@
 struct Entry {
     id: InvId,
     key: Key,
+    /// What arrived by then repeats it; and until when one of those may still be read.
+    window: Nanos,
     until: Nanos,
     /// The result, and until when it may serve others.
     result: Option<(Vec<u8>, Nanos)>,
@@ -59,15 +63,17 @@
         Kept { entries, keys, expiry, bytes: 0, most_bytes, most_keys }
     }
 
-    /// Remembers a key for an invocation; an older one's entry moves to it.
-    pub fn remember(&mut self, now: Nanos, id: InvId, key: Key, until: Nanos) {
+    /// Remembers a key for an invocation; an older one's entry moves to it. What arrives within the window repeats it, and is
+    /// read at most so much later.
+    pub fn remember(&mut self, now: Nanos, id: InvId, key: Key, window: Nanos, late: Nanos) {
         self.sweep(now);
+        let until = window.saturating_add(late);
         let alike = key.alike();
         if let Some(old) = self.entries.get(&alike).map(|e| e.id) {
             self.forget(old);
         }
         if self.entries.len() < self.most_keys {
-            self.entries.insert(alike, Entry { id, key, until, result: None });
+            self.entries.insert(alike, Entry { id, key, window, until, result: None });
             self.keys.insert(id, alike);
             self.expiry.insert((until, id), alike);
         }
@@ -82,7 +88,8 @@
     /// Whether a key is taken by an invocation with another body.
     pub fn conflicts(&mut self, now: Nanos, key: &Key) -> bool {
         self.sweep(now);
-        self.entries.get(&key.alike()).is_some_and(|entry| entry.key.body != key.body)
+        let entry = self.entries.get(&key.alike()).filter(|entry| key.arrived <= entry.window);
+        entry.is_some_and(|entry| entry.key.body != key.body)
     }
 
     /// An invocation is over and left no result. What must run once and may have run stays known; a repeat is told of
@@ -106,7 +113,7 @@
     /// The invocation that a new read of this key repeats: one still open, or done and fresh.
     pub fn original(&mut self, now: Nanos, key: Key) -> Option<InvId> {
         self.sweep(now);
-        let entry = self.entries.get(&key.alike())?;
+        let entry = self.entries.get(&key.alike()).filter(|entry| key.arrived <= entry.window)?;
         entry.result.as_ref().is_none_or(|&(_, fresh_until)| now <= fresh_until).then_some(entry.id)
     }
 
@@ -143,66 +150,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const BYTES_MAX: usize = 1 << 20;
-
-    fn read(subject: u64) -> Key {
-        Key { op: 0, subject, body: None, once: false }
-    }
-
-    fn once(subject: u64, body: u64) -> Key {
-        Key { op: 0, subject, body: Some(body), once: true }
-    }
-
-    #[test]
-    fn what_must_run_once_stays_known_whatever_becomes_of_its_result() {
-        let mut kept = Kept::new(8);
-        kept.remember(0, InvId(1), once(5, 77), 100);
-        assert!(!kept.conflicts(0, &once(5, 77)) && kept.conflicts(0, &once(5, 78)));
-        assert_eq!((kept.original(0, read(5)), kept.original(0, once(5, 77))), (None, Some(InvId(1))));
-        // The result is too large to be kept, and then the invocation is let go of.
-        kept.keep(InvId(1), &[0; 9], 1);
-        kept.over(InvId(1), true);
-        assert_eq!((kept.original(99, once(5, 77)), kept.result(InvId(1))), (Some(InvId(1)), None));
-        assert_eq!(kept.original(101, once(5, 77)), None, "its window is over");
-        // One that can't have run may come again; a result that fits serves for the whole window.
-        kept.remember(200, InvId(2), once(6, 1), 300);
-        kept.over(InvId(2), false);
-        assert_eq!(kept.original(200, once(6, 1)), None);
-        kept.remember(200, InvId(3), once(6, 1), 300);
-        kept.keep(InvId(3), &[1; 8], 201);
-        assert_eq!(
-            (kept.original(300, once(6, 1)), kept.result(InvId(3))),
-            (Some(InvId(3)), Some(&[1; 8][..]))
-        );
-    }
-
-    #[test]
-    fn entries_end_with_their_lifetimes_and_are_bounded() {
-        let mut kept = Kept::new(BYTES_MAX);
-        let most = kept.most_keys;
-        for n in 0..most as u64 + 10 {
-            kept.remember(0, InvId(n), read(n), 100);
-        }
-        assert_eq!((kept.entries.len(), kept.expiry.len()), (most, most));
-        let result = vec![7; 4096];
-        (0..most as u64).for_each(|n| kept.keep(InvId(n), &result, 50));
-        assert_eq!((kept.bytes, kept.entries.len()), (BYTES_MAX, BYTES_MAX / 4096));
-        assert_eq!(kept.original(50, read(1)), Some(InvId(1)));
-        assert_eq!(kept.original(51, read(1)), None);
-        assert_eq!(kept.result(InvId(1)), Some(&result[..]));
-        assert_eq!(kept.original(101, read(1)), None);
-        assert_eq!((kept.bytes, kept.entries.len(), kept.keys.len()), (0, 0, 0));
-    }
-
-    #[test]
-    fn a_newer_read_takes_the_entry_over() {
-        let mut kept = Kept::new(BYTES_MAX);
-        kept.remember(0, InvId(1), read(9), 100);
-        kept.remember(0, InvId(2), read(9), 100);
-        kept.forget(InvId(1));
-        assert_eq!(kept.original(0, read(9)), Some(InvId(2)));
-    }
-}
+mod tests;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -1,7 +1,7 @@
 //! What a FastCGI request asks for: its parameters read in place.
 
 use crate::fastcgi;
-use madderpoint::{DispatcherId, OpId, TenantId};
+use madderpoint::{DispatcherId, Effect, Nanos, OpId, TenantId};
 use madderpoint_facts::Start;
 use madderpoint_rules::Facts;
 
@@ -14,6 +14,9 @@
 /// a queue of that length.
 const AHEAD_MS: u64 = 5_000;
 const OVERDUE_MS: u64 = 60_000;
+/// The longest that a caller may say it waits, in milliseconds, and the longest idempotency key.
+const PATIENCE_MS_MAX: f64 = 86_400_000.0;
+const TOKEN_MAX: usize = 255;
 
 /// What is asked for.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,6 +49,17 @@
     pub held_kb: f64,
     /// What a read is about.
     pub subject: Option<u64>,
+    /// The idempotency key of a tokened operation: a repeat bears the same one.
+    pub token: Option<String>,
+    /// How long its caller waits from the arrival on, where the settings have that told; never over the client timeout.
+    pub patience: Option<Nanos>,
+}
+
+impl Head {
+    /// How long ago it reached the machine, never less than nothing.
+    pub fn age(&self, unix_ms: u64) -> Nanos {
+        unix_ms.saturating_sub(self.arrived_ms).saturating_mul(1_000_000)
+    }
 }
 
 /// Why a request is answered without the decisions: a status and its cause.
@@ -66,6 +80,8 @@
     need: Option<&'a str>,
     rank: Option<&'a str>,
     subject: Option<&'a str>,
+    token: Option<&'a str>,
+    patience: Option<&'a str>,
     oversize: bool,
 }
 
@@ -96,6 +112,8 @@
                 b"HTTP_X_NEED_KB" => &mut fields.need,
                 b"HTTP_X_CRITICALITY" => &mut fields.rank,
                 b"HTTP_X_SUBJECT" => &mut fields.subject,
+                b"HTTP_X_OPERATION_KEY" => &mut fields.token,
+                b"HTTP_X_DEADLINE_MS" => &mut fields.patience,
                 _ => continue,
             };
             *place = Some(str::from_utf8(value).map_err(|_| malformed("a parameter is no text"))?);
@@ -177,7 +195,22 @@
         if tenant.is_none() && !start.tenants.is_empty() {
             return Err(Rejected(404, "unknown tenant"));
         }
-        let timeout_ms = start.premises.operations[op.0].client_timeout / 1_000_000;
+        let agreed = &start.premises.operations[op.0];
+        let timeout_ms = agreed.client_timeout / 1_000_000;
+        // What bears a key that can't be one would run without protection, so it does not run.
+        let token = self.token.filter(|_| agreed.effect == Effect::Tokened);
+        let is_token =
+            |t: &str| (1..=TOKEN_MAX).contains(&t.len()) && t.bytes().all(|b| b.is_ascii_graphic());
+        if token.is_some_and(|t| !is_token(t)) {
+            return Err(malformed("X-Operation-Key"));
+        }
+        let patience = match self.patience.filter(|_| start.passes_deadline).map(str::parse::<f64>) {
+            None => None,
+            Some(Ok(ms)) if (0.0..=PATIENCE_MS_MAX).contains(&ms) => {
+                Some(((ms * 1e6) as Nanos).min(agreed.client_timeout))
+            }
+            Some(_) => return Err(malformed("X-Deadline-Ms")),
+        };
         let in_time =
             |&t: &u64| t <= unix_ms + AHEAD_MS && t.saturating_add(timeout_ms + OVERDUE_MS) >= unix_ms;
         let subject = match self.subject.map(|s| u64::from_str_radix(s, 16)) {
@@ -194,6 +227,8 @@
             work_hint,
             held_kb: need.filter(|&n| n > 0.0 && n < NEED_KB_MAX).ok_or(malformed("X-Need-Kb"))?,
             subject,
+            token: token.map(str::to_owned),
+            patience,
         }))
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -336,7 +336,11 @@
     pub fn caller_left(&mut self, now: Nanos, id: InvId) {
         let Some(&place) = self.places.get(&id) else { return };
         match self.in_hand[place].stage {
-            Stage::Held | Stage::Joining => self.remove(place),
+            Stage::Held => {
+                self.host.forget(id); // it never ran: its repeat is to run, not to wait for it
+                self.remove(place);
+            }
+            Stage::Joining => self.remove(place),
             _ => self.abandon(place),
         }
         self.fill(now);
@@ -584,7 +588,9 @@
     fn abandon(&mut self, place: usize) {
         let inv = &mut self.in_hand[place];
         inv.over = true;
-        if inv.stage == Stage::Running && self.site.halt != Halt::No {
+        // A repeat within the window is served from what a tokened run brings; stopped, it could only err.
+        let lost_for_good = self.rows[inv.op].agreed.effect == Effect::Tokened;
+        if inv.stage == Stage::Running && self.site.halt != Halt::No && !lost_for_good {
             self.host.halt(inv.id);
         }
     }
--- a/src/choice/tests.rs
+++ b/src/choice/tests.rs
@@ -23,8 +23,9 @@
     Wake(u64, Nanos),
 }
 
+/// What was done, and apart from it whose keys were forgotten.
 #[derive(Default)]
-struct Diary(Vec<Did>);
+struct Diary(Vec<Did>, Vec<u64>);
 
 impl Host for Diary {
     fn run(&mut self, id: InvId) {
@@ -48,7 +49,9 @@
     fn remember(&mut self, id: InvId, lifetime: Nanos) {
         self.0.push(Did::Remember(id.0, lifetime));
     }
-    fn forget(&mut self, _id: InvId) {}
+    fn forget(&mut self, id: InvId) {
+        self.1.push(id.0);
+    }
     fn join(&mut self, id: InvId) {
         self.0.push(Did::Join(id.0));
     }
@@ -449,6 +452,25 @@
     assert_eq!(choice.host.0[1..], [Did::Remember(1, 5 * S), Did::Run(1)]);
 }
 
+#[test]
+fn what_its_caller_left_before_it_ran_gives_its_key_back_and_a_tokened_run_goes_on() {
+    let mut choice = choice(site());
+    choice.rows[0].agreed.effect = Effect::Tokened;
+    put(&mut choice, 1..2, Stage::Held);
+    put(&mut choice, 2..3, Stage::Running);
+    choice.limit = 0.0;
+    choice.caller_left(MS, InvId(1));
+    assert_eq!(choice.host.1, [1]);
+    choice.caller_left(MS, InvId(2));
+    assert_eq!(
+        (&choice.host.0[..], &choice.host.1[..]),
+        (&[][..], &[1][..]),
+        "stopped, its repeat could only err"
+    );
+    choice.ended(2 * MS, InvId(2), Ending::Succeeded, MS);
+    assert_eq!(choice.running, 0);
+}
+
 #[test]
 fn a_repeat_joins_and_is_never_throttled() {
     let mut choice = choice(site());
