Reads share an answer only with the same tenant and the same body

At fault: Desk::key, which knew a read again by operation and subject alone, so that one customer could be given another's answer.

Changed: what a read is known by is made of tenant, subject and body; keys that rules give are of their tenant too. The test fails without it.

--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -839,6 +839,29 @@
     assert_eq!(node.statuses(), [(4, "500".into()), (5, "500".into())]);
 }
 
+#[test]
+fn reads_about_one_subject_are_alike_only_with_one_body_and_tenant() {
+    let settings = support::SETTINGS.replace("\"Fresh\": 0.0", "\"Fresh\": 1.0");
+    let mut node = Node::with(&settings.replace("}]}", r#"}, {"Name": "other", "QuotaRps": 50.0}]}"#));
+    let ask = |node: &mut Node, id, rid, tenant, body: &[u8]| {
+        let params = support::call("/call/read", rid, "1000");
+        let params: Vec<_> = params.into_iter().filter(|(name, _)| *name != "HTTP_X_ORG").collect();
+        let more = vec![("HTTP_X_SUBJECT", "7f3a9c21e0b4d655"), ("HTTP_X_ORG", tenant)];
+        node.send(id, &[params, more].concat(), body);
+    };
+    ask(&mut node, 1, A, "acme", b"body");
+    node.reap(A, End::Ok, b"mine");
+    node.kernel_lines();
+    node.answers();
+    ask(&mut node, 2, B, "other", b"body");
+    assert_eq!(node.kernel_lines(), [sched(B, "read")], "another customer's answer is not theirs");
+    node.reap(B, End::Ok, b"theirs");
+    ask(&mut node, 3, "00000000000000cc", "acme", b"else");
+    assert_eq!(node.kernel_lines().len(), 1, "another question");
+    ask(&mut node, 4, "00000000000000dd", "acme", b"body");
+    assert_eq!(node.answers().pop().unwrap().body, b"mine");
+}
+
 // ---- Leaving ----
 
 #[test]
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -473,18 +473,17 @@
         let effect = self.effect(head.op);
         let shares = self.start.premises.answer_fresh > 0 && effect == Effect::Idempotent;
         let once = effect == Effect::Tokened;
-        let borne = head.token.as_ref().filter(|_| once);
-        let borne = borne.map(|token| self.secret.hash_one((head.tenant.map(|t| t.0), token)));
-        match ruled.or(borne) {
+        let tenant = head.tenant.map(|t| t.0);
+        let given = ruled.map(|key| self.secret.hash_one((tenant, key)));
+        let borne = head.token.as_ref().map(|token| self.secret.hash_one((tenant, token)));
+        match given.or(borne.filter(|_| once)) {
             Some(subject) if shares || once => {
                 Some(Key { op: head.op.0, subject, body: Some(fingerprint(body)), once, arrived })
             }
-            _ => head.subject.filter(|_| shares).map(|subject| Key {
-                op: head.op.0,
-                subject,
-                body: None,
-                once: false,
-                arrived,
+            // What is asked about a subject is in the body: only the same question has the same answer.
+            _ => head.subject.filter(|_| shares).map(|subject| {
+                let subject = self.secret.hash_one((tenant, subject, body));
+                Key { op: head.op.0, subject, body: None, once: false, arrived }
             }),
         }
     }
