Connections end without losing what was read: lingering close, half-close, the listen backlog

Changed: the core orders a close and says how many events of the connection it has heard; the reader, which alone knows, reads what has come first, and carries the order out only if the core will hear of nothing more and no request is half there (1 s for a stranger, 3 s for a dispatcher, none where others wait for the place). Then it stops writing and lingers: reads and drops up to 64 KiB for 1 s until the peer ends, without a thread, and not at all where places are short. A half-close or lost framing keeps what is open until it is answered. At the end of the grace the backlog is taken before the listener goes; with a socket that a parent holds it is left to the other process. A place that comes free wakes the reader, instead of a look every 20 ms; a full table no longer closes an idle connection when nobody waits.

Two tests said the old: that an id begun twice closes at once (now after the first answer, and nothing more is read), and that a request after an order to close is passed over (now answered; the next order knows of it). Both are as strict as before. A drain's end now waits for the listener too.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -65,8 +65,14 @@
     Disconnected(ConnId),
     /// Something came on a connection.
     Front(ConnId, fastcgi::Event),
+    /// A connection's peer has ended its side; it may still wait for answers.
+    HalfClosed(ConnId),
+    /// What came on a connection can't be read on.
+    Garbled(ConnId),
     /// There is no room for another connection.
     Crowded,
+    /// The listen backlog was taken, and no connection comes any more.
+    NotListening,
     /// A link to the kernel stands; the last notice that was read before it.
     KernelLinked(u64),
     /// The link to the kernel broke.
@@ -240,6 +246,8 @@
             Timer::RenewKernel(mark) => self.desk.borrow_mut().settled(mark),
             Timer::Doubt(id) => self.desk.borrow_mut().doubt_over(id),
             Timer::Leave => self.desk.borrow_mut().leave(),
+            Timer::Hush => self.desk.borrow_mut().hush(),
+            Timer::Over => self.desk.borrow_mut().over(),
             Timer::Look => self.desk.borrow_mut().look(),
             Timer::Pulse => self.pulse(now),
             Timer::Wants => self.wants(now),
@@ -261,12 +269,13 @@
                 let left = self.desk.borrow_mut().disconnected(conn);
                 left.into_iter().for_each(|id| self.caller_left(now, id));
             }
-            Event::Front(conn, fastcgi::Event::Request(request)) => self.request(moment, conn, request),
-            Event::Front(conn, fastcgi::Event::Abort(id)) => {
-                let left = self.desk.borrow_mut().aborted(conn, id);
-                left.into_iter().for_each(|id| self.caller_left(now, id));
+            Event::Front(conn, event) => self.front(moment, conn, event),
+            Event::HalfClosed(conn) | Event::Garbled(conn) => {
+                let mut desk = self.desk.borrow_mut();
+                desk.came(conn);
+                desk.no_more(conn);
             }
-            Event::Front(conn, fastcgi::Event::Reply(reply)) => self.desk.borrow_mut().out.reply(conn, reply),
+            Event::NotListening => self.desk.borrow_mut().not_listening(),
             Event::Crowded => {
                 let mut desk = self.desk.borrow_mut();
                 desk.count("connections beyond the limit", 1);
@@ -344,6 +353,23 @@
 
     // ---- Dispatchers ----
 
+    fn front(&mut self, moment: Moment, conn: ConnId, event: fastcgi::Event) {
+        self.desk.borrow_mut().came(conn);
+        match event {
+            fastcgi::Event::Request(request) => self.request(moment, conn, request),
+            fastcgi::Event::Abort(id) => {
+                let left = self.desk.borrow_mut().aborted(conn, id);
+                left.into_iter().for_each(|id| self.caller_left(moment.now, id));
+                self.desk.borrow_mut().dealt_with(conn);
+            }
+            fastcgi::Event::Reply(reply) => {
+                let mut desk = self.desk.borrow_mut();
+                desk.out.reply(conn, reply);
+                desk.dealt_with(conn);
+            }
+        }
+    }
+
     fn request(&mut self, moment: Moment, conn: ConnId, request: fastcgi::Request) {
         let mut desk = self.desk.borrow_mut();
         let id = request.id;
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -5,6 +5,7 @@
 use crate::company::Word;
 use crate::config::{Limits, Peers};
 use crate::fastcgi::{ProtocolStatus, Reply};
+use crate::outward::Close;
 use madderpoint::Host;
 use madderpoint_standins::wire::{self as support, Answer};
 use std::collections::BTreeMap;
@@ -22,6 +23,9 @@
 struct Recorder {
     written: Vec<u8>,
     closed: Vec<ConnId>,
+    /// The latest order to close each of them, and those that are not read any more.
+    closes: BTreeMap<ConnId, Close>,
+    deaf: Vec<ConnId>,
     kernel: Vec<String>,
     /// The mark of the last question for gauges.
     asked: Option<u64>,
@@ -39,8 +43,12 @@
     fn reply(&mut self, _: ConnId, reply: Reply) {
         reply.slices().iter().for_each(|s| self.written.extend_from_slice(s));
     }
-    fn close(&mut self, conn: ConnId) {
+    fn close(&mut self, conn: ConnId, close: Close) {
         self.closed.push(conn);
+        self.closes.insert(conn, close);
+    }
+    fn deafen(&mut self, conn: ConnId) {
+        self.deaf.push(conn);
     }
     fn pace(&mut self, conn: ConnId, pause: Nanos) {
         self.paced.push((conn, pause));
@@ -354,16 +362,16 @@
 }
 
 #[test]
-fn an_id_begun_twice_ends_its_connection_and_runs_nothing_more() {
+fn an_id_begun_twice_ends_its_connection_after_the_first_answer_and_runs_nothing_more() {
     let mut node = Node::new();
     node.ask(1, "/call/read", A);
     node.ask(1, "/call/read", B);
     assert_eq!(node.kernel_lines(), [sched(A, "read")]);
     let conn = node.conn;
-    assert_eq!(node.core.out(|out| out.closed.last().copied()), Some(conn));
-    node.event(Event::Disconnected(conn));
-    node.reap(A, End::Stopped, b"");
-    assert_eq!(node.statuses(), []);
+    assert_eq!(node.core.out(|out| (out.deaf.clone(), out.closed.len())), (vec![conn], 0));
+    node.reap(A, End::Ok, b"first");
+    assert_eq!(node.answers().iter().map(|a| &a.body[..]).collect::<Vec<_>>(), [b"first"]);
+    assert_eq!(node.core.out(|out| out.closed.clone()), [conn]);
 }
 
 #[test]
@@ -381,11 +389,18 @@
     assert_eq!(node.core.out(|out| out.closed.len()), 1);
     node.wait(20);
     assert_eq!(node.core.out(|out| out.closed.clone()), [ConnId(2), ConnId(1)]);
-    // What crosses the close was never read.
+    // What the reader had handed on before the order came was read: it is answered, and the order is void.
+    assert_eq!(node.core.out(|out| out.closes[&ConnId(1)].heard), 1);
     let (keep_conn, params) = (true, support::pairs(&support::call("/call/read", B, "3000")));
-    let request = fastcgi::Request { id: 2, keep_conn, params, body: Vec::new(), oversize: false };
+    let request = fastcgi::Request { id: 2, keep_conn, params, body: b"body".to_vec(), oversize: false };
     node.event(Event::Front(ConnId(1), fastcgi::Event::Request(request)));
-    assert_eq!((node.kernel_lines().len(), node.statuses().len()), (1, 1));
+    assert_eq!(node.kernel_lines()[1..], [sched(B, "read")]);
+    assert_eq!(node.statuses(), [(1, "200".into())]);
+    node.reap(B, End::Ok, b"");
+    assert_eq!(node.statuses(), [(2, "200".into())]);
+    node.wait(40);
+    assert_eq!(node.core.out(|out| out.closed[2..].to_vec()), [ConnId(1)]);
+    assert_eq!(node.core.out(|out| out.closes[&ConnId(1)].heard), 2, "the next order knows of it");
 }
 
 #[test]
@@ -884,6 +899,8 @@
     assert_eq!(node.core.out(|out| out.closed.clone()), [ConnId(1)]);
     assert!(!node.core.has_left());
     node.event(Event::Disconnected(ConnId(1)));
+    assert!(!node.core.has_left(), "a connection may wait in the listen backlog");
+    node.event(Event::NotListening);
     assert!(node.core.has_left());
 }
 
--- a/crates/node/src/core/tests/rules.rs
+++ b/crates/node/src/core/tests/rules.rs
@@ -296,6 +296,8 @@
     assert_eq!(node.kernel_lines().iter().filter(|l| l.contains("SCHED")).count(), 2);
     let conn = node.conn;
     node.event(Event::Disconnected(conn));
+    assert!(!node.core.has_left(), "a connection may wait in the listen backlog");
+    node.event(Event::NotListening);
     assert!(node.core.has_left());
 }
 
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -47,6 +47,8 @@
 /// Between two looks at the counts, and at runs that should be over; those are runs on which nobody has waited
 /// for so long after the client timeout.
 const LOOK_PERIOD: Nanos = 10_000 * MILLISECOND;
+/// After the last answers were due, peers have so long to take them before the process ends.
+const LAST_WORDS: Nanos = 100 * MILLISECOND;
 /// By so much more than its window counts what arrives, as the protocol has every time limit.
 const CLOCKS_DIFFER: Nanos = 50 * MILLISECOND;
 /// Connections to the back end. What spoils one is lost for all calls on it, so they are spread. A call goes
@@ -100,6 +102,8 @@
     RenewKernel(u64),
     Doubt(InvId),
     Leave,
+    Hush,
+    Over,
     Look,
     Pulse,
     Wants,
@@ -134,7 +138,8 @@
     look: Option<Nanos>,
     /// Whether it is to be closed once nothing is open.
     last: bool,
-    /// Whether closing was asked for: nothing that still comes was read.
+    /// Events of it that were heard; and whether it is being closed, which what is heard later makes void.
+    heard: u64,
     closing: bool,
 }
 
@@ -292,9 +297,13 @@
     longest_idle: Nanos,
     /// Connections above which idle ones make room.
     spare_from: usize,
-    /// When the notice to leave came.
+    /// When the notice to leave came, and when all is to be written out.
     leaving: Option<Nanos>,
+    stop: Nanos,
     closing: bool,
+    /// Whether connections may still come; and whether the time to leave is over.
+    listening: bool,
+    over: bool,
     counts: BTreeMap<&'static str, u64>,
     counts_told: u64,
 }
@@ -335,7 +344,10 @@
             longest_idle,
             spare_from: room.spare_from,
             leaving: None,
+            stop: Nanos::MAX,
             closing: false,
+            listening: true,
+            over: false,
             counts: BTreeMap::new(),
             counts_told: 0,
         };
@@ -636,9 +648,12 @@
             return false;
         }
         self.leaving = Some(self.now);
+        self.stop = self.now + left;
         self.out.leaving();
         self.out.log(format_args!("notice to leave: stop in {} ms", left / MILLISECOND));
         self.set_timer(left.min(grace), Timer::Leave);
+        self.set_timer(left, Timer::Hush);
+        self.set_timer(left + LAST_WORDS, Timer::Over);
         true
     }
 
@@ -649,13 +664,41 @@
     /// From here on nothing that comes would be run: connections end as they have nothing open.
     pub fn leave(&mut self) {
         self.closing = true;
+        let (conns, hand) = (self.conns.len(), self.invs.len());
+        self.out.log(format_args!(
+            "no more connections are taken after those that wait; {conns} open, {hand} in hand"
+        ));
         self.out.stop_listening();
         let idle: Vec<_> = self.conns.iter().filter(|(_, c)| c.open.is_empty()).map(|(&id, _)| id).collect();
         idle.into_iter().for_each(|conn| self.close(conn));
     }
 
+    /// All that was read is answered: who goes on sending is not listened to any more.
+    pub fn hush(&mut self) {
+        for (&id, conn) in &mut self.conns {
+            conn.last = true;
+            self.out.deafen(id);
+        }
+        let idle: Vec<_> = self.conns.iter().filter(|(_, c)| c.open.is_empty()).map(|(&id, _)| id).collect();
+        idle.into_iter().for_each(|conn| self.close(conn));
+    }
+
+    /// The listen backlog was taken, and no connection comes any more.
+    pub fn not_listening(&mut self) {
+        self.listening = false;
+    }
+
+    /// The time to leave is over: what its peers have not ended yet ends with the process.
+    pub fn over(&mut self) {
+        self.over = true;
+        if !self.conns.is_empty() {
+            self.out
+                .log(format_args!("left with {} connections that their peers did not end", self.conns.len()));
+        }
+    }
+
     pub fn has_left(&self) -> bool {
-        self.closing && self.conns.is_empty()
+        self.over || self.closing && !self.listening && self.conns.is_empty()
     }
 }
 
--- a/crates/node/src/desk/front.rs
+++ b/crates/node/src/desk/front.rs
@@ -3,7 +3,7 @@
 use super::{Asked, CHECK_LIMIT, Conn, Desk, MILLISECOND, Open, Timer};
 use crate::fastcgi::{MAX_OPEN, ProtocolStatus, Reply, Request};
 use crate::kernel::Command;
-use crate::outward::{ConnId, Outward};
+use crate::outward::{Close, ConnId, Outward};
 use madderpoint::{Advert, InvId, Nanos};
 use std::collections::BTreeMap;
 use std::net::IpAddr;
@@ -12,6 +12,10 @@
 /// asks once and stays, takes others' room.
 const FIRST_REQUEST: Nanos = 1500 * MILLISECOND;
 const SECOND_REQUEST: Nanos = 1000 * MILLISECOND;
+/// The rest of a request that has come in part is waited for so long before its connection is closed: of a stranger's and
+/// of a dispatcher's, whose network may be slow.
+const REST: Nanos = 1000 * MILLISECOND;
+const REST_PROVEN: Nanos = 3000 * MILLISECOND;
 /// A connection this young is not closed to make room: its first request may be on its way.
 const YOUNG: Nanos = 200 * MILLISECOND;
 /// A connection on which nothing has succeeded yet gets a strike for what is malformed or unknown to the kernel,
@@ -33,6 +37,7 @@
             strikes: 0,
             look: None,
             last: false,
+            heard: 0,
             closing: false,
         };
         self.conns.insert(conn, new);
@@ -70,15 +75,47 @@
         }
     }
 
-    /// Opens a request on its connection; false if that is no longer read, or must end for what came.
+    /// Something came on a connection. If it is being closed, the reader had handed this on before the order came, and
+    /// does not carry it out: what was read is answered.
+    pub fn came(&mut self, conn: ConnId) {
+        let Some(state) = self.conns.get_mut(&conn) else { return };
+        state.heard += 1;
+        if std::mem::take(&mut state.closing) {
+            self.count("closes that what came made void", 1);
+        }
+    }
+
+    /// What came is dealt with: if nothing is open now, the connection is closed, or is looked at when it was idle for
+    /// long enough.
+    pub fn dealt_with(&mut self, conn: ConnId) {
+        let Some(state) = self.conns.get(&conn).filter(|c| c.open.is_empty() && !c.closing) else { return };
+        if state.last || self.closing {
+            return self.close(conn);
+        }
+        let due = self.idle_until(conn).max(self.now);
+        self.look_at(conn, due);
+    }
+
+    /// Nothing more is read on a connection: its peer ended its side, or framing is lost. What is open on it is answered
+    /// first.
+    pub fn no_more(&mut self, conn: ConnId) {
+        if let Some(state) = self.conns.get_mut(&conn) {
+            state.last = true;
+        }
+        self.dealt_with(conn);
+    }
+
+    /// Opens a request on its connection; false if what came can't have an answer of its own.
     pub fn open(&mut self, conn: ConnId, request: &Request) -> bool {
-        let Some(state) = self.conns.get_mut(&conn).filter(|c| !c.closing) else {
-            self.count("requests that crossed a close", 1);
+        let Some(state) = self.conns.get_mut(&conn) else {
+            self.count("requests on no connection", 1);
             return false;
         };
         if state.open.contains_key(&request.id) {
+            // Whose answer would be whose? What was asked first is answered, and nothing after that is read.
             self.count("request ids begun twice", 1);
-            self.close(conn);
+            self.out.deafen(conn);
+            self.no_more(conn);
             return false;
         }
         state.open.insert(request.id, Asked::Unread);
@@ -145,9 +182,13 @@
         let Some(state) = self.conns.get_mut(&conn).filter(|c| !c.closing) else { return };
         state.turned_away = 0;
         state.strikes += 1;
-        state.last |= state.strikes >= STRIKES;
+        let out = state.strikes >= STRIKES;
+        state.last |= out;
         let pause = PACE << state.strikes.min(STRIKES);
         self.out.pace(conn, pause);
+        if out {
+            self.out.deafen(conn);
+        }
     }
 
     /// Where a connection comes from.
@@ -236,12 +277,20 @@
         if closes <= self.now { self.close(conn) } else { self.look_at(conn, closes) }
     }
 
+    /// Has a connection closed unless more has come on it by now.
     pub fn close(&mut self, conn: ConnId) {
-        if let Some(state) = self.conns.get_mut(&conn)
-            && !std::mem::replace(&mut state.closing, true)
-        {
-            self.out.close(conn);
+        let proven = self.conns.get(&conn).is_some_and(|c| c.proven);
+        self.close_within(conn, if proven { REST_PROVEN } else { REST });
+    }
+
+    /// The same, waiting so long for the rest of a request that has come in part.
+    fn close_within(&mut self, conn: ConnId, patience: Nanos) {
+        let Some(state) = self.conns.get_mut(&conn) else { return };
+        if std::mem::replace(&mut state.closing, true) {
+            return;
         }
+        let left = self.stop.saturating_sub(self.now);
+        self.out.close(conn, Close { heard: state.heard, patience: patience.min(left) });
     }
 
     /// Closes a connection on which nothing is open, so that another one finds room: rather one that never sent
@@ -250,8 +299,10 @@
         let silent = |c: &Conn| c.asked == 0 && self.now < c.idle_since + YOUNG;
         let idle = self.conns.iter().filter(|(_, c)| c.open.is_empty() && !c.closing && !silent(c));
         let standing = |c: &Conn| if c.proven { c.asked.min(2) } else { c.asked.min(1) };
-        if let Some((&conn, _)) = idle.min_by_key(|(_, c)| (standing(c), c.idle_since)) {
-            self.close(conn);
+        if let Some((&conn, state)) = idle.min_by_key(|(_, c)| (standing(c), c.idle_since)) {
+            // Others wait for the place that half a request of a stranger takes.
+            let patience = if state.proven { REST } else { 0 };
+            self.close_within(conn, patience);
         }
     }
 
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -19,14 +19,14 @@
 use crate::desk::BACKEND_LINKS;
 use crate::fastcgi::Reply;
 use crate::log::log;
-use crate::outward::{CallNo, ConnId, Outward};
+use crate::outward::{CallNo, Close, ConnId, Outward};
 use crate::room::{Beside, Room};
 use backend_link::Below;
 use crossbeam_channel::{Receiver, Sender, bounded, select};
 use crossbeam_utils::atomic::AtomicCell;
 use dispatchers::Connection;
 use fleet_link::FleetLink;
-use front::Front;
+use front::{Order, Orders};
 use kernel_link::KernelLink;
 use madderpoint::{InvId, Nanos};
 use std::collections::HashMap;
@@ -117,7 +117,7 @@
     kernel: Option<KernelLink>,
     backend: Vec<Sender<Below>>,
     addresses: Addresses,
-    front: Arc<Front>,
+    front: Orders,
     leaving: Arc<AtomicBool>,
     fleet: Option<FleetLink>,
 }
@@ -130,13 +130,17 @@
         }
     }
 
-    fn close(&mut self, conn: ConnId) {
+    fn close(&mut self, conn: ConnId, close: Close) {
         if let Some(connection) = self.conns.get_mut(&conn) {
-            connection.close();
+            connection.close(close);
             self.dirty.push(conn);
         }
     }
 
+    fn deafen(&mut self, conn: ConnId) {
+        self.front.give(Order::Deafen(conn));
+    }
+
     fn pace(&mut self, conn: ConnId, pause: Nanos) {
         if let Some(connection) = self.conns.get(&conn) {
             connection.pace(pause);
@@ -179,7 +183,7 @@
     }
 
     fn stop_listening(&mut self) {
-        self.front.stop();
+        self.front.give(Order::Stop);
     }
 
     fn fleet(&mut self, word: Word) {
@@ -249,7 +253,7 @@
     let (go, word) = bounded(1);
     let word = ours.listener.as_ref().map(|_| word);
     let listener = ours.listener.map_or_else(|| TcpListener::bind(who.listen), Ok)?;
-    let front = Front::open(listener, word, room, front_events)?;
+    let front = front::open(listener, word, room, front_events)?;
     let serves = ours.serves.map(|told| -> Box<dyn FnOnce()> {
         Box::new(move || {
             let _ = go.send(());
--- a/crates/node/src/driver/dispatchers.rs
+++ b/crates/node/src/driver/dispatchers.rs
@@ -1,16 +1,18 @@
 //! The core's end of dispatchers' connections: it writes as much as a socket takes at once, and a writer is started
 //! for one that does not take all.
 
+use super::front::{Order, Orders};
 use super::places::Socket;
 use super::{spawn, write_gathered};
 use crate::fastcgi::{self, Reply};
 use crate::log::log;
+use crate::outward::{Close, ConnId};
 use crossbeam_channel::{Receiver, Sender, bounded};
 use rustix::net::{SendAncillaryBuffer, SendFlags, sendmsg};
 use std::io::{self, ErrorKind, IoSlice};
-use std::net::{Shutdown, TcpStream};
+use std::net::Shutdown;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst};
+use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
 use std::time::Duration;
 
 /// Answers that may wait for one connection's writer, and answers written with one call.
@@ -21,15 +23,18 @@
 
 enum Outgoing {
     Reply(Reply),
-    Close,
+    Close(Close),
 }
 
 /// The core's end of a connection.
 pub struct Connection {
+    number: ConnId,
     socket: Arc<Socket>,
-    /// Answers of this turn, and whether the connection is to be closed after them.
+    /// The reader, which ends connections.
+    reader: Orders,
+    /// Answers of this turn, and the order to close the connection after them.
     replies: Vec<Reply>,
-    closes: bool,
+    closes: Option<Close>,
     writer: Option<Sender<Outgoing>>,
     /// Nanoseconds to wait before each reading.
     pause: Arc<AtomicU64>,
@@ -37,8 +42,8 @@
 
 impl Connection {
     /// For a connection that was accepted; its reader waits for `pause` before each reading.
-    pub fn new(socket: Arc<Socket>, pause: Arc<AtomicU64>) -> Connection {
-        Connection { socket, replies: Vec::new(), closes: false, writer: None, pause }
+    pub fn new(number: ConnId, socket: Arc<Socket>, pause: Arc<AtomicU64>, reader: Orders) -> Connection {
+        Connection { number, socket, reader, replies: Vec::new(), closes: None, writer: None, pause }
     }
 
     /// Takes an answer, to be written with the others of this turn.
@@ -46,9 +51,9 @@
         self.replies.push(reply);
     }
 
-    /// Closes the connection after what was handed over is written.
-    pub fn close(&mut self) {
-        self.closes = true;
+    /// Has the connection closed after what was handed over is written.
+    pub fn close(&mut self, close: Close) {
+        self.closes = Some(close);
     }
 
     /// Has the reader wait before each reading.
@@ -69,8 +74,9 @@
                 }
             }
         }
+        let closes = self.closes.take();
         let Some(writer) = &self.writer else {
-            if self.closes {
+            if closes.is_some_and(|close| !self.reader.give(Order::Close(self.number, close))) {
                 self.end();
             }
             return;
@@ -84,7 +90,7 @@
                 return self.end();
             }
         }
-        if self.closes && writer.try_send(Outgoing::Close).is_err() {
+        if closes.is_some_and(|close| writer.try_send(Outgoing::Close(close)).is_err()) {
             self.end();
         }
     }
@@ -118,38 +124,44 @@
     fn start_writer(&mut self) -> io::Result<()> {
         self.socket.stream.set_write_timeout(Some(UNREAD))?;
         let (queue, replies) = bounded(REPLIES);
-        let socket = Arc::clone(&self.socket);
-        spawn("write", move || write(&socket.stream, &replies, &socket.places.unread))?;
+        let (number, socket, reader) = (self.number, Arc::clone(&self.socket), self.reader.clone());
+        spawn("write", move || write(number, &socket, &replies, &reader))?;
         self.writer = Some(queue);
         Ok(())
     }
 
+    /// Its peer takes no answers: there is nothing more to be done for it.
     fn end(&mut self) {
         self.replies.clear();
-        let _ = self.socket.stream.shutdown(Shutdown::Both);
+        let _ = self.socket.stream.shutdown(Shutdown::Both); // a writer that waits is to wait no longer
+        self.reader.give(Order::Abort(self.number));
     }
 }
 
-fn write(stream: &TcpStream, replies: &Receiver<Outgoing>, unread: &AtomicUsize) {
+/// Writes until the core lets go of the connection; orders to close it are handed on when all before them is written.
+fn write(number: ConnId, socket: &Socket, replies: &Receiver<Outgoing>, reader: &Orders) {
+    let unread = &socket.places.unread;
     while let Ok(first) = replies.recv() {
         let mut batch = Vec::with_capacity(GATHERED);
-        let mut close = false;
+        let mut close = None;
         let mut next = Some(first);
         while let Some(outgoing) = next {
             match outgoing {
                 Outgoing::Reply(reply) => batch.push(reply),
-                Outgoing::Close => close = true,
+                Outgoing::Close(order) => close = Some(order),
             }
-            next = if batch.len() < GATHERED && !close { replies.try_recv().ok() } else { None };
+            next = if batch.len() < GATHERED && close.is_none() { replies.try_recv().ok() } else { None };
         }
         let mut slices: Vec<_> = batch.iter().flat_map(Reply::slices).collect();
-        let written = write_gathered(stream, &mut slices);
+        let written = write_gathered(&socket.stream, &mut slices);
         unread.fetch_sub(batch.iter().map(Reply::size).sum(), SeqCst);
-        if written.is_err() || close {
+        let ordered = close.is_none_or(|close| reader.give(Order::Close(number, close)));
+        if written.is_err() || !ordered {
+            let _ = socket.stream.shutdown(Shutdown::Both);
+            reader.give(Order::Abort(number));
             break;
         }
     }
-    let _ = stream.shutdown(Shutdown::Both);
     // What is still handed over until the core knows that the connection is gone waits for nobody.
     for outgoing in replies {
         if let Outgoing::Reply(reply) = outgoing {
--- /dev/null
+++ b/crates/node/src/driver/front/tests.rs
@@ -0,0 +1,315 @@
+//! The reader by itself, on loopback sockets and with no thread of its own: each test does, one after the other, what would
+//! cross by chance.
+
+use super::*;
+use crate::config::Limits;
+use crate::room::Beside;
+use madderpoint_standins::peers::{PATIENCE, ping};
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+
+/// A reader for so few connections, and what it hands to the core.
+struct Bench {
+    reader: Reader,
+    events: Receiver<Message>,
+    address: SocketAddr,
+    /// The core's ends of connections.
+    taken: Vec<Connection>,
+}
+
+impl Bench {
+    fn new(is_shared: bool) -> Bench {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let limits = Limits { cores: 1.0, memory_mb: 32.0, sockets: 34 };
+        let (events, inbox) = bounded(1000);
+        let reader =
+            Reader::new(listener, is_shared, Room::of(&limits, 8, Beside::default()), events).unwrap();
+        assert_eq!(reader.places.room.connections, 2);
+        Bench { reader, events: inbox, address, taken: Vec::new() }
+    }
+
+    /// A client, and its number here once it is accepted.
+    fn client(&mut self) -> (TcpStream, u64) {
+        let client = connect(self.address);
+        let before = self.reader.accepted;
+        while self.reader.accepted == before {
+            self.reader.accept();
+        }
+        (client, self.reader.accepted)
+    }
+
+    /// Reads until so much has come.
+    fn take(&mut self, number: u64, bytes: usize) {
+        let mut taken = 0;
+        let socket = Arc::clone(&self.reader.reading[&number].socket);
+        while taken < bytes {
+            let waiting = socket.stream.peek(&mut [0; READ]).unwrap_or(0);
+            if waiting > 0 && self.reader.take(number) == Took::Some {
+                taken += waiting;
+            }
+        }
+    }
+
+    /// Waits until so much has come, and leaves it unread.
+    fn holds(&self, number: u64, bytes: usize) {
+        let stream = &self.reader.reading[&number].socket.stream;
+        while stream.peek(&mut [0; 2 * READ]).unwrap_or(0) < bytes {}
+    }
+
+    /// What was handed to the core since, by connection.
+    fn handed(&mut self) -> Vec<(u64, &'static str)> {
+        let mut handed = Vec::new();
+        for message in self.events.try_iter() {
+            handed.push(match message {
+                Message::Event(Event::Front(conn, fastcgi::Event::Request(_))) => (conn.0, "request"),
+                Message::Event(Event::HalfClosed(conn)) => (conn.0, "half-closed"),
+                Message::Event(Event::Garbled(conn)) => (conn.0, "garbled"),
+                Message::Event(Event::Disconnected(conn)) => (conn.0, "gone"),
+                Message::Event(Event::Crowded) => (0, "crowded"),
+                Message::Event(Event::NotListening) => (0, "not listening"),
+                Message::Accepted(conn, _, connection) => {
+                    self.taken.push(connection);
+                    (conn.0, "accepted")
+                }
+                _ => (0, "else"),
+            });
+        }
+        handed
+    }
+
+    fn close(&mut self, number: u64, heard: u64, patience_ms: u64) {
+        self.reader.close(number, Close { heard, patience: patience_ms * 1_000_000 });
+    }
+
+    fn state(&self, number: u64) -> Option<State> {
+        self.reader.reading.get(&number).map(|reading| reading.state)
+    }
+
+    /// Lets time pass until a connection has come so far.
+    fn pass(&mut self, number: u64, far: impl Fn(Option<State>) -> bool) {
+        while !far(self.state(number)) {
+            let Reverse((due, later)) = self.reader.later.pop().expect("something is due");
+            while Instant::now() < due {
+                std::thread::yield_now();
+            }
+            self.reader.look_again(later);
+        }
+    }
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let client = TcpStream::connect(address).unwrap();
+    client.set_read_timeout(Some(PATIENCE)).unwrap();
+    client
+}
+
+fn reads_end(mut client: &TcpStream) -> io::Result<usize> {
+    client.read(&mut [0; READ])
+}
+
+#[test]
+fn a_request_in_the_buffer_as_its_connection_is_closed_is_handed_on_and_the_close_is_void() {
+    let mut bench = Bench::new(false);
+    let (mut client, number) = bench.client();
+    client.write_all(&ping(1)).unwrap();
+    bench.holds(number, ping(1).len());
+    bench.close(number, 0, 0);
+    assert_eq!(bench.handed(), [(number, "accepted"), (number, "request")]);
+    assert_eq!(bench.state(number), Some(State::Read), "what was read is owed an answer");
+    // The next order knows of it.
+    bench.close(number, 1, 0);
+    assert!(matches!(bench.state(number), Some(State::Lingers { .. })));
+    assert_eq!(reads_end(&client).unwrap(), 0);
+}
+
+#[test]
+fn what_was_handed_on_and_not_heard_of_makes_a_close_void() {
+    let mut bench = Bench::new(false);
+    let (mut client, number) = bench.client();
+    client.write_all(&ping(1)).unwrap();
+    bench.take(number, ping(1).len());
+    bench.close(number, 0, 0);
+    assert_eq!(bench.state(number), Some(State::Read));
+}
+
+#[test]
+fn the_rest_of_a_request_is_waited_for_and_no_longer_than_it_may() {
+    let whole = ping(1);
+    let (half, rest) = whole.split_at(20);
+    let mut bench = Bench::new(false);
+    let (mut client, number) = bench.client();
+    client.write_all(half).unwrap();
+    bench.take(number, half.len());
+    bench.close(number, 0, 60_000);
+    assert_eq!(bench.state(number), Some(State::Read));
+    client.write_all(rest).unwrap();
+    bench.take(number, rest.len());
+    bench.reader.finish_close(number);
+    assert_eq!(bench.handed(), [(number, "accepted"), (number, "request")]);
+    assert_eq!((bench.state(number), bench.reader.reading[&number].closing), (Some(State::Read), None));
+    // Half a record at the moment of the close, and the rest never.
+    client.write_all(&half[..5]).unwrap();
+    bench.take(number, 5);
+    bench.close(number, 1, 20);
+    assert_eq!(bench.state(number), Some(State::Read));
+    bench.pass(number, |state| matches!(state, Some(State::Lingers { .. })));
+    assert_eq!(reads_end(&client).unwrap(), 0);
+}
+
+#[test]
+fn what_comes_after_the_end_of_writing_is_dropped_and_destroys_no_answer() {
+    let mut bench = Bench::new(false);
+    let (mut client, number) = bench.client();
+    bench.handed();
+    let socket = Arc::clone(&bench.reader.reading[&number].socket);
+    (&socket.stream).write_all(b"the last answer").unwrap();
+    bench.close(number, 0, 0);
+    // A request that crosses the close, seen by nobody, and read by the lingering socket.
+    client.write_all(&ping(1)).unwrap();
+    bench.holds(number, ping(1).len());
+    bench.reader.read(number);
+    assert_eq!(bench.handed(), [], "it is not run, for its answer could not be written");
+    let mut answer = Vec::new();
+    client.read_to_end(&mut answer).unwrap();
+    assert_eq!(answer, b"the last answer");
+    drop(client);
+    while bench.state(number).is_some() {
+        bench.reader.read(number);
+    }
+    assert_eq!(bench.handed(), [(number, "gone")]);
+}
+
+#[test]
+fn lingering_is_bounded_in_bytes_and_time() {
+    let mut bench = Bench::new(false);
+    let (mut client, number) = bench.client();
+    bench.close(number, 0, 0);
+    let writer = std::thread::spawn(move || while client.write_all(&[7; 4096]).is_ok() {});
+    let mut readings = 0;
+    while bench.state(number).is_some() {
+        bench.reader.read(number);
+        readings += 1;
+    }
+    bench.handed();
+    bench.taken.clear(); // the core lets go of it too
+    writer.join().unwrap();
+    assert!(readings >= LINGER_BYTES / READ, "{readings}");
+    let (_client, number) = bench.client();
+    let begun = Instant::now();
+    bench.close(number, 0, 0);
+    bench.pass(number, |state| state.is_none());
+    assert!(begun.elapsed() >= LINGER && begun.elapsed() < 5 * LINGER);
+}
+
+#[test]
+fn where_there_is_no_room_nothing_lingers_and_the_next_one_is_taken() {
+    let mut bench = Bench::new(false);
+    let (_one, first) = bench.client();
+    let (_two, second) = bench.client();
+    bench.close(first, 0, 0);
+    assert_eq!(bench.state(first), None, "all places are taken: it is let go of at once");
+    bench.handed();
+    bench.taken.remove(0);
+    let (_three, third) = bench.client();
+    assert_eq!(bench.handed(), [(third, "accepted")]);
+    // One that lingered gives its place to who comes.
+    bench.reader.gone(third);
+    bench.handed();
+    bench.taken.pop();
+    bench.close(second, 0, 0);
+    assert!(matches!(bench.state(second), Some(State::Lingers { .. })));
+    let (_four, fourth) = bench.client();
+    let _five = connect(bench.address);
+    bench.reader.accept();
+    assert_eq!(bench.handed(), [(fourth, "accepted"), (second, "gone")]);
+    bench.taken.remove(0);
+    bench.reader.obey(); // the place that came free rang
+    while bench.handed() != [(fourth + 1, "accepted")] {
+        bench.reader.accept();
+    }
+}
+
+#[test]
+fn who_ended_its_side_is_told_of_and_let_go_of_after_its_answers() {
+    let mut bench = Bench::new(false);
+    let (mut client, number) = bench.client();
+    client.write_all(&ping(1)).unwrap();
+    client.shutdown(Shutdown::Write).unwrap();
+    while bench.state(number) != Some(State::Deaf { ended: true }) {
+        bench.reader.take(number);
+    }
+    assert_eq!(bench.handed(), [(number, "accepted"), (number, "request"), (number, "half-closed")]);
+    bench.close(number, 1, 0);
+    assert_eq!(bench.state(number), Some(State::Deaf { ended: true }), "it was not heard of yet");
+    bench.close(number, 2, 0);
+    assert_eq!(bench.handed(), [(number, "gone")]);
+    assert_eq!(reads_end(&client).unwrap(), 0);
+}
+
+#[test]
+fn lost_framing_is_told_of_after_the_requests_before_it() {
+    let mut bench = Bench::new(false);
+    let (mut client, number) = bench.client();
+    client.write_all(&[ping(1), vec![0xff; 100]].concat()).unwrap();
+    while bench.state(number) == Some(State::Read) {
+        bench.reader.take(number);
+    }
+    assert_eq!(bench.handed(), [(number, "accepted"), (number, "request"), (number, "garbled")]);
+    assert_eq!(bench.state(number), Some(State::Deaf { ended: false }));
+}
+
+#[test]
+fn the_backlog_is_taken_before_the_listener_goes() {
+    let mut bench = Bench::new(false);
+    let mut clients: Vec<_> = (0..2).map(|_| connect(bench.address)).collect();
+    clients.iter_mut().for_each(|client| client.write_all(&ping(1)).unwrap());
+    bench.reader.orders.give(Order::Stop);
+    bench.reader.obey();
+    assert_eq!(bench.handed(), [(1, "accepted"), (2, "accepted")]);
+    // All places are taken: the listener is given up once there is one for the next, and it finds nobody.
+    bench.reader.accept();
+    assert_eq!(bench.handed(), [(0, "crowded")]);
+    bench.taken.pop();
+    bench.reader.gone(2);
+    assert_eq!(bench.handed(), [(2, "gone")]);
+    bench.reader.obey();
+    assert_eq!(bench.handed(), [(0, "not listening")]);
+    assert!(TcpStream::connect(bench.address).is_err());
+    // Orders to close that the core gives at once do not beat the requests that had come.
+    bench.holds(1, ping(1).len());
+    bench.close(1, 0, 0);
+    assert_eq!(bench.handed(), [(1, "request")]);
+}
+
+#[test]
+fn the_backlog_of_a_socket_that_another_process_has_too_is_left_to_it() {
+    let mut bench = Bench::new(true);
+    let other = bench.reader.listener.as_ref().unwrap().try_clone().unwrap();
+    let mut client = connect(bench.address);
+    client.write_all(&ping(1)).unwrap();
+    bench.reader.orders.give(Order::Stop);
+    bench.reader.obey();
+    assert_eq!(bench.handed(), [(0, "not listening")]);
+    other.set_nonblocking(false).unwrap();
+    let (mut taken, _) = other.accept().unwrap();
+    let mut bytes = vec![0; ping(1).len()];
+    taken.read_exact(&mut bytes).unwrap();
+    assert_eq!(bytes, ping(1));
+}
+
+#[test]
+fn who_is_not_read_any_more_is_read_once_more_unless_it_is_paced() {
+    for paced in [false, true] {
+        let mut bench = Bench::new(false);
+        let (mut client, number) = bench.client();
+        client.write_all(&ping(1)).unwrap();
+        bench.holds(number, ping(1).len());
+        bench.reader.reading[&number].pause.store(u64::from(paced) * 1_000_000, SeqCst);
+        bench.reader.orders.give(Order::Deafen(ConnId(number)));
+        bench.reader.obey();
+        let handed = bench.handed();
+        assert_eq!(handed[1..] == [(number, "request")], !paced, "{handed:?}");
+        assert_eq!(bench.state(number), Some(State::Deaf { ended: false }));
+    }
+}
--- a/crates/node/src/driver/places.rs
+++ b/crates/node/src/driver/places.rs
@@ -1,9 +1,10 @@
 //! The places for dispatchers' connections, which the reader, the core and writers share.
 
+use super::front::Orders;
 use crate::room::Room;
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 
 /// What is taken of what there is for connections.
 pub struct Places {
@@ -12,12 +13,16 @@
     open: AtomicUsize,
     /// Bytes of answers that wait to be written.
     pub unread: AtomicUsize,
+    /// Whether a connection waits for a place; the reader is woken when one is given back.
+    pub is_crowded: AtomicBool,
+    reader: Orders,
 }
 
 impl Places {
     /// All of it is free.
-    pub fn new(room: Room) -> Places {
-        Places { room, open: AtomicUsize::new(0), unread: AtomicUsize::new(0) }
+    pub fn new(room: Room, reader: Orders) -> Places {
+        let (open, unread, is_crowded) = Default::default();
+        Places { room, open, unread, is_crowded, reader }
     }
 
     /// Whether there is a place for another connection.
@@ -44,5 +49,8 @@
 impl Drop for Socket {
     fn drop(&mut self) {
         self.places.open.fetch_sub(1, SeqCst);
+        if self.places.is_crowded.load(SeqCst) {
+            self.places.reader.ring();
+        }
     }
 }
--- a/crates/node/src/fastcgi.rs
+++ b/crates/node/src/fastcgi.rs
@@ -213,6 +213,11 @@
         }
     }
 
+    /// Whether a part of a record or of a request has come, and the rest has not.
+    pub fn is_partial(&self) -> bool {
+        self.have > 0 || self.record.is_some() || !self.opening.is_empty()
+    }
+
     /// Takes the next bytes and hands on what they complete.
     pub fn feed(&mut self, mut bytes: &[u8], sink: &mut impl FnMut(Event)) -> Result<(), Broken> {
         loop {
--- a/crates/node/src/outward.rs
+++ b/crates/node/src/outward.rs
@@ -23,12 +23,23 @@
     pub generation: u64,
 }
 
+/// How a connection is to be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Close {
+    /// Events of the connection that the core has heard; if the reader handed on more, the close is void.
+    pub heard: u64,
+    /// How long the rest of a request that has come in part is waited for.
+    pub patience: Nanos,
+}
+
 /// What the node does to the world. None of it may wait.
 pub trait Outward {
     /// Write to a dispatcher.
     fn reply(&mut self, conn: ConnId, reply: Reply);
-    /// Close a connection after what was handed over is written.
-    fn close(&mut self, conn: ConnId);
+    /// Close a connection after what was handed over is written, unless more has come on it.
+    fn close(&mut self, conn: ConnId, close: Close);
+    /// Read nothing more on a connection, but what a peer that is not paced has sent by now.
+    fn deafen(&mut self, conn: ConnId);
     /// Read on from a connection only after so long a pause, each time.
     fn pace(&mut self, conn: ConnId, pause: Nanos);
     /// Write a line to the kernel.
@@ -45,7 +56,7 @@
     fn renew_kernel(&mut self);
     /// Tell dispatchers that the node is leaving.
     fn leaving(&mut self);
-    /// Take no more connections.
+    /// Take what waits in the listen backlog, and then no more connections.
     fn stop_listening(&mut self);
     /// Say to the fleet how this node is; nothing where there is none.
     fn fleet(&mut self, word: Word);
--- a/crates/node/tests/rollout.rs
+++ b/crates/node/tests/rollout.rs
@@ -4,12 +4,19 @@
 use madderpoint_standins::rig::{Outcome, Rig, Setting};
 use madderpoint_standins::script::{self, Action, Ends, Fault, Faulty, Script, Step};
 use std::path::Path;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 const EXE: &str = env!("CARGO_BIN_EXE_madderpoint");
 
-/// The program with a later version of all messages, built beside the present one.
+/// The program with a later version of all messages, built beside the present one. It is there before any rig plays: a
+/// compiler beside them takes the processors that judgements go by.
 fn later() -> std::path::PathBuf {
+    static BUILT: OnceLock<std::path::PathBuf> = OnceLock::new();
+    BUILT.get_or_init(build_later).clone()
+}
+
+fn build_later() -> std::path::PathBuf {
     let target = Path::new(env!("CARGO_TARGET_TMPDIR")).join("later");
     let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
     let built = std::process::Command::new(cargo)
@@ -31,6 +38,7 @@
 }
 
 fn play(script: &Script) -> Outcome {
+    later();
     let setting = Setting {
         exe: EXE.into(),
         later: None,
