--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -53,6 +53,11 @@
 }
 
 impl Parser {
+    /// Whether a part of a reply has come, and the rest has not.
+    pub fn is_partial(&self) -> bool {
+        !self.line.is_empty() || self.open.is_some()
+    }
+
     /// Takes the next bytes and hands on what they complete.
     pub fn feed(&mut self, mut bytes: &[u8], sink: &mut impl FnMut(Reply)) -> Result<(), Broken> {
         while !bytes.is_empty() {
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -5,7 +5,7 @@
 use crate::company::Word;
 use crate::config::{Limits, Peers};
 use crate::fastcgi::{ProtocolStatus, Reply};
-use crate::outward::Close;
+use crate::outward::{Close, Wanted};
 use madderpoint::Host;
 use madderpoint_standins::wire::{self as support, Answer};
 use std::collections::BTreeMap;
@@ -30,6 +30,7 @@
     /// The mark of the last question for gauges.
     asked: Option<u64>,
     calls: Vec<(usize, CallNo, InvId, String)>,
+    wanted: Vec<Wanted>,
     cancelled: Vec<(usize, String)>,
     no_room_below: bool,
     stopped: bool,
@@ -59,7 +60,8 @@
             None => self.kernel.push(line.trim_end().to_owned()),
         }
     }
-    fn call(&mut self, place: usize, call: CallNo, id: InvId, bytes: Vec<u8>) -> bool {
+    fn call(&mut self, place: usize, call: CallNo, id: InvId, bytes: Vec<u8>, wanted: Wanted) -> bool {
+        self.wanted.push(wanted);
         self.calls.push((place, call, id, String::from_utf8(bytes).unwrap()));
         !self.no_room_below
     }
@@ -92,6 +94,9 @@
     /// The connection in use; another one is made when it was closed.
     conn: ConnId,
     now: Nanos,
+    /// The kernel answers a question by itself after a second, unless it is silent; the question, and since when it waits.
+    silent: bool,
+    question: (Option<u64>, Nanos),
 }
 
 impl Node {
@@ -101,7 +106,8 @@
         let beside = crate::room::Beside { settings: true, ..Default::default() };
         let room = Room::of(&Limits { cores: 1.0, memory_mb: 32.0, sockets: 64 }, 4, beside);
         let core = Core::new(Recorder::default(), start, 7, 3000 * MS, true, &room);
-        let mut node = Node { core, conn: ConnId(1), now: 1000 * MS };
+        let (silent, question) = (false, (None, 0));
+        let mut node = Node { core, conn: ConnId(1), now: 1000 * MS, silent, question };
         node.event(Event::Connected(ConnId(1), None));
         node.event(Event::KernelLinked(0));
         node
@@ -139,11 +145,25 @@
         while let Some(due) = self.core.next_timer().filter(|&due| due <= until) {
             self.now = due;
             self.core.fire(due);
+            self.kernel_answers();
         }
         self.now = until;
         self.core.fire(until);
     }
 
+    fn kernel_answers(&mut self) {
+        let asked = self.core.out(|out| out.asked);
+        if self.silent || asked == self.question.0 {
+            return;
+        }
+        if self.question.1 == 0 {
+            self.question.1 = self.now;
+        } else if self.now >= self.question.1 + 1000 * MS {
+            self.question = (asked, 0);
+            self.info();
+        }
+    }
+
     fn send(&mut self, id: u16, params: &[(&str, &str)], body: &[u8]) {
         let conn = self.conn;
         if self.core.out(|out| out.closed.contains(&conn)) {
@@ -611,6 +631,40 @@
     assert_eq!(node.core.out(|out| out.renewed), 3);
 }
 
+/// Half a notice and then nothing, on a link that stays open: all that ran once waited for its client timeout.
+#[test]
+fn a_link_that_brings_nothing_is_made_anew_and_a_late_kernel_is_waited_for() {
+    let renewed = |node: &mut Node| node.core.out(|out| out.renewed);
+    let mut node = Node::new();
+    node.silent = true;
+    node.wait(1900);
+    node.ask(1, "/call/read", A);
+    assert_eq!(renewed(&mut node), 0);
+    node.wait(1200);
+    assert_eq!((renewed(&mut node), node.counted("kernel: links gone silent")), (1, 1));
+    node.break_link();
+    node.kernel_lines();
+    node.relink(0);
+    node.info();
+    assert_eq!(node.kernel_lines(), [sched(A, "read")]);
+    // It answers within its time, if late each time.
+    for _ in 0..10 {
+        node.wait(1500);
+        node.info();
+    }
+    assert_eq!(renewed(&mut node), 1);
+    // The machine stood still: what came meanwhile is heard before another look.
+    node.now += 60_000 * MS;
+    node.core.fire(node.now);
+    node.info();
+    node.wait(1000);
+    assert_eq!(renewed(&mut node), 1);
+    // Before BOOTED the kernel may take its time.
+    let mut node = Node::waiting(support::SETTINGS);
+    node.wait(30_000);
+    assert_eq!(renewed(&mut node), 0);
+}
+
 #[test]
 fn a_reply_that_found_no_link_is_handed_over_later() {
     let mut node = Node::new();
@@ -782,6 +836,26 @@
     assert_eq!(node.core.out(|out| out.resting.clone()), [0]);
 }
 
+#[test]
+fn a_call_is_wanted_until_its_limit_its_end_or_that_of_its_run() {
+    type Way = fn(&mut Node);
+    let ways: [(Way, &str); 4] = [
+        (|node| node.wait(2980), "its limit"),
+        (|node| node.reply(0, A, Outcome::Ok), "its reply"),
+        (|node| node.reap(A, End::Stopped, b""), "the end of its run"),
+        (|node| node.event(Event::CallUnsent(CallNo(1), InvId(1))), "word that it was not written"),
+    ];
+    for (way, what) in ways {
+        let mut node = Node::new();
+        node.ask(1, "/call/pay", A);
+        node.call_wanted(A, 1);
+        let wanted = node.core.out(|out| out.wanted[0].clone());
+        assert!(wanted.is_so());
+        way(&mut node);
+        assert!(!wanted.is_so(), "after {what} it must not be written any more");
+    }
+}
+
 #[test]
 fn replies_judge_what_ran() {
     for (outcome, again) in [
--- a/crates/node/src/core/tests/repeats.rs
+++ b/crates/node/src/core/tests/repeats.rs
@@ -220,3 +220,119 @@
     let (_, after) = patience(support::SETTINGS, &[("HTTP_X_DEADLINE_MS", "700")]);
     assert!((2800..2900).contains(&after), "after {after} ms");
 }
+
+// ---- Against the kernel's link ----
+
+#[test]
+fn a_repeat_of_what_is_in_doubt_after_a_broken_link_does_not_run() {
+    let mut node = Node::new();
+    node.try_of(1, A, KEY, 0);
+    assert_eq!(node.kernel_lines(), [sched(A, "book")]);
+    node.break_link();
+    node.try_of(2, B, KEY, 0);
+    node.relink(0);
+    node.info();
+    assert_eq!(node.kernel_lines().len(), 0, "the first may run at this moment");
+    node.wait(1000);
+    assert_eq!(node.statuses(), [(1, "500".into())]);
+    assert_eq!(
+        node.kernel_lines(),
+        [sched(A, "book")],
+        "its request is over: this only asks whether there is a run"
+    );
+    // There was one, and its end comes: the repeat that waited gets the result, and so does one that comes later.
+    node.reap(A, End::Ok, b"done");
+    node.try_of(3, C, KEY, 0);
+    assert_eq!((node.bodies(), node.kernel_lines().len()), (vec![done(), done()], 0));
+}
+
+#[test]
+fn a_repeat_while_there_is_no_link_waits_with_the_first_one() {
+    let mut node = Node::new();
+    node.break_link();
+    node.try_of(1, A, KEY, 0);
+    node.try_of(2, B, KEY, 0);
+    node.relink(0);
+    node.info();
+    assert_eq!(node.kernel_lines(), [sched(A, "book")]);
+    // The link breaks again as the result is on its way; the kernel tells it once more.
+    node.break_link();
+    node.relink(0);
+    node.reap(A, End::Ok, b"done");
+    node.info();
+    assert_eq!((node.bodies(), node.kernel_lines().len()), (vec![done(), done()], 0));
+}
+
+#[test]
+fn a_repeat_that_is_read_in_the_turn_of_the_runs_end_gets_the_result() {
+    // Before the end, after it, and when its first caller's connection went between.
+    for order in 0..3 {
+        let mut node = Node::new();
+        node.try_of(1, A, KEY, 0);
+        node.kernel_lines();
+        if order == 2 {
+            node.event(Event::Disconnected(node.conn));
+            node.conn = ConnId(9);
+            node.event(Event::Connected(node.conn, None));
+        }
+        if order != 1 {
+            node.try_of(2, B, KEY, 0);
+        }
+        node.reap(A, End::Ok, b"done");
+        if order == 1 {
+            node.try_of(2, B, KEY, 0);
+        }
+        let answers = node.bodies();
+        assert!(
+            answers.len() == if order == 2 { 1 } else { 2 } && answers.iter().all(|a| *a == done()),
+            "{order}"
+        );
+        assert_eq!(node.kernel_lines().len(), 0);
+    }
+}
+
+#[test]
+fn a_stop_that_was_lost_with_its_link_is_sent_again() {
+    let mut node = Node::new();
+    node.ask(1, "/call/read", A);
+    node.kernel_lines();
+    node.event(Event::Front(node.conn, fastcgi::Event::Abort(1)));
+    let stop = format!(r#"{{"t":"PREEMPT","rid":"{A}"}}"#);
+    assert_eq!(node.kernel_lines(), std::slice::from_ref(&stop));
+    node.break_link();
+    node.relink(0);
+    node.info();
+    assert!(node.kernel_lines().contains(&stop));
+    // A run that ended over the old link is not stopped over the new one.
+    node.reap(A, End::Stopped, b"");
+    node.break_link();
+    node.relink(1);
+    node.info();
+    assert_eq!(node.kernel_lines().len(), 0);
+}
+
+// ---- In a drain ----
+
+#[test]
+fn repeats_that_wait_are_answered_in_a_drain_whatever_becomes_of_the_first() {
+    for end in [Some(End::Ok), Some(End::Error), None] {
+        let mut node = Node::new();
+        node.try_of(1, A, KEY, 0);
+        node.try_of(2, B, KEY, 0);
+        node.event(Event::Drain);
+        node.event(Event::Drain);
+        node.wait(600); // past the grace
+        node.try_of(3, C, KEY, 0);
+        assert_eq!(node.kernel_lines(), [sched(A, "book")]);
+        if let Some(end) = end {
+            node.reap(A, end, b"done");
+        }
+        node.wait(2400);
+        let mut statuses = node.statuses();
+        statuses.sort();
+        let one = if end == Some(End::Ok) { "200" } else { "500" };
+        assert_eq!(statuses.len(), 3, "{end:?}: {statuses:?}");
+        assert!(statuses[..2].iter().all(|(_, status)| status == one), "{end:?}: {statuses:?}");
+        assert_ne!(statuses[2].1, "429", "what may have run is not throttled");
+    }
+}
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -3,7 +3,7 @@
 use crate::classify::{Classifier, Held};
 use crate::fastcgi::Reply;
 use crate::kept::{Kept, Key};
-use crate::outward::{BackendLink, CallNo, ConnId, Outward};
+use crate::outward::{BackendLink, CallNo, ConnId, Outward, Wants};
 use crate::request::Head;
 use crate::room::Room;
 use madderpoint::{AlarmId, CallEnding, Effect, Ending, Gauges, Host, InvId, Nanos, OpId};
@@ -186,6 +186,8 @@
     /// Whether it was allowed under the fleet's budgets, and whether it repeats one that failed.
     budgeted: bool,
     repeats: bool,
+    /// While this is here the call may still be written.
+    wants: Wants,
 }
 
 impl Call {
@@ -254,6 +256,10 @@
     renewing: bool,
     asked: Nanos,
     gauges: Option<(Nanos, Gauges)>,
+    /// Whether a question has no answer yet; how often that was seen in a row, and when last.
+    waits: bool,
+    unanswered: u32,
+    seen: Nanos,
 }
 
 pub struct Desk<O: Outward> {
--- a/crates/node/src/desk/calls.rs
+++ b/crates/node/src/desk/calls.rs
@@ -3,7 +3,7 @@
 use super::{BACKEND_LINKS, Below, Call, Deferred, Desk, MILLISECOND, Place, Timer, Wait};
 use crate::backend;
 use crate::kernel::Command;
-use crate::outward::{BackendLink, CallNo, Outward};
+use crate::outward::{BackendLink, CallNo, Outward, Wants};
 use madderpoint::{CallEnding, InvId, Nanos};
 use madderpoint_shared::counts::own;
 use madderpoint_shared::{Judge, Mode};
@@ -64,7 +64,8 @@
         let budgeted = self.budgets.is_some() && room.is_ok();
         if let Some(inv) = self.invs.get_mut(&id) {
             inv.calls += 1;
-            inv.call = Some(Call { no, place, since: now, written: None, budgeted, repeats });
+            let wants = Wants::default();
+            inv.call = Some(Call { no, place, since: now, written: None, budgeted, repeats, wants });
         }
         self.set_timer(timeout, Timer::CallLimit(id, no));
         match room {
@@ -83,7 +84,7 @@
         let (Some(call), Some(run)) = (&mut inv.call, &inv.run) else { return };
         if let Some(place) = place {
             let bytes = backend::invoke(&inv.rid, timeout.div_ceil(MILLISECOND), &run.call_body);
-            if self.out.call(place, call.no, id, bytes) {
+            if self.out.call(place, call.no, id, bytes, call.wants.wanted()) {
                 (call.place, call.since) = (Place::Link(place), self.now);
                 let repeats = call.repeats;
                 self.out.step(
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -11,6 +11,10 @@
 /// At most so long after the command to run what must not run twice, a question follows whose answer shows that it
 /// arrived: only what lies between is in doubt when a link breaks.
 const MARK: Nanos = 10 * MILLISECOND;
+/// A link whose kernel has not answered for so many times so long is silent, and is made anew. Counted by looks and not by the
+/// clock, for of a machine that stood still only one is late.
+const SILENT_LOOKS: u32 = 5;
+const SILENT_LOOK: Nanos = 400 * MILLISECOND;
 /// What is in doubt has so long to be heard of.
 const DOUBT: Nanos = 1000 * MILLISECOND;
 
@@ -29,6 +33,7 @@
 
     pub fn kernel_linked(&mut self, last: u64) {
         (self.kernel.up, self.kernel.synced, self.kernel.renewing) = (true, false, false);
+        (self.kernel.waits, self.kernel.unanswered) = (false, 0);
         self.out.kernel(Command::Open(last).line());
     }
 
@@ -75,12 +80,32 @@
     }
 
     pub fn ask_gauges(&mut self) {
+        self.watch_silence();
         if self.kernel.synced && self.now >= self.kernel.asked + GAUGES_LEAD / 2 {
             self.ask();
         }
     }
 
+    /// A link that is open and brings nothing would hold all that runs until its client timeout.
+    fn watch_silence(&mut self) {
+        let kernel = &mut self.kernel;
+        if !kernel.up || !kernel.waits || self.now < kernel.seen + SILENT_LOOK {
+            return;
+        }
+        (kernel.seen, kernel.unanswered) = (self.now, kernel.unanswered + 1);
+        if kernel.unanswered >= SILENT_LOOKS {
+            (kernel.up, kernel.synced, kernel.renewing) = (false, false, false);
+            (kernel.waits, kernel.unanswered) = (false, 0);
+            self.count("kernel: links gone silent", 1);
+            self.out.log(format_args!("kernel: link gone silent, {} in hand", self.invs.len()));
+            self.out.renew_kernel();
+        }
+    }
+
     fn ask(&mut self) {
+        if !std::mem::replace(&mut self.kernel.waits, true) {
+            (self.kernel.unanswered, self.kernel.seen) = (0, self.now);
+        }
         self.kernel.asked = self.now;
         self.kernel.sent += 1;
         self.out.kernel(Command::SysInfo(self.kernel.sent).line());
@@ -88,6 +113,8 @@
 
     pub fn info(&mut self, mark: u64, values: Vec<f64>) {
         self.kernel.gauges = Some((self.now, self.start.gauges(values.into_iter())));
+        (self.kernel.waits, self.kernel.unanswered) = (mark < self.kernel.sent, 0);
+        self.kernel.seen = self.now;
         let arrived = self.kernel.arrived;
         self.kernel.arrived = arrived.max(mark);
         if self.kernel.renewing {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -19,7 +19,7 @@
 use crate::desk::BACKEND_LINKS;
 use crate::fastcgi::Reply;
 use crate::log::log;
-use crate::outward::{CallNo, Close, ConnId, Outward};
+use crate::outward::{CallNo, Close, ConnId, Outward, Wanted};
 use crate::room::{Beside, Room};
 use backend_link::Below;
 use crossbeam_channel::{Receiver, Sender, bounded, select};
@@ -152,8 +152,9 @@
         self.kernel.take_if(|link| !link.write(line));
     }
 
-    fn call(&mut self, place: usize, call: CallNo, id: InvId, bytes: Vec<u8>) -> bool {
-        self.backend.get(place).is_some_and(|queue| queue.try_send(Below::Call(call, id, bytes)).is_ok())
+    fn call(&mut self, place: usize, call: CallNo, id: InvId, bytes: Vec<u8>, wanted: Wanted) -> bool {
+        let call = Below::Call(call, id, bytes, wanted);
+        self.backend.get(place).is_some_and(|queue| queue.try_send(call).is_ok())
     }
 
     fn cancel(&mut self, place: usize, bytes: Vec<u8>) {
--- a/crates/node/src/outward.rs
+++ b/crates/node/src/outward.rs
@@ -5,6 +5,7 @@
 use crate::fastcgi::Reply;
 use madderpoint::{InvId, Nanos};
 use std::fmt;
+use std::sync::{Arc, Weak};
 
 /// A dispatcher's connection; never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -23,6 +24,28 @@
     pub generation: u64,
 }
 
+/// What keeps a call wanted: it is so until this is dropped.
+#[derive(Debug, Default)]
+pub struct Wants(Arc<()>);
+
+impl Wants {
+    /// For who writes the call.
+    pub fn wanted(&self) -> Wanted {
+        Wanted(Arc::downgrade(&self.0))
+    }
+}
+
+/// Whether a call is still wanted.
+#[derive(Clone, Debug)]
+pub struct Wanted(Weak<()>);
+
+impl Wanted {
+    /// Whether its run still waits for it.
+    pub fn is_so(&self) -> bool {
+        self.0.strong_count() > 0
+    }
+}
+
 /// How a connection is to be closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Close {
@@ -44,8 +67,8 @@
     fn pace(&mut self, conn: ConnId, pause: Nanos);
     /// Write a line to the kernel.
     fn kernel(&mut self, line: String);
-    /// Send a call below over the link at this place; false if that has no room.
-    fn call(&mut self, place: usize, call: CallNo, id: InvId, bytes: Vec<u8>) -> bool;
+    /// Send a call below over the link at this place, if it is still wanted when its turn comes; false if that has no room.
+    fn call(&mut self, place: usize, call: CallNo, id: InvId, bytes: Vec<u8>, wanted: Wanted) -> bool;
     /// Give a call up over the link that it was sent on.
     fn cancel(&mut self, place: usize, bytes: Vec<u8>);
     /// Close the link at this place: no call is in hand on it.
