Slow start for a service below that returns cold, under the sum of what all processes send

Need: cold servers fall under the sum of what all processes send, each of which does little wrong by itself. The users allow N + 2*sqrt(N) + 2 calls in a window, also with 20 or 30 processes.

Cause: judge.rs thins out what a node wants, which is any multiple of what the service takes; purse.rs saves one call for each node, so that all send one in the instant in which they hear; a process that restarts in the rise knows nothing and is open.

Change: a budget by rate gives the judgement's level as a share of the node's units, which add up to the limit (Ends::slow_start); what was saved goes but for a random part of one call; a process that has just started uses a sixteenth until two others spoke or for 5 s; one that saw nothing of it, being idle, joins once half of those who speak are rising.

Found by the play: fleets with a few calls a second and node hardly came back, for a word counted only with ten tries in 2 s, so that only those who had closed the service were heard. Three tries that all went well say so now, and two such words bring a node back.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -169,7 +169,8 @@
         desk.now = now;
         desk.set_timer(PULSE, Timer::Pulse);
         if !budgets.is_empty() {
-            desk.budgets = Some(Box::new(Ends::new(now, budgets)));
+            // The seed of the decisions may be the same on many.
+            desk.budgets = Some(Box::new(Ends::new(now, budgets).with_seed(self.seed ^ now)));
             desk.set_timer(WANTS, Timer::Wants);
         }
         if let Some(service) = service {
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -487,13 +487,17 @@
 
     /// Whether the room below lets in what needs a call: else when it is worth to come back.
     pub fn gate(&mut self, op: OpId, key: Option<Key>) -> Result<bool, Nanos> {
-        let Some(gate) = &mut self.gate else { return Ok(false) };
+        if self.gate.is_none() {
+            return Ok(false);
+        }
         let operation = &self.start.premises.operations[op.0];
         // A repeat needs no call: what it repeats makes it.
         let is_repeat = key.is_some_and(|key| self.kept.original(self.now, key).is_some());
         if !operation.calls_below || operation.share_without_call > 0.0 || is_repeat {
             return Ok(false);
         }
+        self.start_slowly();
+        let Some(gate) = &mut self.gate else { return Ok(false) };
         gate.admits(self.now, self.budgets.as_deref_mut(), self.judge.as_deref_mut()).map(|()| true)
     }
 
--- a/crates/node/src/desk/calls.rs
+++ b/crates/node/src/desk/calls.rs
@@ -44,6 +44,7 @@
         let longest = self.start.premises.operations[op.0].client_timeout;
         let timeout = if timeout == 0 { longest } else { timeout };
         let now = self.now;
+        self.start_slowly();
         let room = match &mut self.budgets {
             None => Ok(()),
             // Those that wait go first.
@@ -113,6 +114,7 @@
     /// Sends the calls that wait, as far as there is room below, in their order.
     pub fn send_waiting(&mut self) {
         self.calls_due = None;
+        self.start_slowly();
         while let Some((id, no)) = self.calls_waiting.front().copied() {
             let waits = self.invs.get(&id).and_then(|inv| inv.call.as_ref()).filter(|call| call.no == no);
             let Some((until, repeats)) = waits.and_then(|call| match call.place {
@@ -247,6 +249,14 @@
 
     // ---- The service's health ----
 
+    /// While the service below starts, budgets give the share of their rates that the judgement on it allows: the sum of what all
+    /// nodes send rises with the service, however much is wanted.
+    pub fn start_slowly(&mut self) {
+        if let (Some(budgets), Some(judge)) = (&mut self.budgets, &self.judge) {
+            budgets.slow_start(self.now, judge.share(self.now));
+        }
+    }
+
     /// Has the judgement on the service below looked at or changed, and says so if it goes about the service otherwise since.
     pub fn judged<T>(&mut self, f: impl FnOnce(&mut Judge, Nanos) -> T) -> Option<T> {
         let judge = self.judge.as_mut()?;
--- a/crates/node/tests/shared.rs
+++ b/crates/node/tests/shared.rs
@@ -54,6 +54,13 @@
     assert!(outcome.below.came_while_down > 0, "{:?}", outcome.below);
 }
 
+#[test]
+fn the_sum_of_what_all_send_rises_with_a_service_that_starts_cold() {
+    let (_, outcome) = holds("slow-start.xml");
+    println!("the worst second: {:?} calls over what it takes", outcome.over_a_start);
+    assert!(outcome.over_a_start.is_some() && outcome.below.calls > 1500, "{:?}", outcome.below);
+}
+
 #[test]
 fn a_service_that_is_ill_for_some_is_told_from_one_that_is_ill() {
     holds("service-looks-dead.xml");
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -215,6 +215,8 @@
     pub judged: bool,
     /// Tries while it was down, over all nodes, at most.
     pub tries_most: Option<usize>,
+    /// Whether calls, of all nodes together, must rise with it when it is back.
+    pub slow_start: bool,
 }
 
 /// A limit by key of the whole fleet, in a timetable.
@@ -462,6 +464,7 @@
             warm: span(below, "warm").unwrap_or(Duration::from_secs(3)),
             judged: is(below, "judged"),
             tries_most: number(below, "tries-most").map(|n| n as usize),
+            slow_start: is(below, "slow-start"),
         };
     }
     if let Some(keys) = root.one("keys") {
--- /dev/null
+++ b/crates/shared/tests/slow_start.rs
@@ -0,0 +1,172 @@
+//! A service below that starts cold, under the sum of what all processes send: in every window they stay within what it takes
+//! then, with chance on top of it, though they learn of the start at different times, one hears nobody, one restarts in the middle,
+//! one was idle all the while, and all try in the same instants.
+
+use madderpoint_shared::judge::is_prober;
+use madderpoint_shared::{Budget, Ends, Judge, Kind, Mode, Nanos, Part, Who, Witnesses};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const MS: Nanos = 1_000_000;
+const S: Nanos = 1000 * MS;
+const SERVICE: u64 = 7;
+/// It is down from then on, and back cold; the play ends.
+const DOWN: Nanos = 10 * S;
+const BACK: Nanos = 30 * S;
+const END: Nanos = BACK + 60 * S;
+/// A node restarts, and one that was idle has work again.
+const RESTART: Nanos = BACK + 17 * S;
+const WAKES: Nanos = BACK + 15 * S;
+const TICK: Nanos = 10 * MS;
+/// All try at once, so often.
+const TRIES: Nanos = 10 * MS;
+/// Units are lent for so long, and so often.
+const TERM: Nanos = S;
+const LENDS: Nanos = S / 2;
+
+/// What may come a second so long after the start, of the whole: the steps of the rise, as if all had begun with the start.
+fn ramp(since: Nanos) -> f64 {
+    let steps = (since / (5 * S)).min(4);
+    2f64.powi(steps as i32) / 16.0
+}
+
+struct Node {
+    judge: Judge,
+    ends: Ends,
+    heard: Witnesses,
+    no: u64,
+}
+
+/// What came of a play: by how much the worst window was over what is allowed, calls at all in the rise, and whether all is open.
+#[derive(Debug)]
+struct Outcome {
+    over: f64,
+    came: usize,
+    open: bool,
+}
+
+/// The window that is looked at, and how a process goes about a start.
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    Slowly,
+    /// By the judgement alone, as before: units are not scaled.
+    ByTheJudgementAlone,
+}
+
+fn play(nodes: usize, each: u32, window: Nanos, seed: u64, way: Way) -> Outcome {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let limit = each * nodes as u32;
+    let kind = Kind::Rate { burst: 50 * MS };
+    let floor = (each / 5).max(1);
+    let budget = Budget {
+        name: "below".into(),
+        limit,
+        floor,
+        nodes_most: nodes as u32 + 1,
+        kind,
+        repeats_only: false,
+    };
+    let new = |now: Nanos, n: usize, life: u64| Node {
+        judge: Judge::new(now, n as u32 % 3),
+        ends: Ends::new(now, std::slice::from_ref(&budget)).with_seed(seed << 20 | life << 10 | n as u64),
+        heard: Witnesses::new(64),
+        no: 0,
+    };
+    let mut all: Vec<Node> = (0..nodes).map(|n| new(0, n, 0)).collect();
+    // The first one restarts, the second one is idle, the last one hears nobody: nothing is lent to it.
+    let (idle, deaf) = (1, nodes - 1);
+    // Words and parts come to each at moments of its own.
+    let phase: Vec<Nanos> = (0..nodes).map(|_| rng.random_range(0..50) * TICK).collect();
+    let mut came: Vec<Nanos> = Vec::new();
+    let mut now = 0;
+    while now < END {
+        now += TICK;
+        let up = !(DOWN..BACK).contains(&now);
+        if now == RESTART {
+            all[0] = new(now, 0, 1);
+        }
+        for n in 0..nodes {
+            let node = &mut all[n];
+            if n != deaf && (now + phase[n]).is_multiple_of(LENDS) {
+                node.no += 1;
+                let units = budget.pool() / nodes as u32;
+                let part =
+                    Part { book: 1 + (now / RESTART), no: node.no, units, term: TERM, ..Part::default() };
+                node.ends.lent(now, now - 5 * MS, &[(budget.id(), part)]);
+            }
+            let tries = n != idle || !(DOWN - 9 * S..WAKES).contains(&now);
+            if tries && now.is_multiple_of(TRIES) {
+                if way == Way::Slowly {
+                    node.ends.slow_start(now, node.judge.share(now));
+                }
+                if node.judge.admits(now, false) && node.ends.take(now, false).is_ok() {
+                    if now >= BACK {
+                        came.push(now);
+                    }
+                    node.judge.ended(now, up);
+                }
+            }
+            if n != deaf && (now + phase[n]).is_multiple_of(LENDS) {
+                let word = node.judge.evidence(now);
+                for _ in 0..3 {
+                    let m = rng.random_range(0..nodes);
+                    if m != n && m != deaf && !rng.random_bool(0.1) {
+                        let from = Who { key: n as u64 + 1, life: 0 };
+                        all[m].heard.hear(now, from, SERVICE, word);
+                    }
+                }
+            }
+            if (now + phase[n]).is_multiple_of(LENDS) {
+                let node = &mut all[n];
+                let mut opinion = node.heard.opinion(now, SERVICE);
+                let members = if n == deaf { n..nodes } else { 0..deaf };
+                opinion.prober = is_prober(now, n as u64 + 1, SERVICE, members.map(|m| m as u64 + 1));
+                opinion.alone = n == deaf;
+                node.judge.told(now, opinion);
+            }
+        }
+    }
+    let mut over = f64::MIN;
+    for (at, last) in came.iter().enumerate() {
+        let from = last.saturating_sub(window).max(BACK - TICK);
+        let here = came[..=at].iter().rev().take_while(|call| **call > from).count() as f64;
+        // What it takes in the window, tick by tick.
+        let takes: f64 = (from / TICK + 1..=last / TICK)
+            .map(|tick| f64::from(limit) * ramp(tick * TICK - BACK) * TICK as f64 / S as f64)
+            .sum();
+        // A window that has only begun is one of the same length: what came before the start was nothing.
+        let takes = takes.max(f64::from(limit) * ramp(0) * window as f64 / S as f64);
+        over = over.max(here - (takes + 2.0 * takes.sqrt() + 2.0));
+    }
+    let open = all.iter().all(|node| node.judge.mode() == Mode::Open);
+    Outcome { over, came: came.len(), open }
+}
+
+#[test]
+fn the_sum_of_all_processes_stays_within_what_a_cold_service_takes() {
+    for nodes in [5, 20, 30] {
+        for each in [2, 5, 10] {
+            for window in [S / 2, S, 5 * S] {
+                for seed in 0..10 {
+                    let outcome = play(nodes, each, window, seed, Way::Slowly);
+                    let case =
+                        format!("{nodes} processes, {each} each, {window} ns, seed {seed}: {outcome:?}");
+                    assert!(outcome.over <= 0.0, "{case}");
+                    // And it is used again once it is warm.
+                    let most = f64::from(each) * nodes as f64 * 60.0;
+                    assert!(outcome.open && outcome.came as f64 > most * 0.25, "{case}");
+                }
+            }
+        }
+    }
+}
+
+/// The same play without it is over, so that the bound is one that can be broken.
+#[test]
+fn without_a_slow_start_the_same_play_is_over() {
+    for nodes in [5, 20, 30] {
+        let over =
+            (0..10).filter(|seed| play(nodes, 5, S, *seed, Way::ByTheJudgementAlone).over > 0.0).count();
+        assert!(over >= 8, "{nodes} processes: {over} of 10");
+    }
+}
--- a/crates/standins/src/rig.rs
+++ b/crates/standins/src/rig.rs
@@ -131,6 +131,8 @@
     /// What the service below recorded, and what ran by key.
     pub below: Recorded,
     pub keys_ran: usize,
+    /// By how many calls the worst second after a start of the service below was over what it takes then; below 0 if it was not.
+    pub over_a_start: Option<f64>,
     /// The most nodes that ran each number of the settings on trial, before it was good.
     pub on_trial: BTreeMap<u64, usize>,
     /// The number of the settings that each node ran when the play was over.
@@ -767,6 +769,13 @@
         if below.falls > 0 {
             wrong.push(format!("the service below died {} times by itself", below.falls));
         }
+        if self.script.below.slow_start {
+            match self.service.over_a_start(f64::from(self.script.calls_a_second)) {
+                Some(over) if over <= 0.0 => self.outcome.over_a_start = Some(over),
+                other => wrong
+                    .push(format!("calls after a start of the service below: {other:?} over what it takes")),
+            }
+        }
         let tries = self.script.below.tries_most.filter(|most| below.came_while_down > *most);
         if let Some(most) = tries {
             wrong.push(format!(
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -80,6 +80,8 @@
     next: u64,
     down_until: Option<Instant>,
     back: Option<Instant>,
+    /// When it was back, each time.
+    starts: Vec<Instant>,
     /// Times that it died by itself, and connections that were tried while it was down.
     falls: usize,
     came_while_down: usize,
@@ -168,6 +170,24 @@
         }
     }
 
+    /// By how many calls the worst second after a start was over what it takes then of so many a second, with chance on top: a
+    /// sixteenth at first, and twice as much after each 5 s. Nothing if it never started anew.
+    pub fn over_a_start(&self, a_second: f64) -> Option<f64> {
+        const SECOND: Duration = Duration::from_secs(1);
+        let state = self.lock();
+        let takes = |since: Duration| a_second * (since.as_secs_f64() / 5.0).floor().exp2().min(16.0) / 16.0;
+        let over = state.starts.iter().flat_map(|start| {
+            let after = state.came.iter().filter(move |came| **came >= *start);
+            after.clone().enumerate().map(move |(at, last)| {
+                let from = (*last - SECOND).max(*start);
+                let here = after.clone().take(at + 1).filter(|came| **came > from).count() as f64;
+                let takes = takes(*last - *start);
+                here - (takes + 2.0 * takes.sqrt() + 2.0)
+            })
+        });
+        over.reduce(f64::max)
+    }
+
     fn serve(&self, stream: TcpStream, zone: &str) -> Option<()> {
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream.try_clone().ok()?);
@@ -230,6 +250,7 @@
         match self.down_until {
             Some(until) if Instant::now() >= until => {
                 (self.down_until, self.back) = (None, Some(until));
+                self.starts.push(until);
                 false
             }
             down => down.is_some(),
