What is malformed or cut short on a connection is counted by its cause

Seen in reading: lost framing of a dispatcher and a reply that can't be read were a log line only, which the limit of 40 lines a second may drop; a request cut off by its peer or by the time that it took left no trace at all.

Tests: core what_is_malformed_or_cut_is_counted_by_cause, front the_rest_of_a_request_is_waited_for_and_no_longer_than_it_may (two cases more), link a_reply_that_is_cut_ends_its_connection_and_one_in_pieces_does_not (now by its cause).

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -67,8 +67,10 @@
     Front(ConnId, fastcgi::Event),
     /// A connection's peer has ended its side; it may still wait for answers.
     HalfClosed(ConnId),
-    /// What came on a connection can't be read on.
-    Garbled(ConnId),
+    /// What came on a connection can't be read on, and why.
+    Garbled(ConnId, &'static str),
+    /// A connection was ended, by its peer or for the time that it took, with a part of a request on it.
+    CutShort,
     /// There is no room for another connection.
     Crowded,
     /// The listen backlog was taken, and no connection comes any more.
@@ -85,8 +87,8 @@
     CallUnsent(CallNo, InvId),
     /// The back end replied on a link.
     Reply(usize, backend::Reply),
-    /// A connection to the back end ended.
-    BackendLost(BackendLink),
+    /// A connection to the back end ended; why, if what came on it can't be read on.
+    BackendLost(BackendLink, Option<&'static str>),
     /// Nothing was sent on the link at this place for a while.
     BackendQuiet(usize),
     /// The notice to leave.
@@ -271,8 +273,11 @@
                 left.into_iter().for_each(|id| self.caller_left(now, id));
             }
             Event::Front(conn, event) => self.front(moment, conn, event),
-            Event::HalfClosed(conn) | Event::Garbled(conn) => {
+            Event::HalfClosed(conn) | Event::Garbled(conn, _) => {
                 let mut desk = self.desk.borrow_mut();
+                if let Event::Garbled(_, cause) = event {
+                    desk.count(cause, 1);
+                }
                 desk.came(conn);
                 desk.no_more(conn);
             }
@@ -298,7 +303,9 @@
                 }
             }
             Event::Reply(place, reply) => self.reply(now, place, reply),
-            Event::BackendLost(link) => {
+            Event::CutShort => self.desk.borrow_mut().count("dispatcher: request cut short", 1),
+            Event::BackendLost(link, cause) => {
+                cause.into_iter().for_each(|cause| self.desk.borrow_mut().count(cause, 1));
                 let broke = self.desk.borrow_mut().backend_lost(link);
                 broke.into_iter().for_each(|id| self.call_over(now, id, CallEnding::MayHaveRun));
             }
--- a/crates/node/src/core/tests.rs
+++ b/crates/node/src/core/tests.rs
@@ -775,9 +775,9 @@
         let (_, no, id, _) = node.last_call();
         if written {
             node.event(Event::CallWritten(no, id, link(1)));
-            node.event(Event::BackendLost(link(1)));
+            node.event(Event::BackendLost(link(1), None));
         } else {
-            node.event(Event::BackendLost(link(1))); // another call's connection
+            node.event(Event::BackendLost(link(1), None)); // another call's connection
             node.event(Event::CallUnsent(no, id));
         }
         assert_eq!(node.calls(), again, "{path} {written}");
@@ -792,12 +792,28 @@
     node.call_wanted(A, 1);
     let (_, no, id, _) = node.last_call();
     let link = BackendLink { place: 0, generation: 1 };
-    node.event(Event::BackendLost(link));
+    node.event(Event::BackendLost(link, None));
     assert_eq!(node.statuses(), []);
     node.event(Event::CallWritten(no, id, link));
     assert_eq!(node.statuses(), [(1, "500".into())]);
 }
 
+/// What a peer spoils is counted by its cause, and nothing that is owed goes with it.
+#[test]
+fn what_is_malformed_or_cut_is_counted_by_cause() {
+    let mut node = Node::new();
+    node.ask(1, "/call/read", A);
+    let link = BackendLink { place: 0, generation: 1 };
+    node.event(Event::Garbled(node.conn, "record of an unknown version"));
+    node.event(Event::CutShort);
+    node.event(Event::BackendLost(link, Some("reply cut short")));
+    let counted = |what: &str| node.core.desk.borrow().counted(what);
+    let causes = ["record of an unknown version", "dispatcher: request cut short", "reply cut short"];
+    assert_eq!(causes.map(counted), [1; 3]);
+    node.reap(A, End::Ok, b"result");
+    assert_eq!(node.statuses(), [(1, "200".into())]);
+}
+
 #[test]
 fn a_quiet_link_rests_only_when_no_reply_is_awaited_on_it() {
     let mut node = Node::new();
--- a/crates/node/src/driver/backend_link.rs
+++ b/crates/node/src/driver/backend_link.rs
@@ -190,11 +190,12 @@
 }
 
 fn read_replies(stream: &TcpStream, link: BackendLink, events: &Sender<Message>) {
-    if let Err(what) = read_whole_replies(stream, link, events) {
+    let cause = read_whole_replies(stream, link, events).err();
+    if let Some(what) = cause {
         log!("back end: connection ended: {what}");
     }
     let _ = stream.shutdown(Shutdown::Both);
-    let _ = events.send(Message::Event(Event::BackendLost(link)));
+    let _ = events.send(Message::Event(Event::BackendLost(link, cause)));
 }
 
 fn read_whole_replies(
--- a/crates/node/src/driver/backend_link/tests.rs
+++ b/crates/node/src/driver/backend_link/tests.rs
@@ -112,7 +112,7 @@
     assert_eq!(bench.until(1), [(1, false)]);
     assert!(begun.elapsed() >= BLOCKED * BLOCKED_MOST, "{:?}", begun.elapsed());
     let lost = loop {
-        if let Event::BackendLost(link) = bench.event() {
+        if let Event::BackendLost(link, _) = bench.event() {
             break link;
         }
     };
@@ -132,7 +132,7 @@
     assert!(matches!(bench.event(), Event::Reply(0, reply) if reply.body == b"repl"));
     stream.write_all(b"two ok 100\r\nonly this").unwrap();
     let begun = Instant::now();
-    while !matches!(bench.event(), Event::BackendLost(_)) {}
+    while !matches!(bench.event(), Event::BackendLost(_, cause) if cause == Some("reply cut short")) {}
     assert!(begun.elapsed() >= CUT * (CUT_MOST - 1), "{:?}", begun.elapsed());
 }
 
--- a/crates/node/src/driver/front.rs
+++ b/crates/node/src/driver/front.rs
@@ -394,12 +394,15 @@
         if n == 0 {
             // It has told that nothing more comes, not that it waits for nothing.
             hand(Event::HalfClosed(ConnId(number)));
+            if reading.parser.is_partial() {
+                let _ = self.events.send(Message::Event(Event::CutShort));
+            }
             return self.deafen(number, true);
         }
         let front = |event| hand(Event::Front(ConnId(number), event));
         if let Err(fastcgi::Broken(what)) = reading.parser.feed(&buffer[..n], &mut { front }) {
             log!("dispatcher: connection ended: {what}");
-            hand(Event::Garbled(ConnId(number)));
+            hand(Event::Garbled(ConnId(number), what));
             return self.deafen(number, false);
         }
         let pause = reading.pause.load(SeqCst);
@@ -457,6 +460,9 @@
     fn shut(&mut self, number: u64) {
         let Some(reading) = self.reading.get_mut(&number) else { return };
         let _ = reading.socket.stream.shutdown(Shutdown::Write);
+        if reading.parser.is_partial() && matches!(reading.state, State::Read | State::Rests) {
+            let _ = self.events.send(Message::Event(Event::CutShort));
+        }
         if reading.state == (State::Deaf { ended: true }) || !self.places.has_one() {
             return self.gone(number);
         }
--- a/crates/node/src/driver/front/tests.rs
+++ b/crates/node/src/driver/front/tests.rs
@@ -64,8 +64,9 @@
             handed.push(match message {
                 Message::Event(Event::Front(conn, fastcgi::Event::Request(_))) => (conn.0, "request"),
                 Message::Event(Event::HalfClosed(conn)) => (conn.0, "half-closed"),
-                Message::Event(Event::Garbled(conn)) => (conn.0, "garbled"),
+                Message::Event(Event::Garbled(conn, _)) => (conn.0, "garbled"),
                 Message::Event(Event::Disconnected(conn)) => (conn.0, "gone"),
+                Message::Event(Event::CutShort) => (0, "cut short"),
                 Message::Event(Event::Crowded) => (0, "crowded"),
                 Message::Event(Event::NotListening) => (0, "not listening"),
                 Message::Accepted(conn, _, connection) => {
@@ -155,6 +156,16 @@
     assert_eq!(bench.state(number), Some(State::Read));
     bench.pass(number, |state| matches!(state, Some(State::Lingers { .. })));
     assert_eq!(reads_end(&client).unwrap(), 0);
+    assert_eq!(bench.handed(), [(0, "cut short")]);
+    // One that ends its side in the middle of a request is told apart from one that has asked.
+    let (mut client, number) = bench.client();
+    client.write_all(&half[..5]).unwrap();
+    bench.take(number, 5);
+    client.shutdown(Shutdown::Write).unwrap();
+    while bench.state(number) == Some(State::Read) {
+        bench.reader.take(number);
+    }
+    assert_eq!(bench.handed()[1..], [(number, "half-closed"), (0, "cut short")]);
 }
 
 #[test]
