--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -2,7 +2,7 @@
 
 use crate::classify::{Classifier, Held};
 use crate::fastcgi::Reply;
-use crate::kept::{Kept, Key};
+use crate::idempotency_cache::{IdempotencyCache, Key};
 use crate::outward::{BackendLink, CallNo, ConnId, Outward, Wants};
 use crate::request::Head;
 use crate::room::Room;
@@ -278,7 +278,7 @@
     kernel: KernelLink,
     /// The links to the back end, by place.
     below: [Below; BACKEND_LINKS],
-    kept: Kept,
+    cache: IdempotencyCache,
     /// By it keys that callers chose become numbers: nobody outside can make two of them meet.
     secret: RandomState,
     /// None where no rules are set: nothing is asked then.
@@ -332,7 +332,7 @@
             timers_set: 0,
             kernel: KernelLink::default(),
             below: Default::default(),
-            kept: Kept::new(room.results),
+            cache: IdempotencyCache::new(room.results),
             secret: RandomState::new(),
             rules: None,
             budgets: None,
@@ -492,7 +492,7 @@
         }
         let operation = &self.start.premises.operations[op.0];
         // A repeat needs no call: what it repeats makes it.
-        let is_repeat = key.is_some_and(|key| self.kept.original(self.now, key).is_some());
+        let is_repeat = key.is_some_and(|key| self.cache.original(self.now, key).is_some());
         if !operation.calls_below || operation.share_without_call > 0.0 || is_repeat {
             return Ok(false);
         }
@@ -530,12 +530,12 @@
 
     /// Why an invocation with this key may not be taken, if so: a status and the cause.
     pub fn key_refused(&mut self, key: &Key) -> Option<(u16, &'static str)> {
-        if self.kept.conflicts(self.now, key) {
+        if self.cache.conflicts(self.now, key) {
             return Some((409, "key in use with another body"));
         }
-        let is_new = key.once && self.kept.original(self.now, *key).is_none();
+        let is_new = key.once && self.cache.original(self.now, *key).is_none();
         // What must run once is not run where nothing would remember that it did.
-        (is_new && !self.kept.has_room(self.now)).then_some((429, "no room for another key"))
+        (is_new && !self.cache.has_room(self.now)).then_some((429, "no room for another key"))
     }
 
     /// Takes an invocation in hand; gives its id and what it repeats.
@@ -551,7 +551,7 @@
         let id = InvId(self.next_id);
         let Given { key, class, held, gated } = given;
         let patience = head.patience.unwrap_or(self.start.premises.operations[head.op.0].client_timeout);
-        let repeats = key.and_then(|key| self.kept.original(self.now, key));
+        let repeats = key.and_then(|key| self.cache.original(self.now, key));
         let invocation = Invocation {
             rid: head.rid.clone(),
             op: head.op,
@@ -647,9 +647,9 @@
         if let (Some(held), Some(rules)) = (inv.held, &mut self.rules) {
             rules.done(self.now, held);
         }
-        let result = self.kept.result(id).map(<[u8]>::to_vec);
+        let result = self.cache.result(id).map(<[u8]>::to_vec);
         if result.is_none() {
-            self.kept.over(id, inv.asked > 0 && !inv.never_ran);
+            self.cache.over(id, inv.asked > 0 && !inv.never_ran);
         }
         for joiner in inv.joiners {
             self.deferred.push_back(Deferred::JoinEnded(joiner, result.clone()));
@@ -768,17 +768,17 @@
         let Some(key) = desk.invs.get(&id).and_then(|inv| inv.key) else { return };
         let window = desk.now + lifetime + if key.once { CLOCKS_DIFFER } else { 0 };
         let late = if key.once { desk.start.premises.operations[key.op].client_timeout } else { 0 };
-        desk.kept.remember(desk.now, id, key, window, late);
+        desk.cache.remember(desk.now, id, key, window, late);
     }
     fn forget(&mut self, id: InvId) {
-        self.0.borrow_mut().kept.forget(id);
+        self.0.borrow_mut().cache.forget(id);
     }
     fn join(&mut self, id: InvId) {
         let desk = &mut *self.0.borrow_mut();
         let Some(inv) = desk.invs.get_mut(&id) else { return };
         inv.joined = Some(desk.now);
         let original = inv.repeats;
-        if let Some(result) = original.and_then(|of| desk.kept.result(of)) {
+        if let Some(result) = original.and_then(|of| desk.cache.result(of)) {
             let result = result.to_vec();
             return desk.deferred.push_back(Deferred::JoinEnded(id, Some(result)));
         }
--- a/crates/node/src/desk/runs.rs
+++ b/crates/node/src/desk/runs.rs
@@ -262,7 +262,7 @@
         match end {
             End::Ok => {
                 let fresh = self.start.premises.answer_fresh;
-                self.kept.keep(id, &body, self.now + fresh);
+                self.cache.keep(id, &body, self.now + fresh);
                 self.answer(id, 200, "", body);
             }
             End::Error => self.answer(id, 500, "", Vec::new()),
--- a/crates/node/src/kept.rs
+++ b/crates/node/src/idempotency_cache.rs
@@ -46,7 +46,7 @@
 }
 
 /// Keys of what is open or done, each with the latest invocation that holds it.
-pub struct Kept {
+pub struct IdempotencyCache {
     entries: HashMap<Alike, Entry>,
     keys: HashMap<InvId, Alike>,
     expiry: BTreeMap<(Nanos, InvId), Alike>,
@@ -55,12 +55,12 @@
     most_keys: usize,
 }
 
-impl Kept {
+impl IdempotencyCache {
     /// Room for results of so many bytes.
-    pub fn new(most_bytes: usize) -> Kept {
+    pub fn new(most_bytes: usize) -> IdempotencyCache {
         let (entries, keys, expiry) = Default::default();
         let most_keys = (most_bytes / KEY_BYTES).clamp(KEYS_LEAST, KEYS_MAX);
-        Kept { entries, keys, expiry, bytes: 0, most_bytes, most_keys }
+        IdempotencyCache { entries, keys, expiry, bytes: 0, most_bytes, most_keys }
     }
 
     /// Remembers a key for an invocation; an older one's entry moves to it. What arrives within the window repeats it, and is
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,7 +14,7 @@
 mod desk;
 pub mod driver;
 pub mod fastcgi;
-mod kept;
+mod idempotency_cache;
 pub mod kernel;
 pub mod log;
 pub mod members;
