--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -104,7 +104,7 @@
     !violations.is_empty()
 }
 
-/// The back end turns every fourth call away, and under trouble sends a second copy of that reply.
+/// The back end turns the first call of some requests away, and under trouble sends a second copy of that reply.
 pub fn overload_copy(place: &Place) -> Option<bool> {
     let (world, temp) = (place.world(), place.temp());
     let kernel = Kernel::start(
