--- a/crates/node/src/state/executions.rs
+++ b/crates/node/src/state/executions.rs
@@ -155,6 +155,10 @@
         execution.is_acknowledged = true;
         execution.wait = ExecutionWait::BackendCall { notice };
         execution.call_body = body;
+        self.actions.trace_step(
+            correlation_id,
+            format_args!("backend call needed by notice {notice}"),
+        );
         id
     }
 
@@ -215,6 +219,11 @@
             },
         };
         let command = self.send_command(command);
+        let with_reply = if reply.is_some() { "with" } else { "without" };
+        self.actions.trace_step(
+            &correlation_id,
+            format_args!("resumed {with_reply} reply for notice {notice} by command {command}"),
+        );
         if let Some(execution) = self.execution_mut(id) {
             execution.wait = ExecutionWait::Resumed {
                 notice,
