Fix: the reply to one backend call was taken for the reply to the next

Cause: resend_commands sent each IODONE above the last mark again. IODONE names the request only, and the executor takes it for the call that the execution waits for when the line is read. The trace of the case shows two resume commands for one notice and, 0.12 ms after the second, the notice of the next call, in all five affected requests. Change: a reply is sent at most once for a call (state/resumes.rs). If it may have been lost, NOIO follows, which names the notice, where the settings let calls be skipped; elsewhere the node waits 1 s for the execution's next notice and then fails the request. It asks for gauges 10 ms after such a reply, so that few are uncertain. Why it works: no line that the executor can take for another call is ever sent twice; a lost reply ends in NOIO or in an answer, never in a wait. Tests: six new ones; five of them and the rewritten one were seen to fail on the text before (the sixth guards the request for gauges).

--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -78,7 +78,7 @@
 }
 
 /// A message from the executor.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Notice {
     /// The executor has been up for `up_ms` milliseconds.
     Booted {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -57,6 +57,8 @@
     SilentExecutorLinks,
     /// Executions that became uncertain after a connection to the executor broke.
     UncertainExecutions,
+    /// Resume commands that may have been lost when a connection to the executor broke.
+    UncertainResumes,
     /// Executions past their client timeout whose state was requested again from the executor.
     OverdueExecutions,
     /// Backend calls requested by executions that the node does not know.
@@ -96,6 +98,7 @@
             Metric::RepliesToAbandonedCalls => "backend: replies to abandoned calls",
             Metric::SilentExecutorLinks => "executor: links gone silent",
             Metric::UncertainExecutions => "executions uncertain after a broken link",
+            Metric::UncertainResumes => "resume commands uncertain after a broken link",
             Metric::OverdueExecutions => "overdue executions asked for again",
             Metric::CallsOfUnknownExecutions => "executor: calls of unknown executions",
             Metric::EndsOfUnknownExecutions => "executor: ends of unknown executions",
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -214,6 +214,9 @@
             }
             Timer::ReconnectExecutor(mark) => self.state.borrow_mut().replace_executor_link(mark),
             Timer::UncertainExecution(id) => self.state.borrow_mut().fail_uncertain_execution(id),
+            Timer::UncertainResume(id, notice) => {
+                self.state.borrow_mut().fail_uncertain_resume(id, notice)
+            }
             Timer::StopAccepting => self.state.borrow_mut().stop_accepting(),
             Timer::QuietPeriod => self.state.borrow_mut().start_quiet_period(),
             Timer::DrainOver => self.state.borrow_mut().end_drain(),
--- a/crates/node/src/node/tests.rs
+++ b/crates/node/src/node/tests.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod drain;
 mod executor_link;
+mod executor_model;
 mod health_checks;
 mod idempotency;
 mod properties;
--- a/crates/node/src/node/tests/support.rs
+++ b/crates/node/src/node/tests/support.rs
@@ -29,6 +29,8 @@
     /// Connections that the node stopped reading.
     pub reading_stopped: Vec<ConnectionId>,
     pub executor_commands: Vec<String>,
+    /// All lines sent to the executor, including requests for gauges.
+    pub executor_lines: Vec<String>,
     /// Mark of the last request for gauges.
     pub gauges_requested: Option<u64>,
     pub calls: Vec<(usize, CallId, RequestId, String)>,
@@ -60,6 +62,7 @@
         self.paced.push((connection_id, pause));
     }
     fn send_executor_command(&mut self, line: String) {
+        self.executor_lines.push(line.clone());
         match line.strip_prefix(r#"{"t":"SYSINFO","mark":""#) {
             Some(rest) => {
                 self.gauges_requested = rest.split('"').next().map(|mark| mark.parse().unwrap())
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,7 +6,7 @@
 //! is still deciding; it is queued as a [`DeferredEvent`] until the controller has returned.
 //!
 //! Each part has its own file: [`connections`], [`idle_connections`] and [`health_checks`] for load
-//! balancers; [`requests`]; [`executor_link`] and [`executions`]; [`backend_calls`];
+//! balancers; [`requests`]; [`executor_link`], [`executions`] and [`resumes`]; [`backend_calls`];
 //! [`shared_limits`] and [`cluster_counters`] for state shared with the cluster; [`drain`];
 //! [`timers`].
 
@@ -50,6 +50,7 @@
 mod health_checks;
 mod idle_connections;
 mod requests;
+mod resumes;
 mod shared_limits;
 mod timers;
 
--- a/crates/node/src/state/executions.rs
+++ b/crates/node/src/state/executions.rs
@@ -6,10 +6,10 @@
 use crate::metrics::Metric;
 use madderpoint::{Idempotency, Nanos, RequestId};
 
-/// Delay between the start command of a non-idempotent request and the following request for
-/// gauges. The mark that returns with the gauges confirms that the command arrived, so only
-/// commands sent within this delay are uncertain when the link breaks.
-const START_MARK_DELAY: Nanos = 10 * MILLISECOND;
+/// Delay between a command that must not be sent twice and the following request for gauges. The
+/// mark that returns with the gauges confirms that the command arrived, so only commands sent
+/// within this delay are uncertain when the link breaks.
+pub(super) const MARK_DELAY: Nanos = 10 * MILLISECOND;
 
 /// State of an execution with regard to its backend calls.
 #[derive(Debug)]
@@ -21,13 +21,19 @@
         /// Number of the notice that requested the call.
         notice: u64,
     },
-    /// The execution was told to continue after a backend call.
-    Resumed {
-        /// Number of the notice that had requested the call.
+    /// The execution continues after a backend call as soon as the link is in step. No resume
+    /// command was sent for the call yet.
+    ResumePending {
+        /// Number of the notice that requested the call.
         notice: u64,
         /// Reply to the call; `None` if the execution continues without one.
         reply: Option<Vec<u8>>,
-        /// Number of the resume command; 0 if it could not be sent yet.
+    },
+    /// A resume command was sent for the latest backend call.
+    Resumed {
+        /// Number of the notice that requested the call.
+        notice: u64,
+        /// Number of the latest resume command for the call.
         command: u64,
     },
 }
@@ -41,7 +47,7 @@
     pub cancel_command: Option<u64>,
     /// Whether the executor has sent a notice that confirms the execution.
     pub is_acknowledged: bool,
-    /// Whether the execution runs, waits for a backend call, or was told to continue after a call.
+    /// Whether the execution runs, waits for a backend call, or continues after a call.
     pub wait: ExecutionWait,
     /// Body of the latest requested backend call.
     pub call_body: Vec<u8>,
@@ -107,7 +113,7 @@
             execution.start_command = command;
             request.start_commands += u32::from(command > 0);
             if self.idempotency(operation) != Idempotency::Idempotent {
-                self.set_timer(START_MARK_DELAY, Timer::RequestGauges);
+                self.set_timer(MARK_DELAY, Timer::RequestGauges);
             }
         }
     }
@@ -130,7 +136,7 @@
         }
     }
 
-    fn execution_mut(&mut self, id: RequestId) -> Option<&mut Execution> {
+    pub(super) fn execution_mut(&mut self, id: RequestId) -> Option<&mut Execution> {
         self.requests.get_mut(&id)?.execution.as_mut()
     }
 
@@ -170,69 +176,6 @@
             .is_some_and(|execution| matches!(execution.wait, ExecutionWait::BackendCall { .. }))
     }
 
-    /// Resumes an execution, with or without a reply to its backend call.
-    pub fn resume_execution(&mut self, id: RequestId, reply: Option<Vec<u8>>) {
-        let Some(execution) = self.execution_mut(id) else {
-            return;
-        };
-        let ExecutionWait::BackendCall { notice } = execution.wait else {
-            return;
-        };
-        execution.wait = ExecutionWait::Resumed {
-            notice,
-            reply,
-            command: 0,
-        };
-        self.resend_resume(id, |command| command == 0);
-    }
-
-    /// Sends the resume command of an execution if `is_missing` returns true for the number of the
-    /// last resume command sent, or for 0 if none was sent.
-    pub fn resend_resume(&mut self, id: RequestId, is_missing: impl Fn(u64) -> bool) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let correlation_id = request.correlation_id.clone();
-        let Some(execution) = request.execution.as_mut() else {
-            return;
-        };
-        let ExecutionWait::Resumed {
-            notice,
-            reply,
-            command,
-        } = &mut execution.wait
-        else {
-            return;
-        };
-        if !is_missing(*command) {
-            return;
-        }
-        let (notice, reply) = (*notice, reply.take());
-        let command = match &reply {
-            Some(body) => Command::ResumeWithReply {
-                rid: &correlation_id,
-                body,
-            },
-            None => Command::ResumeWithoutReply {
-                rid: &correlation_id,
-                no: notice,
-            },
-        };
-        let command = self.send_command(command);
-        let with_reply = if reply.is_some() { "with" } else { "without" };
-        self.actions.trace_step(
-            &correlation_id,
-            format_args!("resumed {with_reply} reply for notice {notice} by command {command}"),
-        );
-        if let Some(execution) = self.execution_mut(id) {
-            execution.wait = ExecutionWait::Resumed {
-                notice,
-                reply,
-                command,
-            };
-        }
-    }
-
     /// Handles the end of an execution and answers its request. Returns the request, or `None` if
     /// there is no such execution.
     pub fn execution_ended(
--- a/crates/node/src/state/executor_link.rs
+++ b/crates/node/src/state/executor_link.rs
@@ -21,8 +21,9 @@
 const SILENT_CHECKS: u32 = 5;
 /// Minimum time between two checks for silence.
 const SILENT_CHECK_PERIOD: Nanos = 400 * MILLISECOND;
-/// Time to wait for a notice of an uncertain execution before its request fails.
-const UNCERTAIN_TIMEOUT: Nanos = 1000 * MILLISECOND;
+/// Time to wait for a notice of an uncertain execution, or of one whose resume command is uncertain,
+/// before its request fails.
+pub(super) const UNCERTAIN_TIMEOUT: Nanos = 1000 * MILLISECOND;
 
 /// State of the link to the executor.
 #[derive(Default)]
@@ -227,8 +228,9 @@
         fresh.map_or_else(Gauges::default, |(_, gauges)| gauges)
     }
 
-    /// Sends the commands that waited for the link, and repeats those after command number
-    /// `arrived`, which may have been lost with the previous link.
+    /// Sends the commands that waited for the link, and deals with those after command number
+    /// `arrived`, which may have been lost with the previous link: a command is sent again only if
+    /// it cannot apply to a later state of the execution than the one that it was sent for.
     fn resend_commands(&mut self, arrived: u64) {
         let is_missing = |command: u64| command == 0 || command > arrived;
         let running: Vec<RequestId> = self
@@ -257,7 +259,8 @@
                     self.set_timer(UNCERTAIN_TIMEOUT, Timer::UncertainExecution(id));
                 }
             }
-            self.resend_resume(id, is_missing);
+            self.check_resume(id, is_missing);
+            self.send_pending_resume(id);
             if cancel.is_some_and(is_missing) {
                 self.cancel_execution(id);
             }
--- a/crates/node/src/state/timers.rs
+++ b/crates/node/src/state/timers.rs
@@ -24,6 +24,10 @@
     /// Fail a request whose start command may have been lost with the link to the executor, if the
     /// executor has sent no notice of the request's execution by now.
     UncertainExecution(RequestId),
+    /// Fail a request whose resume command may have been lost with the link to the executor, if the
+    /// execution has sent no notice by now. The second field is the number of the notice that had
+    /// requested the call.
+    UncertainResume(RequestId, u64),
     /// Stop listening at the end of the drain grace.
     StopAccepting,
     /// Start the quiet period, when all answers are due to be written out.
