Fix: requests in pieces on one connection were cut off and answered as malformed

Cause: Parser::read_content bounded what the unfinished requests of one connection hold by its even share of the memory, 7 KiB at 32 MB and 384 descriptors; the protocol allows 32 requests of 2 KiB with their parameters. Headers and padding of records counted as skipped bytes too, so that requests in small records, or given up by their clients, ended the connection. Change: request_memory.rs: one request of the largest size is reserved for each connection, and all connections share 5.6 MB at the smallest limits, of which each may hold as much as is left free. A request for which that does not suffice is read to its end and rejected with OVERLOADED. Only bytes that bring no request forward count as skipped. fastcgi.rs is split in three. Why it works: no bound depends any more on how records alternate or are cut; what remains is the memory of all connections, and its lack is no fault of the peer.

--- a/crates/node/src/capacity.rs
+++ b/crates/node/src/capacity.rs
@@ -5,6 +5,8 @@
 #![warn(missing_docs)]
 
 use crate::config::Limits;
+use crate::fastcgi;
+use crate::request_memory::RESERVED_BYTES;
 
 /// Descriptors reserved for everything except load balancers' connections: standard streams,
 /// signals, the listener, the executor link (two while its address changes), the backend links and
@@ -12,8 +14,10 @@
 const RESERVED_DESCRIPTORS: usize = 32;
 /// Memory of a node without connections, in bytes.
 const BASE_BYTES: usize = 6 << 20;
-/// Memory of one connection, in bytes.
-const CONNECTION_BYTES: usize = 4 << 10;
+/// Memory of one connection, in bytes: its socket and buffers, the memory reserved for its
+/// unfinished requests, and the entries of as many of them as it may have open.
+const CONNECTION_BYTES: usize =
+    (4 << 10) + RESERVED_BYTES + fastcgi::MAX_OPEN * fastcgi::UNFINISHED_ENTRY_BYTES;
 /// Memory of the largest request, in bytes.
 const REQUEST_BYTES: usize = 7 << 10;
 /// Memory of the largest notice of the executor or reply of the backend, in bytes.
@@ -46,8 +50,9 @@
     pub connections: usize,
     /// Number of open connections above which an idle one is closed to make room for the next one.
     pub idle_eviction_threshold: usize,
-    /// Maximum size of the incomplete requests on one connection, in bytes.
-    pub partial_request_bytes: usize,
+    /// Maximum size of the incomplete requests on all connections together, beyond what is reserved
+    /// for each connection, in bytes.
+    pub shared_request_bytes: usize,
     /// Maximum size of the answers that load balancers have not read yet, in bytes, over all
     /// connections.
     pub unread_answer_bytes: usize,
@@ -118,7 +123,7 @@
         CapacityLimits {
             connections,
             idle_eviction_threshold: connections - connections / 8,
-            partial_request_bytes: (part / connections).clamp(REQUEST_BYTES, 96 << 10),
+            shared_request_bytes: (free * 3 / 8).saturating_sub(connections * CONNECTION_BYTES),
             unread_answer_bytes: part,
             load_balancer_events: (part / REQUEST_BYTES).clamp(32, 4096),
             peer_events: (part / NOTICE_BYTES).clamp(32, 4096),
@@ -155,7 +160,8 @@
         };
         let settings = settings + self.rollout_bytes + contents;
         BASE_BYTES
-            + self.connections * (CONNECTION_BYTES + self.partial_request_bytes)
+            + self.connections * CONNECTION_BYTES
+            + self.shared_request_bytes
             + waiting
             + written
             + 2 * self.result_bytes
--- a/crates/node/src/fastcgi.rs
+++ b/crates/node/src/fastcgi.rs
@@ -3,21 +3,34 @@
 //!
 //! The parser accepts bytes split at any point and uses no socket, clock or thread. Its memory and
 //! work are bounded: the number and bytes of unfinished requests, and the bytes skipped between two
-//! complete requests. After a [`ParseError`] the connection cannot be read any further.
+//! complete requests. No bound depends on how the requests of a connection are split into records
+//! or on how their records alternate: a peer that keeps at most [`MAX_OPEN`] requests open, each
+//! within [`PARAMS_MAX`] and [`BODY_MAX`], meets none of them but the memory that all connections
+//! share, and a request for which that does not suffice is marked as such. After a [`ParseError`]
+//! the connection cannot be read any further.
 
-use std::io::IoSlice;
+mod reply;
+mod unfinished;
+
+pub use reply::{ProtocolStatus, Reply};
+pub use unfinished::UNFINISHED_ENTRY_BYTES;
+
+use crate::request_memory::ConnectionMemory;
+use reply::header;
 use thiserror::Error;
+use unfinished::Unfinished;
 
 /// Maximum number of unfinished requests on one connection. GET_VALUES reports this number, times
 /// the number of connections, as the number of concurrent requests.
 pub const MAX_OPEN: usize = 32;
 /// Maximum length of a request's body, in bytes. A longer body is cut off and marked.
 pub const BODY_MAX: usize = 2048;
-/// Maximum length of a request's encoded parameters, in bytes.
-const PARAMS_MAX: usize = 4096;
+/// Maximum length of a request's encoded parameters, in bytes. Longer parameters are cut off and
+/// marked.
+pub const PARAMS_MAX: usize = 4096;
 /// Maximum number of bytes skipped between two complete requests: content that is too large or
-/// belongs to no unfinished request, headers and padding. Skipping more would waste CPU time on a
-/// peer that sends no requests.
+/// belongs to no unfinished request, and headers and padding of records without other content.
+/// Skipping more would waste CPU time on a peer that sends no requests.
 const SKIPPED_MAX: usize = 64 * 1024;
 /// Maximum number of bytes kept of a record that is not part of a stream.
 const DISCRETE_MAX: usize = 1024;
@@ -41,17 +54,6 @@
 /// The BEGIN_REQUEST flag that keeps the connection open after the answer.
 const KEEP_CONN: u8 = 1;
 
-/// How a request ended, in END_REQUEST.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ProtocolStatus {
-    /// The request was answered, or aborted by the load balancer.
-    Complete = 0,
-    /// The request was rejected because the connection has [`MAX_OPEN`] unfinished requests.
-    Overloaded = 2,
-    /// The request asked for a role other than responder.
-    UnknownRole = 3,
-}
-
 /// A request that was read completely.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Request {
@@ -65,6 +67,9 @@
     pub body: Vec<u8>,
     /// Whether the parameters or the body exceeded their bounds and were cut off.
     pub oversize: bool,
+    /// Whether the node had no memory for the whole request. The parameters and the body are then
+    /// empty.
+    pub no_memory: bool,
 }
 
 /// A message from a load balancer that the parser has read completely.
@@ -107,78 +112,6 @@
     }
 }
 
-/// Bytes to write, in up to three parts, so that the body need not be copied.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Reply {
-    head: Vec<u8>,
-    body: Vec<u8>,
-    tail: Vec<u8>,
-}
-
-impl Reply {
-    /// Returns the size of all parts, in bytes.
-    pub fn size(&self) -> usize {
-        self.head.len() + self.body.len() + self.tail.len()
-    }
-
-    /// Creates a reply that consists of these bytes.
-    pub fn raw(head: Vec<u8>) -> Reply {
-        Reply {
-            head,
-            ..Reply::default()
-        }
-    }
-
-    /// Returns the parts in the order in which they are written.
-    pub fn slices(&self) -> [IoSlice<'_>; 3] {
-        [
-            IoSlice::new(&self.head),
-            IoSlice::new(&self.body),
-            IoSlice::new(&self.tail),
-        ]
-    }
-
-    /// Encodes an answer: a CGI response on STDOUT, then the end of the request. `fields` are
-    /// header lines, each with its CR LF. The header and the body have at most 65,535 bytes
-    /// together.
-    pub fn answer(id: u16, status: u16, fields: &str, body: Vec<u8>) -> Reply {
-        let text = format!("Status: {status}\r\n{fields}\r\n");
-        let len = text.len() + body.len();
-        debug_assert!(
-            len <= usize::from(u16::MAX),
-            "an answer of {len} bytes does not fit in one record"
-        );
-        let padding = len.wrapping_neg() % 8;
-        let mut head = Vec::with_capacity(HEADER + text.len());
-        header(&mut head, STDOUT, id, len, padding);
-        head.extend_from_slice(text.as_bytes());
-        let mut tail = vec![0; padding];
-        header(&mut tail, STDOUT, id, 0, 0);
-        end(&mut tail, id, ProtocolStatus::Complete);
-        Reply { head, body, tail }
-    }
-
-    /// Encodes the end of a request without a response.
-    pub fn end(id: u16, status: ProtocolStatus) -> Reply {
-        let mut head = Vec::with_capacity(2 * HEADER);
-        end(&mut head, id, status);
-        Reply {
-            head,
-            ..Reply::default()
-        }
-    }
-}
-
-fn header(out: &mut Vec<u8>, kind: u8, id: u16, len: usize, padding: usize) {
-    let ([i1, i0], [l1, l0]) = (id.to_be_bytes(), (len as u16).to_be_bytes());
-    out.extend_from_slice(&[VERSION, kind, i1, i0, l1, l0, padding as u8, 0]);
-}
-
-fn end(out: &mut Vec<u8>, id: u16, status: ProtocolStatus) {
-    header(out, END_REQUEST, id, 8, 0);
-    out.extend_from_slice(&[0, 0, 0, 0, status as u8, 0, 0, 0]);
-}
-
 /// Returns an iterator over encoded name-value pairs, without copying them. The iterator ends after
 /// a [`ParseError::PairCutShort`].
 pub fn pairs(mut bytes: &[u8]) -> impl Iterator<Item = Result<(&[u8], &[u8]), ParseError>> {
@@ -209,12 +142,6 @@
     Some(u32::from_be_bytes([first & 0x7f, rest[0], rest[1], rest[2]]) as usize)
 }
 
-/// A request that was read only in part.
-struct Unfinished {
-    request: Request,
-    params_done: bool,
-}
-
 /// The record that is being read, with the number of bytes that are still missing.
 #[derive(Clone, Copy, Default)]
 struct Record {
@@ -222,14 +149,19 @@
     id: u16,
     content_left: usize,
     padding_left: usize,
+    /// Whether the record has content of an unfinished request that is within its bounds. Its header
+    /// and padding then do not count as skipped.
+    has_request_content: bool,
 }
 
 /// Parses the records of one connection.
 ///
 /// ```
 /// use madderpoint_node::fastcgi::{Event, Parser};
+/// use madderpoint_node::request_memory::{ConnectionMemory, SharedRequestMemory};
 ///
-/// let mut parser = Parser::new(100, 65536);
+/// let memory = SharedRequestMemory::new(65536);
+/// let mut parser = Parser::new(100, ConnectionMemory::new(&memory));
 /// // ABORT_REQUEST of request 7, in two parts.
 /// let mut events = Vec::new();
 /// parser.feed(&[1, 2, 0], &mut |event| events.push(event)).unwrap();
@@ -246,17 +178,16 @@
     /// Content of the current record, if the record is not part of a stream.
     discrete: Vec<u8>,
     unfinished: Vec<Unfinished>,
-    /// Maximum size of all unfinished requests together, in bytes.
-    unfinished_max: usize,
+    /// Memory of the unfinished requests.
+    memory: ConnectionMemory,
     /// Number of bytes skipped since the last complete request.
     skipped: usize,
 }
 
 impl Parser {
     /// Creates a parser for a new connection. `max_conns` is the number of connections in answers
-    /// to GET_VALUES; `unfinished_max` is the maximum size of all unfinished requests together, in
-    /// bytes.
-    pub fn new(max_conns: usize, unfinished_max: usize) -> Parser {
+    /// to GET_VALUES; `memory` is that of the connection's unfinished requests.
+    pub fn new(max_conns: usize, memory: ConnectionMemory) -> Parser {
         Parser {
             max_conns,
             header: [0; HEADER],
@@ -264,7 +195,7 @@
             record: None,
             discrete: Vec::new(),
             unfinished: Vec::new(),
-            unfinished_max,
+            memory,
             skipped: 0,
         }
     }
@@ -274,6 +205,13 @@
         self.header_read > 0 || self.record.is_some() || !self.unfinished.is_empty()
     }
 
+    /// Drops all unfinished requests and frees their memory, because nothing more is parsed.
+    pub fn discard_unfinished(&mut self) {
+        while let Some(unfinished) = self.unfinished.pop() {
+            self.memory.give_back(unfinished.memory);
+        }
+    }
+
     /// Parses the next bytes and passes each event that they complete to `sink`.
     pub fn feed(
         &mut self,
@@ -296,12 +234,14 @@
                 continue;
             };
             let length = bytes.len().min(record.content_left);
-            let kept = self.read_content(record, &bytes[..length]);
+            let within = self.read_content(record, &bytes[..length]);
+            record.has_request_content |= within > 0;
             record.content_left -= length;
             let padding = (bytes.len() - length).min(record.padding_left);
             record.padding_left -= padding;
             bytes = &bytes[length + padding..];
-            self.skip(length - kept + padding)?;
+            let is_overhead = !record.has_request_content;
+            self.skip(length - within + if is_overhead { padding } else { 0 })?;
             if record.content_left > 0 || record.padding_left > 0 {
                 self.record = Some(record);
                 return Ok(());
@@ -322,6 +262,7 @@
             id: u16::from_be_bytes([i1, i0]),
             content_left: usize::from(u16::from_be_bytes([l1, l0])),
             padding_left: usize::from(padding),
+            has_request_content: false,
         })
     }
 
@@ -340,36 +281,29 @@
         }
     }
 
-    /// Reads content of a record. Returns the number of bytes that were kept for a request.
+    /// Reads content of a record. Returns the number of bytes that belong to an unfinished request
+    /// and are within its bounds.
     fn read_content(&mut self, record: Record, bytes: &[u8]) -> usize {
-        let stream = record.kind == PARAMS || record.kind == STDIN;
-        if record.id == 0 || !stream {
+        let is_stream = record.kind == PARAMS || record.kind == STDIN;
+        if record.id == 0 || !is_stream {
             let kept = bytes.len().min(DISCRETE_MAX - self.discrete.len());
             self.discrete.extend_from_slice(&bytes[..kept]);
             return 0;
         }
-        let used: usize = self
+        let unfinished = self
             .unfinished
-            .iter()
-            .map(|unfinished| unfinished.request.params.len() + unfinished.request.body.len())
-            .sum();
-        let room = self.unfinished_max.saturating_sub(used);
-        let Some(Unfinished {
-            request,
-            params_done,
-        }) = self.unfinished(record.id)
-        else {
-            return 0;
-        };
-        let (stream, max_bytes) = match record.kind {
-            PARAMS if *params_done => return 0,
-            PARAMS => (&mut request.params, PARAMS_MAX),
-            _ => (&mut request.body, BODY_MAX),
-        };
-        let kept = bytes.len().min(max_bytes - stream.len()).min(room);
-        stream.extend_from_slice(&bytes[..kept]);
-        request.oversize |= kept < bytes.len();
-        kept
+            .iter_mut()
+            .find(|unfinished| unfinished.request.id == record.id);
+        unfinished.map_or(0, |unfinished| {
+            unfinished.read_content(record.kind, bytes, &mut self.memory)
+        })
+    }
+
+    /// Removes an unfinished request whose memory is no longer the parser's to bound.
+    fn remove_unfinished(&mut self, index: usize) -> Unfinished {
+        let unfinished = self.unfinished.swap_remove(index);
+        self.memory.give_back(unfinished.memory);
+        unfinished
     }
 
     /// Handles a record that was read completely.
@@ -379,17 +313,16 @@
         sink: &mut impl FnMut(Event),
     ) -> Result<(), ParseError> {
         let empty = self.header[4..6] == [0, 0];
-        self.skip(HEADER)?;
+        if !record.has_request_content {
+            self.skip(HEADER)?;
+        }
         match (record.kind, record.id) {
             (GET_VALUES, 0) => sink(Event::Reply(self.encode_variables()?)),
             (kind, 0) => {
                 let mut head = Vec::with_capacity(2 * HEADER);
                 header(&mut head, UNKNOWN_TYPE, 0, 8, 0);
                 head.extend_from_slice(&[kind, 0, 0, 0, 0, 0, 0, 0]);
-                sink(Event::Reply(Reply {
-                    head,
-                    ..Reply::default()
-                }));
+                sink(Event::Reply(Reply::raw(head)));
             }
             (BEGIN_REQUEST, id) => return self.begin_request(id, sink),
             (ABORT_REQUEST, id) => match self
@@ -398,7 +331,10 @@
                 .position(|unfinished| unfinished.request.id == id)
             {
                 Some(index) => {
-                    self.unfinished.swap_remove(index);
+                    let aborted = self.remove_unfinished(index);
+                    if aborted.params_length > 0 {
+                        self.skipped = 0; // a request, though its client did not wait for its end
+                    }
                     sink(Event::Reply(Reply::end(id, ProtocolStatus::Complete)));
                 }
                 None => sink(Event::Abort(id)),
@@ -413,7 +349,7 @@
                     |unfinished: &Unfinished| unfinished.request.id == id && unfinished.params_done;
                 if let Some(index) = self.unfinished.iter().position(is_whole) {
                     self.skipped = 0;
-                    sink(Event::Request(self.unfinished.swap_remove(index).request));
+                    sink(Event::Request(self.remove_unfinished(index).request));
                 }
             }
             // Content of streams was handled in `read_content`. Records of ids that are not open
@@ -432,18 +368,8 @@
         }
         let status = match u16::from_be_bytes([r1, r0]) {
             RESPONDER if self.unfinished.len() < MAX_OPEN => {
-                let (keep_conn, params, body) = (flags & KEEP_CONN != 0, Vec::new(), Vec::new());
-                let request = Request {
-                    id,
-                    keep_conn,
-                    params,
-                    body,
-                    oversize: false,
-                };
-                self.unfinished.push(Unfinished {
-                    request,
-                    params_done: false,
-                });
+                let keep_conn = flags & KEEP_CONN != 0;
+                self.unfinished.push(Unfinished::new(id, keep_conn));
                 return Ok(());
             }
             RESPONDER => ProtocolStatus::Overloaded,
@@ -472,11 +398,7 @@
         }
         let mut head = Vec::with_capacity(HEADER);
         header(&mut head, GET_VALUES_RESULT, 0, body.len(), 0);
-        Ok(Reply {
-            head,
-            body,
-            tail: Vec::new(),
-        })
+        Ok(Reply::record(head, body))
     }
 }
 
--- a/crates/node/src/fastcgi/tests.rs
+++ b/crates/node/src/fastcgi/tests.rs
@@ -1,8 +1,32 @@
 use super::*;
+use crate::capacity::{CapacityLimits, OptionalSubsystems};
+use crate::config::Limits;
+use crate::request_memory::{RESERVED_BYTES, SharedRequestMemory};
 use madderpoint_test_harness::wire::{self, begin, damaged, record, same_at_every_split};
+use proptest::prelude::*;
+use std::sync::Arc;
+
+/// A parser whose connection shares `shared_bytes` with no other.
+fn parser(shared_bytes: usize) -> Parser {
+    Parser::new(
+        976,
+        ConnectionMemory::new(&SharedRequestMemory::new(shared_bytes)),
+    )
+}
+
+/// The memory that connections share at the smallest limits of a process.
+fn smallest_shared_memory() -> Arc<SharedRequestMemory> {
+    let limits = Limits {
+        cores: 0.1,
+        memory_mb: 32.0,
+        sockets: 384,
+    };
+    let capacity = CapacityLimits::of(&limits, 8, OptionalSubsystems::default());
+    SharedRequestMemory::new(capacity.shared_request_bytes)
+}
 
 fn read(parts: &[&[u8]]) -> (Vec<Event>, Result<(), ParseError>) {
-    let (mut parser, mut events) = (Parser::new(976, 65536), Vec::new());
+    let (mut parser, mut events) = (parser(1 << 20), Vec::new());
     let result = parts
         .iter()
         .try_for_each(|part| parser.feed(part, &mut |event| events.push(event)));
@@ -115,7 +139,7 @@
     let (events, _) = read_whole(&sequence);
     assert!(matches!(&events[..], [Event::Request(r)] if r.oversize && r.body.len() == BODY_MAX));
     let sequence = [begin(1, 1, true), record(wire::PARAMS, 1, &[1; 60_000], 0)].concat();
-    let mut parser = Parser::new(1, 65536);
+    let mut parser = parser(1 << 20);
     parser.feed(&sequence, &mut |_| ()).unwrap();
     assert!(
         parser.unfinished[0].request.oversize
@@ -123,23 +147,272 @@
     );
 }
 
+/// Requests for which there is no memory are marked as such, and hold none. They are not the peer's
+/// fault and do not end the connection.
 #[test]
 fn unfinished_requests_of_a_connection_share_a_size_limit() {
-    let mut parser = Parser::new(1, 70_000);
+    const SHARED: usize = 140_000;
+    let memory = SharedRequestMemory::new(SHARED);
+    let mut parser = Parser::new(1, ConnectionMemory::new(&memory));
+    let mut events = Vec::new();
     for id in 1..=MAX_OPEN as u16 {
         let part = [
             begin(id, 1, true),
             record(wire::PARAMS, id, &[1; PARAMS_MAX], 0),
         ]
         .concat();
-        parser.feed(&part, &mut |_| ()).unwrap();
+        parser.feed(&part, &mut |event| events.push(event)).unwrap();
+        let kept: usize = parser
+            .unfinished
+            .iter()
+            .map(|o| o.request.params.capacity() + o.request.body.capacity())
+            .sum();
+        assert_eq!(
+            kept,
+            parser.unfinished.iter().map(|o| o.memory).sum::<usize>()
+        );
+        assert_eq!(memory.used(), kept.saturating_sub(RESERVED_BYTES));
+        assert!(kept <= SHARED / 2 + RESERVED_BYTES);
+    }
+    let fitting = (SHARED / 2 + RESERVED_BYTES) / PARAMS_MAX;
+    for id in 1..=MAX_OPEN as u16 {
+        let part = [
+            record(wire::PARAMS, id, &[], 0),
+            record(wire::STDIN, id, &[], 0),
+        ]
+        .concat();
+        parser.feed(&part, &mut |event| events.push(event)).unwrap();
+    }
+    let is_whole = |event: &Event| match event {
+        Event::Request(r) => {
+            assert_eq!(r.params.len(), if r.no_memory { 0 } else { PARAMS_MAX });
+            assert!(!r.oversize);
+            !r.no_memory
+        }
+        _ => panic!("{event:?}"),
+    };
+    assert_eq!(events.len(), MAX_OPEN);
+    assert_eq!(
+        events.iter().filter(|event| is_whole(event)).count(),
+        fitting
+    );
+    assert_eq!(memory.used(), 0);
+}
+
+/// The body of a request for which there was no memory is read to its end, also in many records, and
+/// the connection goes on.
+#[test]
+fn the_rest_of_a_request_without_memory_is_not_counted_as_skipped() {
+    let mut parser = parser(0);
+    let mut events = Vec::new();
+    let head = |id| {
+        [
+            begin(id, 1, true),
+            record(wire::PARAMS, id, &[1; PARAMS_MAX], 0),
+            record(wire::PARAMS, id, &[], 0),
+        ]
+        .concat()
+    };
+    let mut bytes = [head(1), head(2)].concat();
+    for id in [1, 2] {
+        for _ in 0..BODY_MAX {
+            bytes.extend(record(wire::STDIN, id, &[7], 255));
+        }
     }
-    let kept: usize = parser
-        .unfinished
+    bytes.extend(
+        [
+            record(wire::STDIN, 1, &[], 0),
+            record(wire::STDIN, 2, &[], 0),
+        ]
+        .concat(),
+    );
+    parser
+        .feed(&bytes, &mut |event| events.push(event))
+        .unwrap();
+    let marks = |event: &Event| match event {
+        Event::Request(r) => (r.id, r.no_memory, r.oversize, r.body.len()),
+        _ => panic!("{event:?}"),
+    };
+    assert_eq!(
+        events.iter().map(marks).collect::<Vec<_>>(),
+        [(1, false, false, BODY_MAX), (2, true, false, 0)]
+    );
+}
+
+/// Guards against a bound on the bytes between two requests that slow clients of one load balancer
+/// reach together: then its connection is closed with requests on it.
+#[test]
+fn requests_that_clients_give_up_while_writing_do_not_end_the_connection() {
+    let mut parser = parser(1 << 20);
+    for round in 0..2000 {
+        let part = [
+            begin(1, 1, true),
+            record(wire::PARAMS, 1, &[1; 300], 255),
+            record(wire::PARAMS, 1, &[], 255),
+            record(wire::STDIN, 1, &[2; 100], 255),
+            record(wire::ABORT, 1, &[], 255),
+        ]
+        .concat();
+        assert_eq!(parser.feed(&part, &mut |_| ()), Ok(()), "{round}");
+    }
+}
+
+/// A request that is written piece by piece, between the pieces of others.
+#[derive(Clone, Debug)]
+struct WrittenRequest {
+    params: usize,
+    body: usize,
+    /// Largest content of a record.
+    piece: usize,
+    padding: u8,
+}
+
+impl WrittenRequest {
+    fn strategy() -> impl Strategy<Value = WrittenRequest> {
+        let body = prop_oneof![0..=BODY_MAX, Just(BODY_MAX)];
+        let piece = prop_oneof![1..8usize, 8..3000usize];
+        let padding = prop_oneof![Just(0u8), any::<u8>()];
+        (0..=PARAMS_MAX, body, piece, padding).prop_map(|(params, body, piece, padding)| {
+            WrittenRequest {
+                params,
+                body,
+                piece,
+                padding,
+            }
+        })
+    }
+
+    /// The records of the request, in order.
+    fn records(&self, id: u16) -> Vec<Vec<u8>> {
+        let content = |len: usize, salt: u8| (0..len).map(|i| i as u8 ^ salt).collect::<Vec<_>>();
+        let pieces = |kind, len, salt| {
+            let mut records: Vec<_> = content(len, salt)
+                .chunks(self.piece)
+                .map(|piece| record(kind, id, piece, self.padding))
+                .collect();
+            records.push(record(kind, id, &[], self.padding));
+            records
+        };
+        let mut records = vec![begin(id, 1, true)];
+        records.extend(pieces(wire::PARAMS, self.params, id as u8));
+        records.extend(pieces(wire::STDIN, self.body, !(id as u8)));
+        records
+    }
+
+    /// Whether a request was read with the parameters and the body that were written.
+    fn is_read_whole(&self, request: &Request) -> bool {
+        let matches = |bytes: &[u8], len: usize, salt: u8| {
+            bytes.len() == len && bytes.iter().enumerate().all(|(i, &b)| b == i as u8 ^ salt)
+        };
+        let id = request.id as u8;
+        !request.oversize
+            && !request.no_memory
+            && matches(&request.params, self.params, id)
+            && matches(&request.body, self.body, !id)
+    }
+}
+
+/// Writes the records of requests in an order that is drawn, and checks that all are read whole.
+fn check_interleaved(requests: &[WrittenRequest], order: &[u8], split: usize) {
+    let mut records: Vec<_> = requests
         .iter()
-        .map(|o| o.request.params.len())
-        .sum();
-    assert_eq!(kept, 70_000);
+        .zip(1..)
+        .map(|(request, id)| request.records(id).into_iter())
+        .collect();
+    let mut bytes = Vec::new();
+    let mut turns = order.iter().cycle();
+    let mut last = 0;
+    while records.iter().any(|left| left.len() > 0) {
+        last = (last + usize::from(*turns.next().unwrap())) % records.len();
+        let writer = (last..last + records.len()).find(|w| records[w % records.len()].len() > 0);
+        bytes.extend(records[writer.unwrap() % requests.len()].next().unwrap());
+    }
+    let memory = smallest_shared_memory();
+    let mut parser = Parser::new(352, ConnectionMemory::new(&memory));
+    let mut events = Vec::new();
+    for part in bytes.chunks(split) {
+        assert_eq!(parser.feed(part, &mut |event| events.push(event)), Ok(()));
+    }
+    assert_eq!(events.len(), requests.len());
+    for event in &events {
+        let Event::Request(read) = event else {
+            panic!("{event:?}")
+        };
+        let written = &requests[usize::from(read.id) - 1];
+        assert!(written.is_read_whole(read), "{}: {written:?}", read.id);
+    }
+    assert_eq!(memory.used(), 0);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(48),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against bounds that hold for one request at a time but not for as many as a connection
+    /// may have open: well-formed requests were cut off, and the connection was closed.
+    #[test]
+    fn up_to_32_interleaved_requests_are_read_whole_at_the_smallest_limits(
+        requests in prop::collection::vec(WrittenRequest::strategy(), 1..=MAX_OPEN),
+        order in prop::collection::vec(any::<u8>(), 1..50),
+        split in 1..5000usize,
+    ) {
+        check_interleaved(&requests, &order, split);
+    }
+}
+
+/// Each byte in a record of its own, with the longest padding: the most bytes that 32 requests of
+/// the largest size can take.
+#[test]
+fn requests_of_one_byte_a_record_are_read_whole() {
+    let largest = WrittenRequest {
+        params: PARAMS_MAX,
+        body: BODY_MAX,
+        piece: 1,
+        padding: 255,
+    };
+    check_interleaved(&vec![largest; MAX_OPEN], &[1], READ_SIZE);
+}
+
+/// Bytes that are read at once, as from a socket.
+const READ_SIZE: usize = 4096;
+
+/// Load balancers with several connections each, on which all clients write slowly.
+#[test]
+fn many_connections_with_32_unfinished_requests_fit_in_the_smallest_limits() {
+    let memory = smallest_shared_memory();
+    let mut parsers: Vec<_> = (0..40)
+        .map(|_| Parser::new(352, ConnectionMemory::new(&memory)))
+        .collect();
+    let written = WrittenRequest {
+        params: 350,
+        body: BODY_MAX,
+        piece: 500,
+        padding: 0,
+    };
+    let records: Vec<_> = (1..=MAX_OPEN as u16)
+        .map(|id| written.records(id))
+        .collect();
+    let mut read = 0;
+    for turn in 0..records[0].len() {
+        for parser in &mut parsers {
+            for records in &records {
+                let count = |event| {
+                    let Event::Request(request) = event else {
+                        panic!("{event:?}")
+                    };
+                    assert!(written.is_read_whole(&request));
+                    read += 1;
+                };
+                parser.feed(&records[turn], &mut { count }).unwrap();
+            }
+        }
+    }
+    assert_eq!(read, parsers.len() * MAX_OPEN);
 }
 
 /// Guards against a peer that sends bodies of 60 MB or endless records: without a bound they are
@@ -160,14 +433,14 @@
         wire::record(wire::STDIN, 1, &[], 255), // padding
     ];
     for part in parts {
-        let mut parser = Parser::new(1, 65536);
+        let mut parser = parser(1 << 20);
         let mut fed = 0;
         while parser.feed(&part, &mut |_| ()).is_ok() {
             fed += part.len();
             assert!(fed < 4 * SKIPPED_MAX, "{part:?}");
         }
     }
-    let mut parser = Parser::new(1, 65536); // complete requests are not limited
+    let mut parser = parser(1 << 20); // complete requests are not limited
     let whole = wire::request(1, &[("A", "b")], &[1; 1000]);
     (0..1000).for_each(|_| parser.feed(&whole, &mut |_| ()).unwrap());
 }
--- a/crates/node/src/io/client_reader.rs
+++ b/crates/node/src/io/client_reader.rs
@@ -20,6 +20,7 @@
 use crate::capacity::CapacityLimits;
 use crate::fastcgi;
 use crate::log::part;
+use crate::request_memory::SharedRequestMemory;
 use crossbeam_channel::{Receiver, Sender, bounded};
 use rustix::buffer::spare_capacity;
 use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
@@ -116,6 +117,8 @@
 
 struct Reader {
     slots: Arc<ConnectionSlots>,
+    /// Memory that the unfinished requests of all connections share.
+    request_memory: Arc<SharedRequestMemory>,
     handle: ReaderHandle,
     commands: Receiver<ReaderCommand>,
     events: Sender<Message>,
@@ -157,6 +160,7 @@
         let (queue, commands) = bounded(3 * capacity.connections + 2);
         let handle = ReaderHandle::new(queue, wake_fd);
         Ok(Reader {
+            request_memory: SharedRequestMemory::new(capacity.shared_request_bytes),
             slots: Arc::new(ConnectionSlots::new(capacity, handle.clone())),
             handle,
             commands,
--- a/crates/node/src/io/client_reader/accept.rs
+++ b/crates/node/src/io/client_reader/accept.rs
@@ -8,6 +8,7 @@
 use crate::io::inbox::Message;
 use crate::log::part;
 use crate::node::Event;
+use crate::request_memory::ConnectionMemory;
 use rustix::event::epoll;
 use rustix::io::Errno;
 use std::cmp::Reverse;
@@ -115,10 +116,8 @@
         let slots = &self.slots;
         let socket = Arc::new(Socket::new(stream, slots));
         let pause = Arc::new(AtomicU64::new(0));
-        let parser = fastcgi::Parser::new(
-            slots.capacity.connections,
-            slots.capacity.partial_request_bytes,
-        );
+        let memory = ConnectionMemory::new(&self.request_memory);
+        let parser = fastcgi::Parser::new(slots.capacity.connections, memory);
         let connection = ReadConnection {
             socket: Arc::clone(&socket),
             parser,
--- a/crates/node/src/io/client_reader/close.rs
+++ b/crates/node/src/io/client_reader/close.rs
@@ -74,6 +74,7 @@
         {
             let _ = self.events.send(Message::Event(Event::RequestTruncated));
         }
+        connection.parser.discard_unfinished();
         if connection.state == (State::Stopped { peer_ended: true }) || !self.slots.has_free() {
             return self.remove(number);
         }
--- a/crates/node/src/io/client_reader/read.rs
+++ b/crates/node/src/io/client_reader/read.rs
@@ -89,6 +89,7 @@
         self.unwatch(number);
         if let Some(connection) = self.connections.get_mut(&number) {
             connection.state = State::Stopped { peer_ended };
+            connection.parser.discard_unfinished();
         }
         ReadOutcome::Finished
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,7 @@
 //!   [`backend`], [`service_registry`].
 //! - The node without its I/O: [`node`] handles events and requests [`actions`]. It parses requests
 //!   with [`request`] ([`request_error`]), applies [`request_rules`], takes part in the [`cluster`]
-//!   and counts in [`metrics`], within the bounds of [`capacity`].
+//!   and counts in [`metrics`], within the bounds of [`capacity`] and [`request_memory`].
 //! - The sockets and threads around the node: [`io`].
 //! - Startup and operation: [`config`], [`log`], [`program_version`], [`version_store`],
 //!   [`supervisor_client`].
@@ -27,6 +27,7 @@
 pub mod program_version;
 pub mod request;
 pub mod request_error;
+pub mod request_memory;
 pub mod request_rules;
 pub mod service_registry;
 mod state;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -25,6 +25,8 @@
     VoidedCloses,
     /// Connections that ended with an incomplete request.
     TruncatedRequests,
+    /// Requests rejected because no memory was free while they were read in part.
+    RequestsWithoutMemory,
     /// Requests on an unknown connection.
     RequestsWithoutConnection,
     /// Requests with the FastCGI id of a request that was still open on the same connection.
@@ -82,6 +84,7 @@
             Metric::LateAnswers => "answers after the client timeout",
             Metric::VoidedCloses => "closes voided by a new event",
             Metric::TruncatedRequests => "load balancer: request cut short",
+            Metric::RequestsWithoutMemory => "rejected for lack of memory while read in part",
             Metric::RequestsWithoutConnection => "requests on no connection",
             Metric::DuplicateRequestIds => "request ids begun twice",
             Metric::ConnectionsOverLimit => "connections beyond the limit",
--- a/crates/node/src/node/load_balancer.rs
+++ b/crates/node/src/node/load_balancer.rs
@@ -84,6 +84,10 @@
         if state.has_too_many_open(connection_id) {
             return state.reject_overloaded(target);
         }
+        if request.no_memory {
+            state.count(Metric::RequestsWithoutMemory, 1);
+            return state.reject_overloaded(target);
+        }
         let fields = match Fields::of(&request) {
             Err(error) => return state.reject_with_strike(target, error),
             Ok(fields) => fields,
--- a/crates/node/src/node/tests/connections.rs
+++ b/crates/node/src/node/tests/connections.rs
@@ -19,6 +19,42 @@
     );
 }
 
+/// The node's own lack of memory is not the peer's fault: the request never ran and is rejected, and
+/// the connection stays open and is not paced.
+#[test]
+fn a_request_for_which_there_was_no_memory_is_rejected_and_is_no_strike() {
+    let mut node = TestNode::new();
+    for id in 1..=20 {
+        let request = fastcgi::Request {
+            id,
+            keep_conn: true,
+            params: Vec::new(),
+            body: Vec::new(),
+            oversize: false,
+            no_memory: true,
+        };
+        node.event(Event::LoadBalancer(
+            ConnectionId(1),
+            fastcgi::Event::Request(request),
+        ));
+    }
+    let answers = node.answers();
+    assert_eq!(answers.len(), 20);
+    for answer in answers {
+        assert_eq!(answer.protocol_status, ProtocolStatus::Overloaded as u8);
+    }
+    node.node.with_actions(|actions| {
+        assert_eq!(
+            (&actions.paced[..], &actions.closed[..]),
+            (&[][..], &[][..])
+        );
+    });
+    assert_eq!(
+        node.counted("rejected for lack of memory while read in part"),
+        20
+    );
+}
+
 #[test]
 fn a_connection_without_keep_alive_closes_after_its_last_answer() {
     let mut node = TestNode::new();
@@ -30,6 +66,7 @@
         params,
         body: Vec::new(),
         oversize: false,
+        no_memory: false,
     };
     node.event(Event::LoadBalancer(
         ConnectionId(1),
@@ -113,6 +150,7 @@
         params,
         body: b"body".to_vec(),
         oversize: false,
+        no_memory: false,
     };
     node.event(Event::LoadBalancer(
         ConnectionId(1),
--- a/crates/node/src/node/tests/properties.rs
+++ b/crates/node/src/node/tests/properties.rs
@@ -374,6 +374,7 @@
             params,
             body,
             oversize: false,
+            no_memory: false,
         };
         self.node.event(Event::LoadBalancer(
             connection_id,
--- a/crates/node/src/node/tests/support.rs
+++ b/crates/node/src/node/tests/support.rs
@@ -229,6 +229,7 @@
             params,
             body,
             oversize: false,
+            no_memory: false,
         };
         self.event(Event::LoadBalancer(
             self.connection_id,
--- a/crates/node/src/state/connections.rs
+++ b/crates/node/src/state/connections.rs
@@ -221,7 +221,8 @@
         }
     }
 
-    /// Ends a request that exceeds the limit of open requests on its connection.
+    /// Rejects a request that exceeds the limit of open requests on its connection, or for which
+    /// there was no memory.
     pub fn reject_overloaded(&mut self, target: ReplyTarget) {
         self.answered_without_success(target.connection_id);
         self.finish(
--- a/crates/node/tests/golden.rs
+++ b/crates/node/tests/golden.rs
@@ -6,6 +6,7 @@
 use madderpoint_node::executor::{self, Command as ExecutorCommand, End, Notice};
 use madderpoint_node::fastcgi::{self, Event, ProtocolStatus, Reply};
 use madderpoint_node::program_version::{self, version_of};
+use madderpoint_node::request_memory::{ConnectionMemory, SharedRequestMemory};
 use madderpoint_node::service_registry::{Answer, Phase, report};
 use madderpoint_test_harness::peers::{
     LineConnection, LoadBalancer, execution_ended_notice, listen, ping, unix_ms, unused_address,
@@ -68,7 +69,8 @@
 }
 
 fn read_requests(parts: &[&[u8]]) -> String {
-    let (mut parser, mut events) = (fastcgi::Parser::new(100, 65536), Vec::new());
+    let memory = ConnectionMemory::new(&SharedRequestMemory::new(65536));
+    let (mut parser, mut events) = (fastcgi::Parser::new(100, memory), Vec::new());
     let mut sink = |event| {
         events.push(match event {
             Event::Request(r) => format!(
