Fix: a connection was closed over unread requests for answers the node decided on

Change: state/pacing.rs. Identified peers get no strikes. A peer is identified by the first execution of a request of it, also one that fails. Unsuccessful answers pace the reading by at most a quarter of the shortest client timeout, and close nothing. A turn of a paced connection, and the last read before reading stops, take as many requests as may be open. Why it works: a connection is closed over unread bytes only after requests that no load balancer sends, on a connection on which the executor ran none; whatever else was written is read within a time in which it can be answered.

--- a/crates/node/src/io/client_reader.rs
+++ b/crates/node/src/io/client_reader.rs
@@ -231,7 +231,7 @@
                         .get(&number)
                         .is_some_and(|connection| connection.pause.load(SeqCst) == 0)
                     {
-                        self.read_available(number);
+                        self.read_turn(number);
                     }
                     if let Some(ReadConnection {
                         state: State::Reading | State::Paused,
--- a/crates/node/src/io/client_reader/close.rs
+++ b/crates/node/src/io/client_reader/close.rs
@@ -1,6 +1,6 @@
 //! Closing connections.
 
-use super::{ReadOutcome, Reader, State};
+use super::{Reader, State};
 use crate::actions::{Close, ConnectionId};
 use crate::io::inbox::Message;
 use crate::io::stream::READ_BUFFER_BYTES;
@@ -10,7 +10,6 @@
 use rustix::net::{RecvFlags, recv};
 use std::cmp::Reverse;
 use std::net::Shutdown;
-use std::sync::atomic::Ordering::SeqCst;
 use std::time::{Duration, Instant};
 
 /// Maximum time that a closed connection lingers until its peer closes it. Connections do not linger
@@ -18,13 +17,12 @@
 pub(super) const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of bytes that are read from a lingering connection.
 pub(super) const LINGER_BYTES_MAX: usize = 64 * 1024;
-/// Maximum number of reads before a close, so that a peer that keeps sending is closed too.
-const LAST_READS_MAX: usize = 16;
 
 impl Reader {
-    /// Closes a connection that, to the core's knowledge, has no unanswered request.
+    /// Closes a connection that, to the core's knowledge, has no unanswered request. The bytes that
+    /// have arrived are read first, since they may contain a request that must be answered.
     pub(super) fn close(&mut self, number: u64, close: Close) {
-        self.read_available(number);
+        self.read_turn(number);
         if let Some(connection) = self.connections.get_mut(&number) {
             let until = Instant::now() + Duration::from_nanos(close.partial_request_wait);
             connection.closing = Some((close.events_handled, until));
@@ -33,17 +31,6 @@
         self.finish_close(number);
     }
 
-    /// Reads the bytes that have arrived by now, since they may contain a request that must be
-    /// answered. A paced connection is read at most once.
-    pub(super) fn read_available(&mut self, number: u64) {
-        let is_paced = self
-            .connections
-            .get(&number)
-            .is_some_and(|connection| connection.pause.load(SeqCst) > 0);
-        let reads = if is_paced { 1 } else { LAST_READS_MAX };
-        (0..reads).any(|_| self.read_once(number) != ReadOutcome::Data);
-    }
-
     /// Carries out a requested close, unless events have been sent that the core had not handled, or
     /// the rest of a request may still arrive.
     pub(super) fn finish_close(&mut self, number: u64) {
--- a/crates/node/src/io/client_reader/read.rs
+++ b/crates/node/src/io/client_reader/read.rs
@@ -2,6 +2,7 @@
 
 use super::{ReadOutcome, Reader, State};
 use crate::actions::ConnectionId;
+use crate::fastcgi::MAX_OPEN;
 use crate::io::inbox::Message;
 use crate::io::stream::READ_BUFFER_BYTES;
 use crate::log::part;
@@ -13,6 +14,10 @@
 use std::time::{Duration, Instant};
 use tracing::warn;
 
+/// Maximum number of reads in one turn. 32 requests of the largest size take 49 of them, and more if
+/// they come in many small records.
+const TURN_READS_MAX: usize = 256;
+
 impl Reader {
     /// Handles a connection that has become readable.
     pub(super) fn read(&mut self, number: u64) {
@@ -22,12 +27,35 @@
         match connection.state {
             State::Lingering { until, left } => self.linger(number, until, left),
             _ => {
-                self.read_once(number);
+                if connection.pause.load(SeqCst) > 0 {
+                    self.read_turn(number);
+                } else {
+                    self.read_once(number);
+                }
                 self.finish_close(number);
             }
         }
     }
 
+    /// Reads the bytes that have arrived by now, up to as many requests as a load balancer may have
+    /// open on one connection: what it has written is then read, however long the pause before was.
+    /// A peer that sends without end is read for a bounded time.
+    pub(super) fn read_turn(&mut self, number: u64) {
+        let sent_before = self.events_sent(number);
+        for _ in 0..TURN_READS_MAX {
+            let has_more = self.read_once(number) == ReadOutcome::Data;
+            if !has_more || self.events_sent(number) >= sent_before + MAX_OPEN as u64 {
+                return;
+            }
+        }
+    }
+
+    fn events_sent(&self, number: u64) -> u64 {
+        self.connections
+            .get(&number)
+            .map_or(0, |connection| connection.events_sent)
+    }
+
     /// Reads once and sends the core the events that the bytes complete.
     pub(super) fn read_once(&mut self, number: u64) -> ReadOutcome {
         let Some(connection) = self.connections.get_mut(&number) else {
--- a/crates/node/src/io/client_reader/tests.rs
+++ b/crates/node/src/io/client_reader/tests.rs
@@ -10,6 +10,7 @@
 use crate::io::stream::READ_BUFFER_BYTES;
 use crate::node::Event;
 use madderpoint_test_harness::peers::{WAIT_TIMEOUT, ping};
+use madderpoint_test_harness::wire;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 
@@ -412,6 +413,75 @@
     assert_eq!(bytes, ping(1));
 }
 
+/// Starts pacing a connection that is not read in the meantime.
+fn pace(fixture: &Fixture, number: u64) {
+    fixture.reader.connections[&number]
+        .pause
+        .store(1_000_000_000, SeqCst);
+}
+
+/// Guards against a pause after each few bytes, which a load balancer whose requests are rejected
+/// would wait for longer than its clients do.
+#[test]
+fn all_requests_that_a_paced_load_balancer_has_written_are_read_in_one_turn() {
+    let mut fixture = Fixture::new(false);
+    let (mut client, number) = fixture.client();
+    fixture.sent_events();
+    pace(&fixture, number);
+    let params = wire::call_params("/call/read", "00000000000000aa", "5");
+    let requests: Vec<u8> = (1..=20)
+        .flat_map(|id| wire::request(id, &params, &[7; 2048]))
+        .collect();
+    client.write_all(&requests).unwrap();
+    fixture.wait_until_received(number, 2 * READ_BUFFER_BYTES);
+    fixture.reader.read(number);
+    assert_eq!(fixture.sent_events(), [(number, "request"); 20]);
+    assert_eq!(fixture.state(number), Some(State::Paused));
+}
+
+/// A peer that sends far more requests than a load balancer may have open waits for the next turn.
+#[test]
+fn a_turn_of_a_paced_connection_ends_after_as_many_requests_as_may_be_open() {
+    let mut fixture = Fixture::new(false);
+    let (mut client, number) = fixture.client();
+    fixture.sent_events();
+    pace(&fixture, number);
+    client.write_all(&ping(1).repeat(500)).unwrap();
+    fixture.wait_until_received(number, 2 * READ_BUFFER_BYTES);
+    fixture.reader.read(number);
+    let read = fixture.sent_events().len();
+    let in_one_read = READ_BUFFER_BYTES / ping(1).len() + 1;
+    assert!(
+        (fastcgi::MAX_OPEN..=fastcgi::MAX_OPEN + in_one_read).contains(&read),
+        "{read}"
+    );
+    assert_eq!(fixture.state(number), Some(State::Paused));
+}
+
+/// Guards against a connection that is closed over the last of many large requests: when nothing
+/// more is read, at the end of a drain, all that were written must be answered.
+#[test]
+fn all_requests_that_have_arrived_are_read_before_reading_stops() {
+    let mut fixture = Fixture::new(false);
+    let (mut client, number) = fixture.client();
+    fixture.sent_events();
+    let params = wire::call_params("/call/read", "00000000000000aa", "5");
+    let requests: Vec<u8> = (1..=fastcgi::MAX_OPEN as u16)
+        .flat_map(|id| wire::request(id, &params, &[7; 2048]))
+        .collect();
+    client.write_all(&requests).unwrap();
+    fixture.wait_until_received(number, 2 * READ_BUFFER_BYTES);
+    fixture
+        .reader
+        .handle
+        .send(ReaderCommand::StopReading(ConnectionId(number)));
+    fixture.reader.run_commands();
+    assert_eq!(
+        fixture.sent_events(),
+        [(number, "request"); fastcgi::MAX_OPEN]
+    );
+}
+
 #[test]
 fn a_connection_is_read_once_more_before_reading_stops_unless_it_is_paced() {
     for is_paced in [false, true] {
--- a/crates/node/src/node/load_balancer.rs
+++ b/crates/node/src/node/load_balancer.rs
@@ -61,6 +61,7 @@
             }
             fastcgi::Event::Reply(reply) => {
                 let mut state = self.state.borrow_mut();
+                state.answered_without_success(connection_id);
                 state.actions.send_reply(connection_id, reply);
                 state.event_handled(connection_id);
             }
--- a/crates/node/src/node/tests.rs
+++ b/crates/node/src/node/tests.rs
@@ -9,6 +9,7 @@
 mod executor_model;
 mod health_checks;
 mod idempotency;
+mod pacing;
 mod properties;
 mod requests;
 mod rules;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -5,7 +5,7 @@
 //! admission controller that results from such an action cannot be delivered while the controller
 //! is still deciding; it is queued as a [`DeferredEvent`] until the controller has returned.
 //!
-//! Each part has its own file: [`connections`], [`idle_connections`] and [`health_checks`] for load
+//! Each part has its own file: [`connections`], [`idle_connections`], [`pacing`] and [`health_checks`] for load
 //! balancers; [`requests`]; [`executor_link`], [`executions`] and [`resumes`]; [`backend_calls`];
 //! [`shared_limits`] and [`cluster_counters`] for state shared with the cluster; [`drain`];
 //! [`timers`].
@@ -49,6 +49,7 @@
 mod executor_link;
 mod health_checks;
 mod idle_connections;
+mod pacing;
 mod requests;
 mod resumes;
 mod shared_limits;
--- a/crates/node/src/state/connections.rs
+++ b/crates/node/src/state/connections.rs
@@ -1,5 +1,6 @@
 //! Load balancers' connections and the requests and health checks that are open on them.
 
+use super::pacing::Pacing;
 use super::requests::ReplyTarget;
 use super::{MILLISECOND, NodeState};
 use crate::actions::{Actions, Close, ConnectionId};
@@ -16,14 +17,6 @@
 /// Like [`PARTIAL_REQUEST_WAIT`], but for the connection of an identified peer. The peer's network
 /// may be slow.
 const PARTIAL_REQUEST_WAIT_IDENTIFIED: Nanos = 3000 * MILLISECOND;
-/// Number of consecutive unsuccessful answers that count as one strike against an unidentified
-/// peer.
-const UNSUCCESSFUL_ANSWERS_PER_STRIKE: u32 = 128;
-/// Number of strikes after which a connection is closed.
-const MAX_STRIKES: u32 = 6;
-/// Half of the pause before each read after the first strike. The pause doubles with each strike.
-const READ_PAUSE_BASE: Nanos = 25 * MILLISECOND;
-
 /// An open FastCGI request id on a connection.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum OpenItem {
@@ -45,14 +38,11 @@
     pub idle_since: Nanos,
     /// Number of complete requests received, saturating at 255.
     pub requests_received: u8,
-    /// Whether a request on this connection has succeeded, which identifies the peer as a load
-    /// balancer.
+    /// Whether the executor has run a request on this connection, which identifies the peer as a
+    /// load balancer.
     pub is_identified: bool,
-    /// Number of unsuccessful answers since the last strike.
-    unsuccessful_answers: u32,
-    /// Number of strikes: requests that no load balancer would send, and series of unsuccessful
-    /// answers.
-    pub strikes: u32,
+    /// Strikes and pacing while the peer is unidentified.
+    pub pacing: Pacing,
     /// Due time of the idle check timer, if one is set.
     pub idle_check_at: Option<Nanos>,
     /// True if the connection is closed once no request or health check is open on it.
@@ -73,8 +63,7 @@
             idle_since: self.now,
             requests_received: 0,
             is_identified: false,
-            unsuccessful_answers: 0,
-            strikes: 0,
+            pacing: Pacing::default(),
             idle_check_at: None,
             close_when_done: false,
             events_handled: 0,
@@ -285,54 +274,6 @@
             })
     }
 
-    /// Records a successful answer: the peer is identified, and its strikes are cleared.
-    pub fn answered_with_success(&mut self, connection_id: ConnectionId) {
-        let Some(connection) = self.connections.get_mut(&connection_id) else {
-            return;
-        };
-        (connection.is_identified, connection.unsuccessful_answers) = (true, 0);
-        if std::mem::take(&mut connection.strikes) > 0 {
-            self.actions.pace_reading(connection_id, 0);
-        }
-    }
-
-    /// Records an unsuccessful answer. Enough of them in a row count as a strike against an
-    /// unidentified peer, so that a peer that retries immediately costs almost nothing.
-    pub fn answered_without_success(&mut self, connection_id: ConnectionId) {
-        let Some(connection) = self
-            .connections
-            .get_mut(&connection_id)
-            .filter(|connection| !connection.is_identified)
-        else {
-            return;
-        };
-        connection.unsuccessful_answers += 1;
-        if connection.unsuccessful_answers >= UNSUCCESSFUL_ANSWERS_PER_STRIKE {
-            self.strike(connection_id);
-        }
-    }
-
-    /// Records a strike against a connection. The pause before each read doubles with each strike;
-    /// after the last strike the connection is closed.
-    pub fn strike(&mut self, connection_id: ConnectionId) {
-        let Some(connection) = self
-            .connections
-            .get_mut(&connection_id)
-            .filter(|connection| !connection.is_closing)
-        else {
-            return;
-        };
-        connection.unsuccessful_answers = 0;
-        connection.strikes += 1;
-        let is_last = connection.strikes >= MAX_STRIKES;
-        connection.close_when_done |= is_last;
-        let pause = READ_PAUSE_BASE << connection.strikes.min(MAX_STRIKES);
-        self.actions.pace_reading(connection_id, pause);
-        if is_last {
-            self.actions.stop_reading(connection_id);
-        }
-    }
-
     /// Returns the address of a connection's peer, if known.
     pub fn address(&self, connection_id: ConnectionId) -> Option<IpAddr> {
         self.connections.get(&connection_id)?.address
--- a/crates/node/src/state/drain.rs
+++ b/crates/node/src/state/drain.rs
@@ -74,12 +74,17 @@
         self.close_connections_without_requests();
     }
 
-    /// Starts the quiet period: every request that was read is answered, and nothing more is read.
+    /// Starts the quiet period: what load balancers have written by now is read, every request that
+    /// was read is answered, and nothing more is read.
     pub fn start_quiet_period(&mut self) {
-        for (&id, connection) in &mut self.connections {
-            connection.close_when_done = true;
+        let all: Vec<ConnectionId> = self.connections.keys().copied().collect();
+        for id in all {
+            self.end_pacing_without_strikes(id);
             self.actions.stop_reading(id);
         }
+        for connection in self.connections.values_mut() {
+            connection.close_when_done = true;
+        }
         self.close_connections_without_requests();
     }
 
--- a/crates/node/src/state/executions.rs
+++ b/crates/node/src/state/executions.rs
@@ -165,7 +165,7 @@
             correlation_id,
             format_args!("backend call needed by notice {notice}"),
         );
-        id
+        id.inspect(|&id| self.executor_knows(id))
     }
 
     /// Returns whether the execution of a request waits for a backend call.
@@ -205,6 +205,9 @@
                 .into_iter()
                 .for_each(|link| self.cancel_backend_call(correlation_id, link));
         }
+        if end != End::NeverStarted {
+            self.executor_knows(id);
+        }
         match end {
             End::Ok => {
                 let fresh_until = self.now + self.config.deployment.shared_answer_ttl;
--- a/crates/node/src/state/idle_connections.rs
+++ b/crates/node/src/state/idle_connections.rs
@@ -56,7 +56,7 @@
     }
 
     /// Returns the time until which a connection may be idle. Connections with fewer than two
-    /// requests or with strikes have shorter timeouts.
+    /// requests and paced ones have shorter timeouts.
     pub fn idle_deadline(&self, connection_id: ConnectionId) -> Nanos {
         let Some(connection) = self.connections.get(&connection_id) else {
             return self.now;
@@ -65,7 +65,7 @@
         let after = match connection.requests_received {
             0 => FIRST_REQUEST_TIMEOUT,
             1 => timeout.min(SECOND_REQUEST_TIMEOUT),
-            _ if connection.strikes > 0 => timeout.min(FIRST_REQUEST_TIMEOUT),
+            _ if connection.pacing.is_paced() => timeout.min(FIRST_REQUEST_TIMEOUT),
             _ => timeout,
         };
         connection.idle_since + after
--- a/crates/node/src/state/requests.rs
+++ b/crates/node/src/state/requests.rs
@@ -240,7 +240,7 @@
         }
         self.count_answer(operation, status, self.now.saturating_sub(arrived));
         match status {
-            200 => self.answered_with_success(target.connection_id),
+            200 => self.identify_peer(target.connection_id),
             _ => self.answered_without_success(target.connection_id),
         }
         if let (Some(class), Some(rules)) = (&class, &mut self.rules) {
