Fix: a connection was closed over the rest of a request that had arrived

After a stall of the process the rest, and whole requests behind it, may be in the socket. Cause: Reader::on_timer called shut_down directly; and the wait was 3 s in all also for an identified load balancer whose client was still writing. Change: what has arrived is read at the end of the wait; for identified peers the wait begins anew with each part, except in a drain. Why it works: the close is decided after the read, by the same rule as any other close: an event that was read voids it. Tests: three new ones; two of them fail with the old lines put back, the third guards unidentified peers and drains.

--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -57,6 +57,8 @@
     pub events_handled: u64,
     /// Longest wait, in nanoseconds, for the rest of a partially received request.
     pub partial_request_wait: Nanos,
+    /// Whether the wait begins anew whenever more of the request is received.
+    pub is_wait_renewed: bool,
 }
 
 /// The I/O operations that the node requests. No method blocks.
--- a/crates/node/src/io/client_reader.rs
+++ b/crates/node/src/io/client_reader.rs
@@ -16,7 +16,7 @@
 use super::inbox::Message;
 use super::reader_commands::{ReaderCommand, ReaderHandle};
 use super::threads::spawn;
-use crate::actions::ConnectionId;
+use crate::actions::{Close, ConnectionId};
 use crate::capacity::CapacityLimits;
 use crate::fastcgi;
 use crate::log::part;
@@ -33,7 +33,7 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tracing::{error, info, warn};
 
 /// Maximum number of ready sockets that one wait returns.
@@ -99,9 +99,26 @@
     state: State,
     /// Number of events of this connection that were sent to the core.
     events_sent: u64,
-    /// A close that waits for the rest of a request: the number of events that the core had handled
-    /// when it requested the close, and the end of the wait.
-    closing: Option<(u64, Instant)>,
+    /// A close that waits for the rest of a request.
+    closing: Option<PendingClose>,
+}
+
+/// A close that waits for the rest of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct PendingClose {
+    /// The close that the core requested.
+    request: Close,
+    /// End of the wait.
+    until: Instant,
+}
+
+impl PendingClose {
+    fn new(request: Close) -> PendingClose {
+        PendingClose {
+            request,
+            until: Instant::now() + Duration::from_nanos(request.partial_request_wait),
+        }
+    }
 }
 
 /// The outcome of one read.
@@ -239,6 +256,7 @@
                     }) = self.connections.get(&number)
                     {
                         self.stop_reading(number, false);
+                        self.finish_close(number);
                     }
                 }
                 ReaderCommand::Abort(ConnectionId(number)) => self.remove(number),
@@ -261,8 +279,11 @@
         match (connection.state, connection.closing) {
             (State::Lingering { until, .. }, _) if until <= now => self.remove(number),
             (State::Lingering { .. } | State::Stopped { .. }, _) => {}
-            // The rest of a request did not arrive in time.
-            (_, Some((_, until))) if until <= now => self.shut_down(number),
+            (_, Some(pending)) if pending.until <= now => {
+                // The rest of a request is late, unless it has arrived and was not read yet.
+                self.read_turn(number);
+                self.finish_close(number);
+            }
             (State::Paused, _) => {
                 connection.state = State::Reading;
                 if let Err(e) = self.watch(number) {
--- a/crates/node/src/io/client_reader/close.rs
+++ b/crates/node/src/io/client_reader/close.rs
@@ -1,6 +1,6 @@
 //! Closing connections.
 
-use super::{Reader, State};
+use super::{PendingClose, Reader, State};
 use crate::actions::{Close, ConnectionId};
 use crate::io::inbox::Message;
 use crate::io::stream::READ_BUFFER_BYTES;
@@ -24,9 +24,9 @@
     pub(super) fn close(&mut self, number: u64, close: Close) {
         self.read_turn(number);
         if let Some(connection) = self.connections.get_mut(&number) {
-            let until = Instant::now() + Duration::from_nanos(close.partial_request_wait);
-            connection.closing = Some((close.events_handled, until));
-            self.timers.push(Reverse((until, number)));
+            let pending = PendingClose::new(close);
+            connection.closing = Some(pending);
+            self.timers.push(Reverse((pending.until, number)));
         }
         self.finish_close(number);
     }
@@ -37,19 +37,33 @@
         let Some(connection) = self.connections.get_mut(&number) else {
             return;
         };
-        let Some((events_handled, until)) = connection.closing else {
+        let Some(pending) = connection.closing else {
             return;
         };
-        if connection.events_sent != events_handled {
+        if connection.events_sent != pending.request.events_handled {
             connection.closing = None; // the core decides again after it has handled these events
             return;
         }
         let is_read = matches!(connection.state, State::Reading | State::Paused);
-        if !(is_read && connection.parser.is_partial() && Instant::now() < until) {
+        if !(is_read && connection.parser.is_partial() && Instant::now() < pending.until) {
             self.shut_down(number);
         }
     }
 
+    /// Begins the wait of a pending close anew after bytes have arrived, if the core asked for it.
+    pub(super) fn renew_close(&mut self, number: u64) {
+        let Some(connection) = self.connections.get_mut(&number) else {
+            return;
+        };
+        if let Some(pending) = connection.closing
+            && pending.request.is_wait_renewed
+        {
+            let renewed = PendingClose::new(pending.request);
+            connection.closing = Some(renewed);
+            self.timers.push(Reverse((renewed.until, number)));
+        }
+    }
+
     /// Shuts down the writing side and drops incoming bytes until the peer closes its side too.
     pub(super) fn shut_down(&mut self, number: u64) {
         let Some(connection) = self.connections.get_mut(&number) else {
--- a/crates/node/src/io/client_reader/read.rs
+++ b/crates/node/src/io/client_reader/read.rs
@@ -109,6 +109,7 @@
             )));
             self.unwatch(number);
         }
+        self.renew_close(number);
         ReadOutcome::Data
     }
 
--- a/crates/node/src/io/client_reader/tests.rs
+++ b/crates/node/src/io/client_reader/tests.rs
@@ -108,6 +108,20 @@
             Close {
                 events_handled,
                 partial_request_wait: wait_ms * 1_000_000,
+                is_wait_renewed: false,
+            },
+        );
+    }
+
+    /// Closes a connection of which no event was handled. The wait of 100 ms for the rest of a
+    /// request begins anew with each part.
+    fn close_with_renewed_wait(&mut self, number: u64) {
+        self.reader.close(
+            number,
+            Close {
+                events_handled: 0,
+                partial_request_wait: 100_000_000,
+                is_wait_renewed: true,
             },
         );
     }
@@ -224,6 +238,59 @@
     );
 }
 
+/// Guards against a close over the rest of a request that has arrived while the reader was busy: the
+/// wait ends before it is read.
+#[test]
+fn the_rest_of_a_request_that_arrived_before_the_end_of_the_wait_is_read() {
+    let whole = ping(1);
+    let (half, rest) = whole.split_at(20);
+    let mut fixture = Fixture::new(false);
+    let (mut client, number) = fixture.client();
+    client.write_all(half).unwrap();
+    fixture.read_bytes(number, half.len());
+    fixture.close(number, 0, 20);
+    client.write_all(rest).unwrap();
+    fixture.wait_until_received(number, rest.len());
+    let Reverse((due, owner)) = fixture.reader.timers.pop().unwrap();
+    while Instant::now() < due {
+        std::thread::yield_now();
+    }
+    fixture.reader.on_timer(owner);
+    assert_eq!(
+        fixture.sent_events(),
+        [(number, "accepted"), (number, "request")]
+    );
+    assert_eq!(fixture.state(number), Some(State::Reading));
+}
+
+/// Guards against a close over a request that a client of a load balancer writes slowly but without
+/// a stop: each part that arrives shows that the rest is coming.
+#[test]
+fn the_wait_for_the_rest_of_a_request_begins_anew_with_each_part_if_the_core_asks_for_it() {
+    let whole = ping(1);
+    let mut fixture = Fixture::new(false);
+    let (mut client, number) = fixture.client();
+    client.write_all(&whole[..1]).unwrap();
+    fixture.read_bytes(number, 1);
+    fixture.close_with_renewed_wait(number);
+    let begun = Instant::now();
+    for byte in &whole[1..] {
+        let end_of_wait = fixture.reader.connections[&number].closing.unwrap().until;
+        std::thread::sleep(Duration::from_millis(5));
+        client.write_all(&[*byte]).unwrap();
+        fixture.wait_until_received(number, 1);
+        fixture.reader.read(number);
+        let pending = fixture.reader.connections[&number].closing;
+        assert!(pending.is_none_or(|pending| pending.until > end_of_wait));
+    }
+    assert!(begun.elapsed() > Duration::from_millis(100));
+    assert_eq!(
+        fixture.sent_events(),
+        [(number, "accepted"), (number, "request")]
+    );
+    assert_eq!(fixture.state(number), Some(State::Reading));
+}
+
 #[test]
 fn bytes_received_after_the_close_are_dropped_and_no_answer_is_lost() {
     let mut fixture = Fixture::new(false);
--- a/crates/node/src/node/tests/connections.rs
+++ b/crates/node/src/node/tests/connections.rs
@@ -55,6 +55,35 @@
     );
 }
 
+/// A slow client of a load balancer holds its connection for as long as it writes; an unidentified
+/// peer could do so for good, and a drain must end.
+#[test]
+fn a_close_waits_for_each_part_of_a_request_of_an_identified_peer_unless_in_a_drain() {
+    let close_of = |is_identified: bool, is_draining: bool| {
+        let mut node = TestNode::new();
+        node.event(Event::Connected(ConnectionId(2), None));
+        if is_identified {
+            node.connection_id = ConnectionId(2);
+            node.call(1, "/call/read", A);
+            node.end_execution(A, End::Ok, b"");
+        }
+        if is_draining {
+            node.event(Event::Drain);
+        }
+        node.wait(16_000);
+        node.node
+            .with_actions(|actions| actions.close_orders[&ConnectionId(2)])
+    };
+    for (is_identified, is_draining, is_wait_renewed) in [
+        (true, false, true),
+        (false, false, false),
+        (true, true, false),
+    ] {
+        let close = close_of(is_identified, is_draining);
+        assert_eq!(close.is_wait_renewed, is_wait_renewed, "{close:?}");
+    }
+}
+
 #[test]
 fn a_connection_without_keep_alive_closes_after_its_last_answer() {
     let mut node = TestNode::new();
--- a/crates/node/src/state/connections.rs
+++ b/crates/node/src/state/connections.rs
@@ -14,8 +14,8 @@
 /// When a connection is closed, how long to wait for the rest of a request that has arrived in
 /// part.
 const PARTIAL_REQUEST_WAIT: Nanos = 1000 * MILLISECOND;
-/// Like [`PARTIAL_REQUEST_WAIT`], but for the connection of an identified peer. The peer's network
-/// may be slow.
+/// Like [`PARTIAL_REQUEST_WAIT`], but for the connection of an identified peer, and since the last
+/// part that arrived. The peer's network, or its client, may be slow.
 const PARTIAL_REQUEST_WAIT_IDENTIFIED: Nanos = 3000 * MILLISECOND;
 /// An open FastCGI request id on a connection.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -296,12 +296,18 @@
         } else {
             PARTIAL_REQUEST_WAIT
         };
-        self.close_connection_within(connection_id, wait);
+        self.close_connection_within(connection_id, wait, is_identified);
     }
 
     /// Like [`close_connection`](Self::close_connection), but waits this long for the rest of a
-    /// request that has arrived in part.
-    fn close_connection_within(&mut self, connection_id: ConnectionId, wait: Nanos) {
+    /// request that has arrived in part; with `is_wait_renewed`, since the last part that arrived. A
+    /// drain is not held up.
+    fn close_connection_within(
+        &mut self,
+        connection_id: ConnectionId,
+        wait: Nanos,
+        is_wait_renewed: bool,
+    ) {
         let Some(connection) = self.connections.get_mut(&connection_id) else {
             return;
         };
@@ -314,6 +320,7 @@
             Close {
                 events_handled: connection.events_handled,
                 partial_request_wait: wait.min(until_stop),
+                is_wait_renewed: is_wait_renewed && self.drain.started.is_none(),
             },
         );
     }
@@ -326,7 +333,7 @@
         } else {
             0
         };
-        self.close_connection_within(connection_id, wait);
+        self.close_connection_within(connection_id, wait, false);
     }
 
     /// Returns whether a connection is open.
