Node state: links to the backend in a module of their own

Change: backend_links.rs holds the choice of a link, links that end or rest and silent ones; whether a link is silent is asked by a method. A comment and a local name in resumes.rs are reworded. No change of behaviour.

--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,7 +6,7 @@
 //! is still deciding; it is queued as a [`DeferredEvent`] until the controller has returned.
 //!
 //! Each part has its own file: [`connections`], [`idle_connections`], [`pacing`] and [`health_checks`] for load
-//! balancers; [`requests`]; [`executor_link`], [`executions`] and [`resumes`]; [`backend_calls`];
+//! balancers; [`requests`]; [`executor_link`], [`executions`] and [`resumes`]; [`backend_calls`] and [`backend_links`];
 //! [`shared_limits`] and [`cluster_counters`] for state shared with the cluster; [`drain`];
 //! [`timers`].
 
@@ -42,6 +42,7 @@
 
 mod admission_host;
 mod backend_calls;
+mod backend_links;
 pub mod cluster_counters;
 mod connections;
 mod drain;
@@ -56,7 +57,7 @@
 mod timers;
 
 pub use admission_host::AdmissionHost;
-pub use backend_calls::BACKEND_LINKS;
+pub use backend_links::BACKEND_LINKS;
 pub use requests::{ReplyTarget, RequestContext};
 pub use timers::Timer;
 
--- a/crates/node/src/state/backend_calls.rs
+++ b/crates/node/src/state/backend_calls.rs
@@ -1,22 +1,14 @@
-//! Backend calls of executions: choice of a link, queueing under budgets, and outcomes.
+//! Backend calls of executions: queueing under budgets, sending, and outcomes.
 
+use super::backend_links::{BACKEND_LINKS, BackendLinkState};
 use super::{DeferredEvent, MILLISECOND, NodeState, Timer};
 use crate::actions::{Actions, BackendLink, CallId, CallInterest};
 use crate::backend;
-use crate::log::part;
 use crate::metrics::Metric;
 use madderpoint::{BackendCallOutcome, Nanos, RequestId};
 use madderpoint_shared_state::counters::process_column;
 use std::collections::VecDeque;
-use tracing::warn;
 
-/// Number of connections to the backend. A broken connection loses all calls on it, so calls are
-/// spread. A call avoids a link on which a late reply to an earlier call of its request may still
-/// arrive.
-pub const BACKEND_LINKS: usize = 8;
-/// A link counts as silent once this many replies on other links have overtaken a call on it. A
-/// silent link is avoided, and closed when a call on it times out.
-const SILENT_AFTER_REPLIES: u32 = 8;
 /// Longest time that a call is queued for units of the cluster's budgets. A call that would wait
 /// longer is refused immediately.
 const MAX_QUEUE_WAIT: Nanos = 250 * MILLISECOND;
@@ -35,13 +27,13 @@
 /// A backend call that is queued or awaits its reply.
 #[derive(Debug)]
 pub struct BackendCall {
-    id: CallId,
+    pub(super) id: CallId,
     placement: CallPlacement,
     /// Time at which the call was handed to a link; before that, the time at which it was
     /// requested.
     started: Nanos,
     /// Connection on which the call was written completely.
-    written_on: Option<BackendLink>,
+    pub(super) written_on: Option<BackendLink>,
     /// Whether the call occupies units of the cluster's budgets.
     has_budget: bool,
     /// Whether the previous call for the same executor notice failed.
@@ -75,24 +67,12 @@
     }
 }
 
-/// State of one link to the backend.
-#[derive(Clone, Copy, Default)]
-struct BackendLinkState {
-    /// Number of connections of this link that are known to have ended.
-    connections_ended: u64,
-    /// Id of the latest call on any link at the time of the last reply on this link.
-    latest_call_at_reply: u64,
-    /// Number of replies on other links since that time to calls newer than the oldest call that
-    /// waits on this link.
-    overtaken: u32,
-}
-
 /// The links to the backend and the calls that are queued for budget units.
 pub struct BackendState {
     /// True if the configuration has a backend; without one no call can be made.
     is_configured: bool,
-    links: [BackendLinkState; BACKEND_LINKS],
-    last_call_id: u64,
+    pub(super) links: [BackendLinkState; BACKEND_LINKS],
+    pub(super) last_call_id: u64,
     queue: VecDeque<(RequestId, CallId)>,
     /// Due time of the timer that sends queued calls, if one is set.
     queue_check_at: Option<Nanos>,
@@ -206,25 +186,6 @@
         call_id
     }
 
-    /// Chooses the link for a call: links that are not silent are preferred, then the link with the
-    /// fewest calls. Links on which the request may still get a late reply are excluded.
-    fn choose_link(&self, id: RequestId) -> Option<usize> {
-        let mut calls = [0; BACKEND_LINKS];
-        self.requests
-            .values()
-            .filter_map(|request| request.backend_call.as_ref()?.link())
-            .for_each(|link| calls[link] += 1);
-        let tainted = self.requests.get(&id)?.tainted_links;
-        (0..BACKEND_LINKS)
-            .filter(|&link| !tainted[link])
-            .min_by_key(|&link| {
-                (
-                    self.backend.links[link].overtaken >= SILENT_AFTER_REPLIES,
-                    calls[link],
-                )
-            })
-    }
-
     /// Hands a call that holds its budget units to a link.
     fn send_backend_call(&mut self, id: RequestId, timeout: Nanos) {
         let link = self.choose_link(id);
@@ -350,8 +311,7 @@
         request.tainted_links[link] = true;
         let correlation_id = request.correlation_id.clone();
         self.cancel_backend_call(&correlation_id, link);
-        let state = self.backend.links[link];
-        if state.overtaken >= SILENT_AFTER_REPLIES && state.latest_call_at_reply < call_id.0 {
+        if self.backend.links[link].is_silent_since(call_id) {
             self.count(Metric::SilentBackendLinks, 1);
             self.actions.close_backend_link(link); // other calls on it would not be answered either
         }
@@ -385,49 +345,6 @@
         self.backend.links[link.place].connections_ended > link.generation
     }
 
-    /// Records the end of a connection. Returns the requests whose calls were written on it and had
-    /// no reply.
-    pub fn backend_disconnected(&mut self, link: BackendLink) -> Vec<RequestId> {
-        // The end of a silent connection that was closed may be reported after that of a newer one.
-        let state = &mut self.backend.links[link.place];
-        state.connections_ended = state.connections_ended.max(link.generation + 1);
-        state.overtaken = 0;
-        let cut_off: Vec<RequestId> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| {
-                request
-                    .backend_call
-                    .as_ref()
-                    .is_some_and(|call| call.written_on == Some(link))
-            })
-            .map(|(&id, _)| id)
-            .collect();
-        if !cut_off.is_empty() {
-            warn!(
-                target: part::BACKEND,
-                link = link.place,
-                calls = cut_off.len(),
-                "connection lost with calls under way"
-            );
-        }
-        cut_off
-    }
-
-    /// Closes a link that has been idle, unless a reply is awaited on it. If the backend closed the
-    /// connection first, a new call could be lost with it.
-    pub fn backend_idle(&mut self, link: usize) {
-        let is_awaited = self.requests.values().any(|request| {
-            request
-                .backend_call
-                .as_ref()
-                .is_some_and(|call| call.link() == Some(link))
-        });
-        if !is_awaited {
-            self.actions.close_backend_link(link);
-        }
-    }
-
     /// Records a reply. Returns the request whose call it ends, or `None` for an abandoned call.
     pub fn backend_replied(&mut self, link: usize, reply: &backend::Reply) -> Option<RequestId> {
         let id = self.request_ids.get(&reply.id).copied();
@@ -446,39 +363,6 @@
         id
     }
 
-    /// Updates the overtaken counts after a reply on `link`: other links on which an older call
-    /// waits are counted as overtaken.
-    fn detect_overtaken_links(&mut self, link: usize, id: Option<RequestId>) {
-        let replied = &mut self.backend.links[link];
-        replied.latest_call_at_reply = self.backend.last_call_id;
-        replied.overtaken = 0;
-        let Some(replied_call) = id
-            .and_then(|id| self.requests.get(&id)?.backend_call.as_ref())
-            .map(|call| call.id.0)
-        else {
-            return;
-        };
-        let mut oldest_calls = [u64::MAX; BACKEND_LINKS];
-        for call in self
-            .requests
-            .values()
-            .filter_map(|request| request.backend_call.as_ref())
-        {
-            if let Some(link) = call.link() {
-                oldest_calls[link] = oldest_calls[link].min(call.id.0);
-            }
-        }
-        for (link, oldest) in self.backend.links.iter_mut().zip(oldest_calls) {
-            match oldest {
-                u64::MAX => link.overtaken = 0, // no call waits on this link
-                oldest => {
-                    let is_overtaken = link.latest_call_at_reply < oldest && oldest < replied_call;
-                    link.overtaken += u32::from(is_overtaken);
-                }
-            }
-        }
-    }
-
     /// Removes the call of a request after it has ended. Returns its latency, which is 0 if no call
     /// had been made, or `None` if the request has no execution.
     pub fn end_backend_call(
--- a/crates/node/src/state/requests.rs
+++ b/crates/node/src/state/requests.rs
@@ -1,6 +1,7 @@
 //! Requests in flight, from being read until they are answered and their executions have ended.
 
-use super::backend_calls::{BACKEND_LINKS, BackendCall};
+use super::backend_calls::BackendCall;
+use super::backend_links::BACKEND_LINKS;
 use super::connections::OpenItem;
 use super::executions::Execution;
 use super::{DeferredEvent, MILLISECOND, NodeState};
--- a/crates/node/src/state/resumes.rs
+++ b/crates/node/src/state/resumes.rs
@@ -40,9 +40,9 @@
             return;
         };
         let (notice, reply) = (*notice, reply.take());
-        let is_uncertain_if_lost = reply.is_some() && !self.may_skip_call(id);
+        let must_not_be_lost = reply.is_some() && !self.may_skip_call(id);
         self.send_resume(id, notice, reply);
-        if is_uncertain_if_lost {
+        if must_not_be_lost {
             self.set_timer(MARK_DELAY, Timer::RequestGauges);
         }
     }
@@ -50,8 +50,8 @@
     /// Deals with a resume command that may have been lost with the previous link. `is_missing`
     /// returns whether the command with a number is not known to have arrived.
     ///
-    /// If the call may be skipped, the execution is told to continue without it, which has no effect
-    /// if it has continued. Otherwise its next notice shows that it has, and the request fails if
+    /// If the call may be skipped, a resume command without a reply follows, which has no effect if
+    /// the execution has continued. Otherwise its next notice shows that it has, and the request fails if
     /// there is none in [`UNCERTAIN_TIMEOUT`].
     pub fn check_resume(&mut self, id: RequestId, is_missing: impl Fn(u64) -> bool) {
         let Some(execution) = self.execution_mut(id) else {
