--- a/review/stand-ins-2/src/bin/second-supervisor.rs
+++ b/review/stand-ins-2/src/bin/second-supervisor.rs
@@ -3,86 +3,59 @@
 
 use review_stand_ins_2::dispatcher::{Connection, Outcome, Request};
 use review_stand_ins_2::kernel::{Kernel, Step};
-use review_stand_ins_2::node::{
-    Config, Program, finish, free_address, guard, remember, root, signal, work,
-};
+use review_stand_ins_2::node::{Config, Program, finish, free_address, guard, signal};
 use review_stand_ins_2::record::Record;
 use review_stand_ins_2::settings::{CORES, SLACK_MS, Service, Settings, TIMEOUT_MS};
+use review_stand_ins_2::supervised::{arguments, processes, write_version};
 use review_stand_ins_2::{has_trouble, registry};
 use std::net::SocketAddr;
-use std::os::unix::fs::PermissionsExt;
-use std::path::Path;
+use std::thread::{self, sleep};
 use std::time::Duration;
 
 /// Requests of each part, each on a connection of its own.
-const REQUESTS: u64 = 10;
+const REQUESTS: u64 = 20;
 
-/// Writes a version of the program: a copy of the build, or a script in its place.
-fn write_version(number: u32, script: Option<&str>) -> std::io::Result<()> {
-    let folder = work().join(format!("programs/{number}"));
-    std::fs::create_dir_all(&folder)?;
-    let file = folder.join("madderpoint");
-    match script {
-        Some(text) => std::fs::write(&file, text)?,
-        None => {
-            std::fs::copy(root().join("target/release/madderpoint"), &file)?;
-        }
+/// Sends a request on a new connection. Returns whether it was served, or `None` if it had no answer
+/// in its time.
+fn request(rid: &str, to: SocketAddr, kernel: &Kernel, record: &Record) -> Option<bool> {
+    let work = Step::Work(Duration::from_millis(5));
+    kernel.add(rid, "normalizar", b"body", vec![work]);
+    let mut dispatcher = Connection::open(to, record).ok()?;
+    let sent = dispatcher.send(&Request::new(rid, "normalizar", b"body"));
+    if sent.is_err() {
+        return Some(false);
     }
-    std::fs::set_permissions(&file, std::fs::Permissions::from_mode(0o755))
-}
-
-fn arguments(version: u32) -> String {
-    let work = work();
-    let work = work.display();
-    format!("run-under --programs {work}/programs --start {version} --state {work}/state -- serve")
-}
-
-/// Remembers the processes of a supervisor, which go on when it is killed.
-fn remember_processes(folder: &Path) {
-    let Ok(entries) = std::fs::read_dir(folder) else {
-        return;
-    };
-    for path in entries.flatten().map(|entry| entry.path()) {
-        if path.is_dir() {
-            remember_processes(&path);
-        } else if path.file_name().is_some_and(|name| name == "processes") {
-            let text = std::fs::read_to_string(&path).unwrap_or_default();
-            text.lines()
-                .filter_map(|line| line.split(' ').next()?.parse().ok())
-                .for_each(remember);
-        }
+    let answer = dispatcher.answer(Duration::from_millis(TIMEOUT_MS + SLACK_MS));
+    kernel.over(rid);
+    dispatcher.close();
+    if answer.is_none() {
+        record.say(format!(
+            "LOST: {rid} was written to an accepted connection and has no answer"
+        ));
     }
+    let (_, outcome) = answer?;
+    Some(matches!(outcome, Outcome::Answer { status: 200, .. }))
 }
 
-/// Sends requests, each on a new connection, and returns how many were served and how many had no
-/// answer in their time.
-fn play(
-    part: u64,
-    to: SocketAddr,
-    kernel: &Kernel,
-    record: &Record,
-) -> std::io::Result<(u64, u64)> {
+/// Sends requests and returns how many were served and how many had no answer in their time.
+fn play(part: u64, to: SocketAddr, kernel: &Kernel, record: &Record) -> (u64, u64) {
+    let requests: Vec<_> = (0..REQUESTS)
+        .map(|number| {
+            sleep(Duration::from_millis(20));
+            let (kernel, record) = (kernel.clone(), record.clone());
+            let rid = format!("{:016x}", part << 16 | number);
+            thread::spawn(move || request(&rid, to, &kernel, &record))
+        })
+        .collect();
     let (mut served, mut lost) = (0, 0);
-    for number in 0..REQUESTS {
-        let rid = format!("{:016x}", part << 16 | number);
-        let work = Step::Work(Duration::from_millis(5));
-        kernel.add(&rid, "normalizar", b"body", vec![work]);
-        let mut dispatcher = Connection::open(to, record)?;
-        dispatcher.send(&Request::new(&rid, "normalizar", b"body"))?;
-        match dispatcher.answer(Duration::from_millis(TIMEOUT_MS + SLACK_MS)) {
-            Some((_, Outcome::Answer { status: 200, .. })) => served += 1,
-            Some(_) => {}
-            None => {
-                lost += 1;
-                record.say(format!(
-                    "LOST: {rid} was written to an accepted connection and has no answer"
-                ));
-            }
+    for request in requests {
+        match request.join() {
+            Ok(Some(is_served)) => served += u64::from(is_served),
+            Ok(None) => lost += 1,
+            Err(_) => finish(2),
         }
-        kernel.over(&rid);
-        dispatcher.close();
     }
-    Ok((served, lost))
+    (served, lost)
 }
 
 fn main() -> std::io::Result<()> {
@@ -106,8 +79,8 @@
     write_version(7, None)?;
     write_version(8, Some("#!/bin/sh\nexec sleep 60\n"))?;
     let mut first = Program::start(&config, &arguments(7), &record);
-    remember_processes(&work().join("state"));
-    let (served, lost) = play(1, config.listen, &kernel, &record)?;
+    processes();
+    let (served, lost) = play(1, config.listen, &kernel, &record);
     record.say(format!(
         "supervised: {REQUESTS} sent, {served} served, {lost} lost"
     ));
@@ -118,16 +91,17 @@
         record.note("the supervisor is killed");
         signal(first.child.id(), "KILL");
         let _ = first.child.wait();
-        let (served, lost) = play(2, config.listen, &kernel, &record)?;
+        let (served, lost) = play(2, config.listen, &kernel, &record);
         record.say(format!(
             "supervisor killed: {REQUESTS} sent, {served} served, {lost} lost"
         ));
         let _second = Program::start(&config, &arguments(8), &record);
-        remember_processes(&work().join("state"));
+        processes();
     }
-    let (served, lost) = play(3, config.listen, &kernel, &record)?;
+    let (served, lost) = play(3, config.listen, &kernel, &record);
     record.say(format!(
         "supervisor started again: {REQUESTS} sent, {served} served, {lost} lost"
     ));
+    processes();
     finish(i32::from(lost * 1000 > 3 * REQUESTS));
 }
--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod record;
 pub mod registry;
 pub mod settings;
+pub mod supervised;
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
